--- /dev/null
+++ b/cmake/bergamot.cmake
@@ -0,0 +1,36 @@
+# Helpers shared by the packages of the workspace. Each takes the sources of
+# the calling folder; LIBS names what to link against.
+
+# Adds a static library with the sources of its folder.
+function(bergamot_library name)
+  cmake_parse_arguments(arg "" "" "LIBS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*.cpp")
+  add_library(${name} STATIC ${sources})
+  target_include_directories(${name} PUBLIC "${CMAKE_SOURCE_DIR}/src")
+  target_link_libraries(${name} PUBLIC ${arg_LIBS})
+endfunction()
+
+# Adds a program with the sources of its folder.
+function(bergamot_program name)
+  cmake_parse_arguments(arg "" "" "LIBS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*.cpp")
+  add_executable(${name} ${sources})
+  target_include_directories(${name} PRIVATE "${CMAKE_SOURCE_DIR}/src")
+  target_link_libraries(${name} PRIVATE ${arg_LIBS})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
+endfunction()
+
+# Adds the Catch2 test program test_<subject> and one CTest test for it.
+function(bergamot_test subject)
+  cmake_parse_arguments(arg "" "TIMEOUT" "LIBS;LABELS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*.cpp")
+  add_executable(test_${subject} ${sources})
+  target_include_directories(test_${subject} PRIVATE "${CMAKE_SOURCE_DIR}/src" "${CMAKE_SOURCE_DIR}/tests")
+  target_link_libraries(test_${subject} PRIVATE ${arg_LIBS} catchmain)
+  set_target_properties(test_${subject} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/tests")
+  add_test(NAME ${subject} COMMAND test_${subject})
+  if(NOT arg_TIMEOUT)
+    set(arg_TIMEOUT 120)
+  endif()
+  set_tests_properties(${subject} PROPERTIES TIMEOUT ${arg_TIMEOUT} LABELS "${arg_LABELS}")
+endfunction()
--- /dev/null
+++ b/src/libbergamotbase/jsonlog.cpp
@@ -0,0 +1,84 @@
+#include "libbergamotbase/jsonlog.h"
+
+#include "libbergamotbase/timetypes.h"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace bergamot::base {
+
+namespace {
+
+/// One write per line keeps lines of concurrent threads whole.
+class JsonLineSink : public google::LogSink {
+public:
+  void send(google::LogSeverity severity, const char * /*fullFilename*/,
+            const char *baseFilename, int line,
+            const google::LogMessageTime & /*time*/, const char *message,
+            std::size_t length) override {
+    const std::string source =
+        std::string(baseFilename) + ":" + std::to_string(line);
+    std::string text = formatLogLine(formatRfc3339(wallNow()),
+                                     google::GetLogSeverityName(severity),
+                                     source, std::string_view(message, length));
+    text.push_back('\n');
+    writeAll(text);
+  }
+
+private:
+  static void writeAll(std::string_view text) {
+    while (!text.empty()) {
+      const ssize_t n = ::write(STDERR_FILENO, text.data(), text.size());
+      if (n <= 0)
+        return;
+      text.remove_prefix(static_cast<std::size_t>(n));
+    }
+  }
+};
+
+std::string dumpLossy(const nlohmann::json &value) {
+  return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::string withEvent(std::string_view kind, std::string_view event,
+                      const nlohmann::json &fields) {
+  nlohmann::json line = {{kind, event}};
+  line.update(fields);
+  return dumpLossy(line);
+}
+
+} // namespace
+
+void initJsonLog(const char *program) {
+  static JsonLineSink sink;
+  google::InitGoogleLogging(program);
+  for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
+    google::SetLogDestination(severity, "");
+  FLAGS_stderrthreshold = google::NUM_SEVERITIES;
+  google::AddLogSink(&sink);
+}
+
+void logDecision(std::string_view event, const nlohmann::json &fields) {
+  LOG(INFO) << withEvent("decision", event, fields);
+}
+
+void logInfo(std::string_view event, const nlohmann::json &fields) {
+  LOG(INFO) << withEvent("event", event, fields);
+}
+
+void logWarning(std::string_view event, const nlohmann::json &fields) {
+  LOG(WARNING) << withEvent("event", event, fields);
+}
+
+std::string formatLogLine(std::string_view time, std::string_view level,
+                          std::string_view source, std::string_view message) {
+  std::string line =
+      dumpLossy({{"time", time}, {"level", level}, {"source", source}});
+  line.pop_back();
+  if (message.size() > 2 && message.front() == '{')
+    return line + "," + std::string(message.substr(1));
+  return line + ",\"message\":" + dumpLossy(nlohmann::json(message)) + "}";
+}
+
+} // namespace bergamot::base
--- /dev/null
+++ b/src/libbergamotbase/metrics.h
@@ -0,0 +1,57 @@
+#ifndef BERGAMOT_LIBBERGAMOTBASE_METRICS_H
+#define BERGAMOT_LIBBERGAMOTBASE_METRICS_H
+
+#include "libbergamotbase/timetypes.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace bergamot::base {
+
+/// Counters, gauges and latency histograms of one process, by name and label
+/// text (e.g. `service="stock"`). Safe to use from several threads. Names and
+/// labels must come from configuration or code, never from callers, so that
+/// the set stays bounded.
+class Metrics {
+public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics &) = delete;
+  Metrics &operator=(const Metrics &) = delete;
+
+  /// Adds to a counter, which starts at 0.
+  void addCount(const std::string &name, const std::string &labels,
+                std::uint64_t count = 1);
+
+  /// Sets a gauge.
+  void setGauge(const std::string &name, const std::string &labels,
+                double value);
+
+  /// Records a latency. Buckets run from 0.1 ms to 100 s on a logarithmic
+  /// scale.
+  void addLatency(const std::string &name, const std::string &labels,
+                  Duration latency);
+
+  /// Returns all metrics in the Prometheus text format 0.0.4.
+  std::string prometheusText() const;
+
+private:
+  struct Histogram;
+  struct Key {
+    std::string Name;
+    std::string Labels;
+    auto operator<=>(const Key &) const = default;
+  };
+
+  mutable std::mutex Mutex;
+  std::map<Key, std::uint64_t> Counters;
+  std::map<Key, double> Gauges;
+  std::map<Key, std::unique_ptr<Histogram>> Histograms;
+};
+
+} // namespace bergamot::base
+
+#endif
--- /dev/null
+++ b/tests/base/test_base.cpp
@@ -0,0 +1,62 @@
+#include "libbergamotbase/digest.h"
+#include "libbergamotbase/error.h"
+#include "libbergamotbase/jsonlog.h"
+#include "libbergamotbase/metrics.h"
+#include "libbergamotbase/settings.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace bergamot::base;
+
+// Guards against log lines that a JSON reader can't parse.
+TEST_CASE("log lines are JSON objects whatever the message holds", "[log]") {
+  const auto plain = nlohmann::json::parse(
+      formatLogLine("t", "INFO", "a.cpp:1", "quote \" and \xff byte"));
+  CHECK(plain["source"] == "a.cpp:1");
+  const auto merged = nlohmann::json::parse(
+      formatLogLine("t", "INFO", "a.cpp:1", R"({"decision":"x","n":1})"));
+  CHECK(merged["decision"] == "x");
+  CHECK(merged["level"] == "INFO");
+}
+
+// Guards against a digest that depends on how the bytes were split.
+TEST_CASE("a stream hash equals the hash of the whole", "[digest]") {
+  StreamHash hash;
+  hash.add("abc");
+  hash.add("");
+  hash.add("defgh");
+  CHECK(hash.value() == xxHash64("abcdefgh"));
+  CHECK(fromHex(toHex("\x01\xfe")) == "\x01\xfe");
+  CHECK_THROWS_AS(fromHex("0g"), Error);
+  CHECK(sha256Hex("") == "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca4959"
+                         "91b7852b855");
+  CHECK(equalsConstantTime("same", "same"));
+  CHECK_FALSE(equalsConstantTime("same", "sama"));
+}
+
+// Guards against a check that stops at the first of several bad settings.
+TEST_CASE("all bad settings are reported at once", "[settings]") {
+  std::vector<SettingProblem> problems;
+  checkRange(problems, "port", 70000, 1, 65535);
+  checkChoice(problems, "role", "entri", {"entry", "target"});
+  checkEndpoint(problems, "listen", "localhost:80");
+  checkEndpoint(problems, "listen", "127.0.0.1:0");
+  checkEndpoint(problems, "listen", "[::1]:7000");
+  REQUIRE(problems.size() == 4);
+  CHECK_THROWS_WITH(throwIfAny(problems),
+                    Catch::Contains("--port='70000': allowed: 1 to 65535") &&
+                        Catch::Contains("--role='entri'"));
+}
+
+// Guards against histogram buckets that aren't cumulative.
+TEST_CASE("latency buckets are cumulative", "[metrics]") {
+  Metrics metrics;
+  metrics.addLatency("x_seconds", "", std::chrono::milliseconds(1));
+  metrics.addLatency("x_seconds", "", std::chrono::seconds(1));
+  metrics.addCount("x_total", "a=\"b\"", 2);
+  const std::string text = metrics.prometheusText();
+  CHECK_THAT(text, Catch::Contains("x_seconds_bucket{le=\"100\"} 2\n"));
+  CHECK_THAT(text, Catch::Contains("x_seconds_count 2\n"));
+  CHECK_THAT(text, Catch::Contains("x_total{a=\"b\"} 2\n"));
+}
