--- a/cmake/bergamot.cmake
+++ b/cmake/bergamot.cmake
@@ -34,3 +34,8 @@
   endif()
   set_tests_properties(${subject} PROPERTIES TIMEOUT ${arg_TIMEOUT} LABELS "${arg_LABELS}")
 endfunction()
+
+# Adds the benchmark program bench_<name>.
+function(bergamot_bench name)
+  bergamot_program(bench_${name} ${ARGN})
+endfunction()
