--- a/src/libbergamotconfig/configuration.cpp
+++ b/src/libbergamotconfig/configuration.cpp
@@ -44,7 +44,9 @@
 }
 
 std::string canonicalText(const Configuration &configuration) {
-  return dumpJson(sortedJson(configuration));
+  detail::TextWriter writer;
+  visitFields(writer, configuration);
+  return writer.text();
 }
 
 std::string readableText(const Configuration &configuration) {
--- a/src/libbergamotconfig/configuration.h
+++ b/src/libbergamotconfig/configuration.h
@@ -84,7 +84,7 @@
   std::uint64_t Units = 1;
   std::uint32_t ColdSlots = 1;
   std::chrono::milliseconds FirstTokenBound{1800};
-  std::uint64_t MaximumBodyBytes = 1U << 20;
+  std::uint64_t MaximumBodyBytes = 256U << 10;
   std::uint32_t DefaultMaximumOutputTokens = 0;
 
   bool operator==(const ServiceLimits &) const = default;
--- a/src/libbergamotconfig/jsonfields.cpp
+++ b/src/libbergamotconfig/jsonfields.cpp
@@ -59,6 +59,16 @@
   }
 }
 
+std::string detail::TextWriter::text() const {
+  std::string text = "{";
+  for (const auto &[name, member] : Members) {
+    if (text.size() > 1)
+      text += ',';
+    text += Json(name).dump() + ":" + member;
+  }
+  return text + "}";
+}
+
 std::string pointerToken(std::string_view name) {
   std::string token;
   for (const char c : name) {
--- a/src/libbergamotconfig/jsonfields.h
+++ b/src/libbergamotconfig/jsonfields.h
@@ -12,6 +12,8 @@
 #include <concepts>
 #include <cstdint>
 #include <limits>
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -76,6 +78,19 @@
 template <typename T, typename Tag>
 struct IsStrongId<base::StrongId<T, Tag>> : std::true_type {};
 
+template <typename T> struct IsOptional : std::false_type {};
+template <typename T> struct IsOptional<std::optional<T>> : std::true_type {};
+
+/// Returns whether an optional member is left out of the text.
+template <typename T> bool isEmpty(const T &value) {
+  if constexpr (IsOptional<T>::value)
+    return !value.has_value();
+  else if constexpr (requires { value.empty(); })
+    return value.empty();
+  else
+    return false;
+}
+
 /// Visits the fields of one object: reads each from JSON and notes which
 /// members of the object have been asked for.
 struct ObjectReader {
@@ -108,11 +123,53 @@
   template <typename T> void operator()(const char *name, const T &value) {
     Object[name] = toJson(value);
   }
+  /// Leaves out empty lists and objects, which keeps change records small.
   template <typename T> void optional(const char *name, const T &value) {
+    if (isEmpty(value))
+      return;
     Object[name] = toJson(value);
   }
 };
 
+/// Visits the fields of the outermost object and keeps the text of each
+/// member. Lists with ids are written in the order of the ids, element by
+/// element: a tree of the whole document takes several times its text.
+struct TextWriter {
+  std::map<std::string, std::string> Members;
+
+  template <typename T> void operator()(const char *name, const T &value) {
+    if constexpr (IsVector<T>::value)
+      Members[name] = listText(value);
+    else
+      Members[name] = dumpJson(toJson(value));
+  }
+  template <typename T> void optional(const char *name, const T &value) {
+    if (isEmpty(value))
+      return;
+    (*this)(name, value);
+  }
+  template <typename T> static std::string listText(const std::vector<T> &list);
+  std::string text() const;
+};
+
+template <typename T>
+std::string TextWriter::listText(const std::vector<T> &list) {
+  std::vector<const T *> order;
+  order.reserve(list.size());
+  for (const T &element : list)
+    order.push_back(&element);
+  if constexpr (requires(T element) { element.Id; })
+    std::stable_sort(order.begin(), order.end(),
+                     [](auto *a, auto *b) { return a->Id < b->Id; });
+  std::string text = "[";
+  for (const T *element : order) {
+    if (text.size() > 1)
+      text += ',';
+    text += dumpJson(toJson(*element));
+  }
+  return text + "]";
+}
+
 } // namespace detail
 
 template <typename T>
@@ -137,6 +194,8 @@
     std::uint32_t count = 0;
     readNumber(json, count, path);
     value = T(count);
+  } else if constexpr (detail::IsOptional<T>::value) {
+    read(json, value.emplace(), path);
   } else if constexpr (detail::IsVector<T>::value) {
     readList(json, value, path);
   } else if constexpr (std::is_enum_v<T>) {
@@ -200,6 +259,8 @@
     return value.Value;
   } else if constexpr (detail::IsDuration<T>::value) {
     return static_cast<std::uint64_t>(value.count());
+  } else if constexpr (detail::IsOptional<T>::value) {
+    return value ? toJson(*value) : Json();
   } else if constexpr (detail::IsVector<T>::value) {
     Json list = Json::array();
     for (const auto &element : value)
