--- a/src/libbergamotconfig/configuration.cpp
+++ b/src/libbergamotconfig/configuration.cpp
@@ -44,9 +44,7 @@
 }
 
 std::string canonicalText(const Configuration &configuration) {
-  detail::TextWriter writer;
-  visitFields(writer, configuration);
-  return writer.text();
+  return detail::TextWriter::valueText(configuration);
 }
 
 std::string readableText(const Configuration &configuration) {
--- a/src/libbergamotconfig/jsonfields.h
+++ b/src/libbergamotconfig/jsonfields.h
@@ -131,34 +131,46 @@
   }
 };
 
-/// Visits the fields of the outermost object and keeps the text of each
-/// member. Lists with ids are written in the order of the ids, element by
+/// Visits the fields of an object and keeps the text of each member. Lists
+/// of objects with a strong id are written in the order of the ids, element by
 /// element: a tree of the whole document takes several times its text.
 struct TextWriter {
   std::map<std::string, std::string> Members;
 
   template <typename T> void operator()(const char *name, const T &value) {
-    if constexpr (IsVector<T>::value)
-      Members[name] = listText(value);
-    else
-      Members[name] = dumpJson(toJson(value));
+    Members[name] = valueText(value);
   }
   template <typename T> void optional(const char *name, const T &value) {
     if (isEmpty(value))
       return;
     (*this)(name, value);
   }
+  template <typename T> static std::string valueText(const T &value);
   template <typename T> static std::string listText(const std::vector<T> &list);
   std::string text() const;
 };
 
+template <typename T> std::string TextWriter::valueText(const T &value) {
+  if constexpr (IsVector<T>::value) {
+    return listText(value);
+  } else if constexpr (IsOptional<T>::value) {
+    return valueText(*value);
+  } else if constexpr (requires(TextWriter w) { visitFields(w, value); }) {
+    TextWriter writer;
+    visitFields(writer, value);
+    return writer.text();
+  } else {
+    return dumpJson(toJson(value));
+  }
+}
+
 template <typename T>
 std::string TextWriter::listText(const std::vector<T> &list) {
   std::vector<const T *> order;
   order.reserve(list.size());
   for (const T &element : list)
     order.push_back(&element);
-  if constexpr (requires(T element) { element.Id; })
+  if constexpr (requires(T element) { element.Id.Value; })
     std::stable_sort(order.begin(), order.end(),
                      [](auto *a, auto *b) { return a->Id < b->Id; });
   std::string text = "[";
@@ -222,10 +234,9 @@
   if (!json.is_array())
     return addProblem(path, "must be a list");
   list.clear();
-  list.reserve(json.size());
-  for (const Json &element : json)
-    read(element, list.emplace_back(),
-         path + "/" + std::to_string(list.size() - 1));
+  list.resize(json.size());
+  for (std::size_t i = 0; i < list.size(); ++i)
+    read(json[i], list[i], path + "/" + std::to_string(i));
 }
 
 template <typename T>
--- a/src/libbergamotconfig/validate.cpp
+++ b/src/libbergamotconfig/validate.cpp
@@ -200,12 +200,12 @@
 
 void Validator::checkRepeatRules(const std::string &path,
                                  const Service &service) {
-  static const std::set<std::string_view> Methods = {
+  static const std::set<std::string_view> methods = {
       "*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
   std::set<std::pair<std::string_view, std::string_view>> seen;
   for (std::size_t i = 0; i < service.RepeatRules.size(); ++i) {
     const RepeatRule &rule = service.RepeatRules[i];
-    if (!Methods.contains(rule.Method))
+    if (!methods.contains(rule.Method))
       add(at(path, i) + "/method", "'" + rule.Method + "' is not a method");
     if (!rule.PathPrefix.starts_with('/'))
       add(at(path, i) + "/path_prefix", "must start with /");
