--- /dev/null
+++ b/src/adapterhttp/responseparser.cpp
@@ -0,0 +1,127 @@
+#include "adapterhttp/responseparser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <cstdint>
+#include <limits>
+
+namespace bergamot::adapterhttp {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+namespace {
+
+constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
+
+} // namespace
+
+class ResponseParser::Impl : public http::basic_parser<false> {
+public:
+  int Status = 0;
+  std::vector<HttpHeader> Headers;
+  std::string Body;
+  std::size_t Taken = 0;
+  /// Bytes that the parser has not consumed yet, e.g. half of a header line.
+  std::string Unparsed;
+
+protected:
+  void on_request_impl(http::verb, string_view, string_view, int,
+                       error_code &) override {}
+  void on_response_impl(int code, string_view, int, error_code &) override {
+    Status = code;
+  }
+  void on_field_impl(http::field, string_view name, string_view value,
+                     error_code &) override {
+    Headers.push_back({std::string(name), std::string(value)});
+  }
+  void on_header_impl(error_code &) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t> &,
+                         error_code &) override {}
+  std::size_t on_body_impl(string_view body, error_code &) override {
+    Body.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, string_view, error_code &) override {
+  }
+  std::size_t on_chunk_body_impl(std::uint64_t, string_view body,
+                                 error_code &) override {
+    Body.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_finish_impl(error_code &) override {}
+};
+
+ResponseParser::ResponseParser(bool isHead) : Parser(std::make_unique<Impl>()) {
+  Parser->eager(true);
+  Parser->skip(isHead);
+  Parser->header_limit(MaxHeadBytes);
+  // Callers bound what they read. boost::none refuses every body here.
+  Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+ResponseParser::~ResponseParser() = default;
+
+std::string ResponseParser::add(std::string_view bytes) {
+  Parser->Unparsed.append(bytes);
+  std::size_t used = 0;
+  std::string problem;
+  while (used < Parser->Unparsed.size() && !Parser->is_done()) {
+    error_code ec;
+    used += Parser->put(boost::asio::buffer(Parser->Unparsed.data() + used,
+                                            Parser->Unparsed.size() - used),
+                        ec);
+    if (ec == http::error::need_more)
+      break;
+    if (ec) {
+      problem = "malformed response: " + ec.message();
+      break;
+    }
+  }
+  Parser->Unparsed.erase(0, used);
+  return problem;
+}
+
+std::string ResponseParser::addEnd() {
+  error_code ec;
+  if (!Parser->is_done()) {
+    if (Parser->got_some())
+      Parser->put_eof(ec);
+    else
+      ec = http::error::end_of_stream;
+  }
+  return ec ? "the connection ended inside the response" : "";
+}
+
+bool ResponseParser::isHeadComplete() const { return Parser->is_header_done(); }
+
+bool ResponseParser::isComplete() const { return Parser->is_done(); }
+
+bool ResponseParser::keepsAlive() const {
+  return Parser->is_done() && Parser->Unparsed.empty() && Parser->keep_alive();
+}
+
+int ResponseParser::status() const { return Parser->Status; }
+
+const std::vector<HttpHeader> &ResponseParser::headers() const {
+  return Parser->Headers;
+}
+
+std::size_t ResponseParser::availableBytes() const {
+  return Parser->Body.size() - Parser->Taken;
+}
+
+std::string ResponseParser::takeBody(std::size_t most) {
+  std::string taken = Parser->Body.substr(Parser->Taken, most);
+  Parser->Taken += taken.size();
+  if (Parser->Taken == Parser->Body.size()) {
+    Parser->Body.clear();
+    Parser->Taken = 0;
+  }
+  return taken;
+}
+
+} // namespace bergamot::adapterhttp
--- /dev/null
+++ b/src/adapterhttp/responseparser.h
@@ -0,0 +1,51 @@
+#ifndef BERGAMOT_ADAPTERHTTP_RESPONSEPARSER_H
+#define BERGAMOT_ADAPTERHTTP_RESPONSEPARSER_H
+
+#include "adapterhttp/httpmessage.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bergamot::adapterhttp {
+
+/// Parses one HTTP response from bytes that arrive in pieces.
+class ResponseParser {
+public:
+  /// A response to HEAD has no body whatever its headers say.
+  explicit ResponseParser(bool isHead);
+  ~ResponseParser();
+  ResponseParser(const ResponseParser &) = delete;
+  ResponseParser &operator=(const ResponseParser &) = delete;
+
+  /// Takes further bytes. Returns an empty string or what is wrong with them.
+  std::string add(std::string_view bytes);
+
+  /// Takes the end of the connection. Returns an empty string, or what is
+  /// missing from the response.
+  std::string addEnd();
+
+  bool isHeadComplete() const;
+  bool isComplete() const;
+
+  /// Returns whether the connection can carry another request.
+  bool keepsAlive() const;
+  int status() const;
+  const std::vector<HttpHeader> &headers() const;
+
+  /// Returns the number of body bytes parsed and not taken yet.
+  std::size_t availableBytes() const;
+
+  /// Removes and returns at most that many bytes of the body.
+  std::string takeBody(std::size_t most);
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> Parser;
+};
+
+} // namespace bergamot::adapterhttp
+
+#endif
