--- /dev/null
+++ b/src/libbergamotrouting/attempttable.cpp
@@ -0,0 +1,52 @@
+#include "libbergamotrouting/attempttable.h"
+
+namespace bergamot::routing {
+
+AttemptTable::AttemptTable(std::size_t capacity, Duration retention)
+    : Capacity(capacity), Retention(retention) {}
+
+AttemptTable::Added AttemptTable::add(const AttemptKey &key, TimePoint now) {
+  removeExpired(now);
+  const auto it = Entries.find(key.Request);
+  if (it != Entries.end() && key.Attempt <= it->second.Highest)
+    return Added::Known;
+  // Later attempts of one request lengthen the queue only, so both are bounded.
+  if (Entries.size() >= Capacity || ByExpiry.size() >= 2 * Capacity)
+    return Added::Full;
+  Entry &entry = Entries[key.Request];
+  entry.Highest = key.Attempt;
+  setExpiry(key.Request, entry, now);
+  return Added::New;
+}
+
+void AttemptTable::setActive(const RequestId &request) {
+  const auto it = Entries.find(request);
+  if (it != Entries.end())
+    ++it->second.ActiveCount;
+}
+
+void AttemptTable::setInactive(const RequestId &request, TimePoint now) {
+  const auto it = Entries.find(request);
+  if (it == Entries.end() || it->second.ActiveCount == 0)
+    return;
+  --it->second.ActiveCount;
+  setExpiry(request, it->second, now);
+}
+
+void AttemptTable::setExpiry(const RequestId &request, Entry &entry,
+                             TimePoint now) {
+  entry.Expiry = now + Retention;
+  ByExpiry.emplace_back(entry.Expiry, request);
+}
+
+void AttemptTable::removeExpired(TimePoint now) {
+  while (!ByExpiry.empty() && ByExpiry.front().first <= now) {
+    const auto it = Entries.find(ByExpiry.front().second);
+    if (it != Entries.end() && it->second.ActiveCount == 0 &&
+        it->second.Expiry <= now)
+      Entries.erase(it);
+    ByExpiry.pop_front();
+  }
+}
+
+} // namespace bergamot::routing
--- /dev/null
+++ b/src/libbergamotrouting/routingtypes.h
@@ -0,0 +1,103 @@
+#ifndef BERGAMOT_LIBBERGAMOTROUTING_ROUTINGTYPES_H
+#define BERGAMOT_LIBBERGAMOTROUTING_ROUTINGTYPES_H
+
+#include "libbergamotbase/ids.h"
+#include "libbergamotbase/timetypes.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+
+namespace bergamot::routing {
+
+using base::AccountId;
+using base::AttemptNumber;
+using base::Duration;
+using base::FailureDomainId;
+using base::Incarnation;
+using base::RequestId;
+using base::ServiceId;
+using base::TargetId;
+using base::TimePoint;
+using base::VmId;
+
+/// Identifies a grant within one target daemon's life.
+using GrantId = base::StrongId<std::uint64_t, struct GrantIdTag>;
+
+/// Whether the back end carried out a request.
+enum class Executed { No, Yes, Unknown };
+
+/// Whether a request may be carried out more than once.
+enum class RepeatRule { Idempotent, NonIdempotent };
+
+/// Why a request was not taken.
+enum class Refusal {
+  None,
+  Duplicate,
+  RecordsFull,
+  Draining,
+  DomainRemoved,
+  NotReady,
+  DeadlinePassed,
+  TooLarge,
+  NoSlots,
+  NoUnits,
+  Priority,
+  AccountShare,
+  RateLimit,
+  ConcurrencyLimit,
+  QueueFull,
+  WaitTooLong,
+  NoTarget,
+};
+
+/// Returns the name of a refusal as it appears in logs and problem documents.
+const char *refusalName(Refusal reason);
+
+/// One attempt of one request.
+struct AttemptKey {
+  RequestId Request;
+  AttemptNumber Attempt;
+  auto operator<=>(const AttemptKey &) const = default;
+};
+
+/// Permission of a target for an entry to send requests until Expiry. Units
+/// are tokens for a model and bytes for a plain service.
+struct Grant {
+  GrantId Id;
+  std::uint32_t Slots = 0;
+  std::uint64_t Units = 0;
+  TimePoint Expiry;
+};
+
+/// State of a back end as it reported it. Time is when the state was read.
+struct LoadReport {
+  Incarnation BackEnd;
+  std::uint32_t Running = 0;
+  std::uint64_t UnitsUsed = 0;
+  std::uint64_t UnitsTotal = 0;
+  bool Cold = false;
+  TimePoint Time;
+};
+
+/// Returns the span in seconds.
+inline double toSeconds(Duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+/// Returns the span of a number of seconds.
+inline Duration fromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+} // namespace bergamot::routing
+
+template <> struct std::hash<bergamot::routing::AttemptKey> {
+  std::size_t operator()(const bergamot::routing::AttemptKey &key) const {
+    return std::hash<bergamot::base::RequestId>()(key.Request) * 31 +
+           key.Attempt.Value;
+  }
+};
+
+#endif
