routing: Add TargetSelector and PrefixIndex

Targets that are still warming up receive granted work only, because entries that guess from lagging load would exceed the low limit together.

--- /dev/null
+++ b/src/libbergamotrouting/targetselector.h
@@ -0,0 +1,151 @@
+#ifndef BERGAMOT_LIBBERGAMOTROUTING_TARGETSELECTOR_H
+#define BERGAMOT_LIBBERGAMOTROUTING_TARGETSELECTOR_H
+
+#include "libbergamotrouting/prefixindex.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace bergamot::routing {
+
+/// Settings of a TargetSelector.
+struct SelectorSettings {
+  FailureDomainId OwnDomain;
+  /// Factor on the score of targets in another failure domain, for the 1.5 ms
+  /// between domains.
+  double OtherDomainFactor = 0.85;
+  /// Factor on the score of targets for which no grant is held: their answer
+  /// may be a refusal, which costs a round trip.
+  double NoGrantFactor = 0.3;
+  /// A full prefix match multiplies the score by 1 plus this.
+  double AffinityWeight = 2;
+  std::size_t PrefixCapacity = 65536;
+  /// Load older than this says nothing about free capacity.
+  Duration LoadStaleAfter = std::chrono::seconds(2);
+  /// Advice to a caller when no target can take its request.
+  Duration RetryAfter = std::chrono::milliseconds(250);
+};
+
+/// A target of the entry's subset.
+struct SubsetTarget {
+  TargetId Id;
+  FailureDomainId Domain;
+};
+
+/// Load of a target as its daemon reported it at Time. SlotLimit is the limit
+/// of the warm-up ramp; Warm says that the full limit has been reached.
+struct TargetLoad {
+  Incarnation Daemon;
+  std::uint64_t Sequence = 0;
+  std::uint32_t SlotsUsed = 0;
+  std::uint32_t SlotLimit = 0;
+  bool Warm = true;
+  bool Draining = false;
+  TimePoint Time;
+};
+
+/// What a request needs. Blocks are its prefix hashes, shortest first; Tried
+/// are the targets that earlier attempts went to.
+struct SelectionRequest {
+  std::uint64_t Units = 0;
+  std::span<const std::uint64_t> Blocks;
+  std::span<const TargetId> Tried;
+};
+
+/// The target chosen, or the reason why there is none.
+struct Selection {
+  Refusal Reason = Refusal::None;
+  TargetId Target;
+  std::optional<GrantId> Permit;
+  double Score = 0;
+  double Match = 0;
+  Duration RetryAfter{};
+};
+
+/// Chooses at an entry the target of a request, from two random targets of
+/// the entry's subset and the holder of the longest prompt prefix.
+class TargetSelector {
+public:
+  TargetSelector(const SelectorSettings &settings, std::uint64_t seed);
+
+  /// Replaces the subset of a service. State of targets that stay is kept.
+  void setSubset(const ServiceId &service,
+                 const std::vector<SubsetTarget> &targets);
+
+  /// Replaces the failure domains that operators have removed.
+  void setRemovedDomains(std::set<FailureDomainId> domains);
+
+  void setLeaving(const TargetId &target, bool leaving);
+  void setReachable(const TargetId &target, bool reachable);
+  void setEjected(const TargetId &target, bool ejected);
+
+  /// Takes a load report; repeated and older ones are ignored. A new
+  /// incarnation of the daemon voids the grants held from it.
+  void setLoad(const TargetId &target, const TargetLoad &load);
+
+  /// Adds a grant; repeated ones and those of an older incarnation of the
+  /// daemon are ignored.
+  void addGrant(const TargetId &target, Incarnation daemon, const Grant &grant);
+
+  void addCacheEvent(const TargetId &target, const CacheEvent &event);
+
+  /// Chooses a target and takes one slot of its grant, if one is held.
+  Selection choose(const ServiceId &service, const SelectionRequest &request,
+                   TimePoint now);
+
+  /// Returns the targets of a service that may receive new work.
+  std::size_t eligibleCount(const ServiceId &service) const;
+
+private:
+  struct Target {
+    TargetId Id;
+    FailureDomainId Domain;
+    TargetLoad Load;
+    std::vector<Grant> Grants;
+    GrantId LastGrant;
+    std::uint32_t SentSinceLoad = 0;
+    std::uint32_t SubsetCount = 0;
+    bool HasLoad = false;
+    bool Leaving = false;
+    bool Reachable = true;
+    bool Ejected = false;
+    bool Eligible = false;
+  };
+  struct Service {
+    std::vector<TargetIndex> Subset;
+    std::vector<TargetIndex> Eligible;
+  };
+  struct Candidate {
+    TargetIndex Index = 0;
+    double Score = 0;
+    double Match = 0;
+  };
+
+  TargetIndex indexOf(const TargetId &id);
+  void refreshEligible();
+  void setEligible(Target &target);
+  bool isTried(const Target &target, const SelectionRequest &request) const;
+  double score(Target &target, double match, std::uint64_t units,
+               TimePoint now) const;
+  double freePart(const Target &target, bool granted, TimePoint now) const;
+  void consider(Candidate &best, TargetIndex index, const PrefixMatch &holder,
+                const SelectionRequest &request, TimePoint now);
+  std::optional<GrantId> takeGrant(Target &target, std::uint64_t units);
+
+  SelectorSettings Settings;
+  std::mt19937_64 Generator;
+  std::set<FailureDomainId> RemovedDomains;
+  std::vector<Target> Targets;
+  std::unordered_map<TargetId, TargetIndex> Indexes;
+  std::unordered_map<ServiceId, Service> Services;
+  PrefixIndex Prefixes;
+};
+
+} // namespace bergamot::routing
+
+#endif
