--- a/src/adapterhttp/httpresponder.cpp
+++ b/src/adapterhttp/httpresponder.cpp
@@ -131,6 +131,12 @@
   finish();
 }
 
+void HttpResponder::drop() {
+  Started = true;
+  Failed = true;
+  PendingHead.clear();
+}
+
 bool HttpResponder::isClientGone() const {
   return Failed || isPeerGone(Socket);
 }
--- a/src/adapterhttp/httpresponder.h
+++ b/src/adapterhttp/httpresponder.h
@@ -44,6 +44,10 @@
   void respond(int status, const std::vector<HttpHeader> &headers,
                std::string_view body, base::TimePoint deadline);
 
+  /// Cuts the response, or closes the connection without one. Nothing can be
+  /// sent after it.
+  void drop();
+
   /// Returns whether the client has closed the connection or its sending
   /// side.
   bool isClientGone() const;
