--- /dev/null
+++ b/src/libbergamotexperts/expertmap.h
@@ -0,0 +1,109 @@
+#ifndef BERGAMOT_LIBBERGAMOTEXPERTS_EXPERTMAP_H
+#define BERGAMOT_LIBBERGAMOTEXPERTS_EXPERTMAP_H
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bergamot::experts {
+
+/// Marks an empty slot.
+constexpr std::uint32_t NoExpert = 0xffffffff;
+
+/// The weights of the replicas of one expert add up to this value.
+constexpr std::uint32_t WeightScale = 65536;
+
+/// One slot of a rank: the expert it holds and the replica's part of that
+/// expert's tokens, in units of 1/WeightScale.
+struct Slot {
+  std::uint32_t Expert = NoExpert;
+  std::uint32_t Weight = 0;
+
+  auto operator<=>(const Slot &) const = default;
+};
+
+/// What can be wrong with a map.
+enum class MapFault {
+  ExpertMissing,
+  ExpertTwiceOnRank,
+  ExpertOutOfRange,
+  WeightsDontAddUp,
+  WeightOnEmptySlot,
+};
+
+/// A fault with the expert and the rank that it concerns. Rank is 0 where the
+/// fault concerns an expert on all ranks.
+struct MapProblem {
+  MapFault Fault;
+  std::uint32_t Expert;
+  std::uint32_t Rank;
+};
+
+/// The placement of one layer's experts in the slots of the ranks of a group.
+/// A dispatcher sends Weight/WeightScale of an expert's tokens in a step to
+/// each replica; a weight of 0 keeps a replica in memory without work.
+class ExpertMap {
+public:
+  ExpertMap() = default;
+  ExpertMap(std::uint32_t experts, std::uint32_t ranks,
+            std::uint32_t slotsPerRank);
+
+  std::uint32_t expertCount() const { return Experts; }
+  std::uint32_t rankCount() const { return Ranks; }
+  std::uint32_t slotsPerRank() const { return SlotsPerRank; }
+
+  /// Returns all slots; those of rank r start at r * slotsPerRank().
+  std::span<const Slot> slots() const { return Slots; }
+  /// Returns the slots of one rank.
+  std::span<const Slot> slots(std::uint32_t rank) const;
+  /// Changes a slot by its index in slots().
+  void setSlot(std::size_t index, Slot slot) { Slots.at(index) = slot; }
+
+  /// Returns whether a rank holds a replica of an expert.
+  bool holds(std::uint32_t rank, std::uint32_t expert) const;
+  /// Returns the ranks that hold a replica of an expert, in rank order.
+  std::vector<std::uint32_t> replicaRanks(std::uint32_t expert) const;
+
+  /// Returns every fault of the map; a valid map has none.
+  std::vector<MapProblem> problems() const;
+
+  /// Returns the canonical form: a magic word, three sizes and the slots as
+  /// little-endian 32-bit words.
+  std::string serialized() const;
+  /// Returns the map of its canonical form. Throws base::Error with
+  /// Step::Experts if the form is damaged or the map isn't valid.
+  static ExpertMap parsed(std::string_view bytes);
+
+  /// Returns the SHA-256 of the canonical form.
+  std::string contentHash() const;
+
+  auto operator<=>(const ExpertMap &) const = default;
+
+private:
+  std::uint32_t Experts = 0;
+  std::uint32_t Ranks = 0;
+  std::uint32_t SlotsPerRank = 0;
+  std::vector<Slot> Slots;
+};
+
+/// Returns the SHA-256 that identifies the maps of all layers of a group.
+std::string groupContentHash(std::span<const ExpertMap> layers);
+
+/// A replica that a rank must fetch before it can use a map.
+struct ReplicaTransfer {
+  std::uint32_t Expert = 0;
+  std::uint32_t Rank = 0;
+
+  auto operator<=>(const ReplicaTransfer &) const = default;
+};
+
+/// Returns the replicas that are in `next` but not on the same rank in
+/// `current`, in slot order.
+std::vector<ReplicaTransfer> transfersBetween(const ExpertMap &current,
+                                              const ExpertMap &next);
+
+} // namespace bergamot::experts
+
+#endif
