experts: Add the placement planner and its tests

Tokens of an expert are split over its replicas by weights that the map carries. The split is levelled first, which moves no bytes; replicas move only where levelling can't reach the target.

--- /dev/null
+++ b/src/libbergamotexperts/movesearch.h
@@ -0,0 +1,83 @@
+#ifndef BERGAMOT_LIBBERGAMOTEXPERTS_MOVESEARCH_H
+#define BERGAMOT_LIBBERGAMOTEXPERTS_MOVESEARCH_H
+
+#include "libbergamotexperts/splitstate.h"
+
+#include <array>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace bergamot::experts {
+
+/// A change of one slot, or of two slots that exchange their experts.
+struct Move {
+  struct Change {
+    std::uint32_t Slot = 0;
+    std::uint32_t Expert = NoExpert;
+  };
+  std::array<Change, 2> Changes{};
+  std::uint32_t ChangeCount = 0;
+};
+
+/// What a search may do.
+struct MoveLimits {
+  /// Replicas that an expert keeps when one of them is replaced.
+  std::uint32_t MinReplicas = 2;
+  /// Slots that are levelled to evaluate candidates in full, per move. With
+  /// 384 slots this allows 4 candidates, at small sizes nearly all.
+  std::uint32_t EvaluationSlots = 1600;
+  /// Experts and ranks considered per move.
+  std::uint32_t ExpertCandidates = 6;
+  std::uint32_t RankCandidates = 6;
+  /// Tells whether a slot may be overwritten; empty means all may.
+  std::function<bool(std::uint32_t)> Replaceable;
+};
+
+/// Finds the move that shortens a step most: a further replica of an expert
+/// of a slow rank on a fast rank, or an exchange between the two. Keeps
+/// replicas of an expert in two failure domains and on two hosts once they
+/// are.
+class MoveSearch {
+public:
+  MoveSearch(SplitState &state, std::span<const RankInfo> ranks,
+             const MoveLimits &limits);
+
+  /// Applies the best move to the state and returns it; nothing if no move
+  /// lowers the potential by more than `minDrop` of it.
+  std::optional<Move> addBestMove(double minDrop);
+  /// Returns how many candidates were evaluated so far.
+  std::uint64_t evaluations() const { return Evaluations; }
+
+private:
+  struct Candidate {
+    Move Step;
+    double Potential;
+  };
+
+  std::vector<std::uint32_t> slowExperts() const;
+  std::vector<std::uint32_t> fastRanks() const;
+  void addCandidates(std::uint32_t expert, std::uint32_t rank);
+  void addReplacements(std::uint32_t expert, std::uint32_t rank);
+  void addExchanges(std::uint32_t expert, std::uint32_t rank);
+  void addCandidate(const Move &move);
+  bool staysSpread(std::uint32_t expert, std::uint32_t leaving,
+                   std::uint32_t joining) const;
+  bool isRemovable(std::uint32_t slot) const;
+  std::array<std::uint32_t, 2> apply(const Move &move);
+  void undo(const Move &move, const std::array<std::uint32_t, 2> &old);
+  double evaluate(const Move &move, unsigned sweeps);
+
+  SplitState &State;
+  std::span<const RankInfo> Ranks;
+  const MoveLimits &Limits;
+  bool SeveralDomains = false;
+  bool SeveralHosts = false;
+  std::vector<Candidate> Candidates;
+  SplitState::Saved Before;
+  std::uint64_t Evaluations = 0;
+};
+
+} // namespace bergamot::experts
+
+#endif
--- /dev/null
+++ b/src/libbergamotexperts/placementplanner.cpp
@@ -0,0 +1,174 @@
+#include "libbergamotexperts/placementplanner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bergamot::experts {
+
+namespace {
+
+// The weights of the present map start near the optimum, so few sweeps are
+// needed after a small change.
+constexpr unsigned LevelSweeps = 60;
+constexpr double LevelTolerance = 2e-4;
+// A move must lower the potential by this part; less is noise of levelling.
+constexpr double MinPotentialDrop = 2e-4;
+
+double seconds(base::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+const char *waitReasonName(WaitReason reason) {
+  switch (reason) {
+  case WaitReason::None:
+    return "none";
+  case WaitReason::NoEstimate:
+    return "no_estimate";
+  case WaitReason::StaleEstimate:
+    return "stale_estimate";
+  case WaitReason::ActivationPending:
+    return "activation_pending";
+  case WaitReason::ExpertLost:
+    return "expert_lost";
+  case WaitReason::Balanced:
+    return "balanced";
+  case WaitReason::NoBetterMove:
+    return "no_better_move";
+  case WaitReason::TransferBudget:
+    return "transfer_budget";
+  case WaitReason::GainBelowCost:
+    return "gain_below_cost";
+  }
+  return "unknown";
+}
+
+PlacementPlanner::PlacementPlanner(PlannerSettings settings)
+    : Settings(std::move(settings)) {}
+
+WaitReason PlacementPlanner::obstacle(const PlanRequest &request) const {
+  if (request.ActivationPending)
+    return WaitReason::ActivationPending;
+  if (request.Popularity->Coverage <= 0)
+    return WaitReason::NoEstimate;
+  if (request.Now - request.Popularity->MeasuredAt > Settings.MaxEstimateAge)
+    return WaitReason::StaleEstimate;
+  return WaitReason::None;
+}
+
+double PlacementPlanner::costSeconds(std::uint64_t transfers) const {
+  const double bytes = static_cast<double>(transfers * Settings.BytesPerExpert);
+  return bytes / Settings.StoreBytesPerSecond * Settings.TransferSlowdown +
+         bytes * Settings.SecondsPerByte;
+}
+
+PlacementPlanner::Prefix
+PlacementPlanner::bestPrefix(const PlanRequest &request, SplitState state,
+                             PlanRecord &record) {
+  const double before = state.maxTime();
+  const double steps = Settings.StepsPerSecond * seconds(record.Life);
+  const std::uint64_t allowed = request.BudgetBytes / Settings.BytesPerExpert;
+  std::vector<std::uint32_t> staged(state.rankCount(), 0);
+  std::vector<bool> changed(request.Current->slots().size(), false);
+  MoveLimits limits = Settings.Search;
+  limits.Replaceable = [&](std::uint32_t slot) {
+    return staged[state.rankOf(slot)] < Settings.StagingSlots &&
+           !changed[slot] && request.Now >= ReplaceableFrom[slot];
+  };
+  MoveSearch search(state, request.Ranks, limits);
+  Prefix best{{}, before, 0, 0, 0};
+  Prefix current = best;
+  record.Reason = WaitReason::GainBelowCost;
+  while (current.Moves.size() < Settings.MaxMoves &&
+         state.maxTime() > Settings.TargetSkew * state.meanTime()) {
+    if (current.Transfers >= allowed) {
+      record.Reason = WaitReason::TransferBudget;
+      break;
+    }
+    const auto move = search.addBestMove(MinPotentialDrop);
+    if (!move) {
+      if (current.Moves.empty())
+        record.Reason = WaitReason::NoBetterMove;
+      break;
+    }
+    for (std::uint32_t i = 0; i < move->ChangeCount; ++i) {
+      changed[move->Changes.at(i).Slot] = true;
+      ++staged[state.rankOf(move->Changes.at(i).Slot)];
+    }
+    current.Moves.push_back(*move);
+    current.Transfers += move->ChangeCount;
+    current.Time = state.maxTime();
+    current.Gain = (before - current.Time) * steps;
+    current.Cost = costSeconds(current.Transfers);
+    if (current.Transfers <= allowed &&
+        current.Gain > Settings.Hysteresis * current.Cost &&
+        current.Gain - current.Cost > best.Gain - best.Cost)
+      best = current;
+  }
+  record.Evaluations = search.evaluations();
+  if (best.Moves.empty()) {
+    record.GainSeconds = current.Gain;
+    record.CostSeconds = current.Cost;
+  }
+  return best;
+}
+
+void PlacementPlanner::finishMove(const PlanRequest &request,
+                                  const Prefix &prefix, SplitState &levelled,
+                                  Plan &plan) {
+  for (const Move &move : prefix.Moves)
+    for (std::uint32_t i = 0; i < move.ChangeCount; ++i) {
+      const auto [slot, expert] = move.Changes.at(i);
+      levelled.setExpert(slot, expert);
+      plan.Transfers.push_back({expert, levelled.rankOf(slot)});
+      ReplaceableFrom[slot] = request.Now + Settings.MinResidence;
+    }
+  levelled.setAllLevel(LevelSweeps, LevelTolerance);
+  PlanRecord &record = plan.Record;
+  record.Kind = PlanKind::Move;
+  record.Reason = WaitReason::None;
+  record.GainSeconds = prefix.Gain;
+  record.CostSeconds = prefix.Cost;
+  record.Moves = static_cast<std::uint32_t>(prefix.Moves.size());
+  record.Bytes = prefix.Transfers * Settings.BytesPerExpert;
+}
+
+Plan PlacementPlanner::plan(const PlanRequest &request) {
+  Plan result;
+  PlanRecord &record = result.Record;
+  record.At = request.Now;
+  record.Life = request.Popularity->Life;
+  record.Coverage = request.Popularity->Coverage;
+  record.Reason = obstacle(request);
+  if (record.Reason != WaitReason::None)
+    return result;
+  ReplaceableFrom.resize(request.Current->slots().size());
+  SplitState state(*request.Current, request.Ranks,
+                   request.Popularity->TokensPerStep);
+  const double mean = state.meanTime();
+  record.SkewNow = state.maxTime() / mean;
+  state.setAllLevel(LevelSweeps, LevelTolerance);
+  record.SkewReweighted = state.maxTime() / mean;
+  record.SkewPlanned = record.SkewNow;
+  if (!std::isfinite(record.SkewReweighted)) {
+    record.Reason = WaitReason::ExpertLost;
+    return result;
+  }
+  record.Reason = WaitReason::Balanced;
+  if (record.SkewReweighted > Settings.TargetSkew) {
+    const Prefix best = bestPrefix(request, state, record);
+    if (!best.Moves.empty())
+      finishMove(request, best, state, result);
+  }
+  if (record.Kind == PlanKind::Wait &&
+      record.SkewNow - record.SkewReweighted >= Settings.MinReweightDrop)
+    record.Kind = PlanKind::Reweight;
+  if (record.Kind != PlanKind::Wait) {
+    record.SkewPlanned = state.maxTime() / mean;
+    result.Map = state.map();
+  }
+  return result;
+}
+
+} // namespace bergamot::experts
--- /dev/null
+++ b/src/libbergamotexperts/splitstate.h
@@ -0,0 +1,95 @@
+#ifndef BERGAMOT_LIBBERGAMOTEXPERTS_SPLITSTATE_H
+#define BERGAMOT_LIBBERGAMOTEXPERTS_SPLITSTATE_H
+
+#include "libbergamotexperts/expertmap.h"
+#include "libbergamotexperts/rankinfo.h"
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace bergamot::experts {
+
+/// Divides the tokens of each expert among its replicas so that the slowest
+/// rank is as fast as the placement allows. Minimises the sum of
+/// tokens^2/speed over the ranks by levelling one expert at a time; the
+/// minimum of this sum also has the least maximum time.
+class SplitState {
+public:
+  /// Starts with the weights of the map. `tokens` are tokens per step and
+  /// expert.
+  SplitState(const ExpertMap &map, std::span<const RankInfo> ranks,
+             std::span<const double> tokens);
+
+  /// Gives an expert's tokens to its replicas so that their ranks' times are
+  /// level. Returns the largest change of a share, in tokens.
+  double setLevel(std::uint32_t expert);
+  /// Levels all experts until no share changes by more than `tolerance` of
+  /// the mean tokens per rank, at most `maxSweeps` times. Returns the sweeps.
+  unsigned setAllLevel(unsigned maxSweeps, double tolerance);
+  /// Puts another expert (or NoExpert) into a slot, with a share of 0. The
+  /// caller levels both experts afterwards.
+  void setExpert(std::uint32_t slot, std::uint32_t expert);
+
+  std::uint32_t expertAt(std::uint32_t slot) const { return SlotExpert[slot]; }
+  /// Returns the tokens per step that a slot gets.
+  double share(std::uint32_t slot) const { return Shares[slot]; }
+  std::uint32_t rankOf(std::uint32_t slot) const { return slot / SlotsPerRank; }
+  std::uint32_t rankCount() const { return Ranks; }
+  std::uint32_t expertCount() const { return Experts; }
+  std::uint32_t slotsPerRank() const { return SlotsPerRank; }
+  /// Returns the slots that hold an expert, in no fixed order.
+  std::span<const std::uint32_t> replicaSlots(std::uint32_t expert) const {
+    return Replicas[expert];
+  }
+  bool holds(std::uint32_t rank, std::uint32_t expert) const;
+  bool isLive(std::uint32_t rank) const { return Speeds[rank] > 0; }
+
+  /// Returns a rank's seconds per step; infinite if a stalled rank has tokens.
+  double time(std::uint32_t rank) const;
+  /// Returns the longest time of any rank, in seconds per step; infinite if
+  /// an expert with tokens has no live replica.
+  double maxTime() const;
+  /// Returns the time per step with all tokens spread evenly by speed.
+  double meanTime() const { return TotalTokens / TotalSpeed; }
+  /// Returns the mean of (time/meanTime)^8 over live ranks. Unlike the
+  /// maximum, it falls when one of several equally slow ranks gets faster.
+  double potential() const;
+
+  /// Shares and rank sums, to undo an evaluation.
+  struct Saved {
+    std::vector<double> Shares;
+    std::vector<double> RankTokens;
+  };
+  void save(Saved &saved) const;
+  void restore(const Saved &saved);
+
+  /// Returns the map with the present placement and shares as weights.
+  ExpertMap map() const;
+
+private:
+  struct Level {
+    double Time;
+    double Speed;
+    std::uint32_t Slot;
+  };
+
+  void writeWeights(ExpertMap &map, std::uint32_t expert) const;
+
+  std::uint32_t Experts;
+  std::uint32_t Ranks;
+  std::uint32_t SlotsPerRank;
+  std::vector<double> Tokens;
+  std::vector<double> Speeds;
+  std::vector<std::uint32_t> SlotExpert;
+  std::vector<std::vector<std::uint32_t>> Replicas;
+  std::vector<double> Shares;
+  std::vector<double> RankTokens;
+  std::vector<Level> Scratch;
+  double TotalTokens = 0;
+  double TotalSpeed = 0;
+};
+
+} // namespace bergamot::experts
+
+#endif
--- /dev/null
+++ b/tests/experts/test_expertmap.cpp
@@ -0,0 +1,134 @@
+#include "libbergamotbase/error.h"
+#include "libbergamotexperts/expertmap.h"
+#include "libbergamotexperts/popularityestimator.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamot::experts;
+using bergamot::base::Error;
+using bergamot::base::TimePoint;
+using std::chrono::seconds;
+
+namespace {
+
+ExpertMap smallMap() {
+  ExpertMap map(3, 2, 2);
+  map.setSlot(0, {0, 40000});
+  map.setSlot(1, {1, WeightScale});
+  map.setSlot(2, {0, WeightScale - 40000});
+  map.setSlot(3, {2, WeightScale});
+  return map;
+}
+
+MapFault onlyFault(const ExpertMap &map) {
+  const auto problems = map.problems();
+  REQUIRE(problems.size() == 1);
+  return problems.front().Fault;
+}
+
+EstimatorSettings twoRanks() {
+  EstimatorSettings settings;
+  settings.Experts = 2;
+  settings.Ranks = 2;
+  return settings;
+}
+
+} // namespace
+
+// Guards against a rank that confirms another map than the one staged.
+TEST_CASE("a map survives its canonical form and the hash sees each word",
+          "[map]") {
+  const ExpertMap map = smallMap();
+  CHECK(ExpertMap::parsed(map.serialized()) == map);
+  ExpertMap other = map;
+  other.setSlot(0, {0, 39999});
+  other.setSlot(2, {0, WeightScale - 39999});
+  CHECK(other.contentHash() != map.contentHash());
+  const std::vector<ExpertMap> ab = {map, other};
+  const std::vector<ExpertMap> ba = {other, map};
+  CHECK(groupContentHash(ab) != groupContentHash(ba));
+  CHECK(map.replicaRanks(0) == std::vector<std::uint32_t>{0, 1});
+}
+
+// Guards against a damaged map that passes for a valid one.
+TEST_CASE("damaged maps are refused", "[map]") {
+  const std::string good = smallMap().serialized();
+  CHECK_THROWS_AS(ExpertMap::parsed(""), Error);
+  CHECK_THROWS_AS(ExpertMap::parsed(good.substr(0, good.size() - 1)), Error);
+  CHECK_THROWS_AS(ExpertMap::parsed(good + "x"), Error);
+  for (std::size_t i = 0; i < good.size(); ++i) {
+    std::string bad = good;
+    bad[i] = static_cast<char>(bad[i] ^ 0x41);
+    CHECK_THROWS_AS(ExpertMap::parsed(bad), Error);
+  }
+}
+
+// Guards against a map under which tokens of an expert have no place or two.
+TEST_CASE("each fault of a map is named", "[map]") {
+  ExpertMap map = smallMap();
+  map.setSlot(1, {});
+  CHECK(onlyFault(map) == MapFault::ExpertMissing);
+  map = smallMap();
+  map.setSlot(0, {0, 39999});
+  CHECK(onlyFault(map) == MapFault::WeightsDontAddUp);
+  map = ExpertMap(1, 1, 2);
+  map.setSlot(0, {0, WeightScale});
+  map.setSlot(1, {0, 0});
+  CHECK(onlyFault(map) == MapFault::ExpertTwiceOnRank);
+  map.setSlot(1, {7, 0});
+  CHECK(onlyFault(map) == MapFault::ExpertOutOfRange);
+  map.setSlot(1, {NoExpert, 1});
+  CHECK(onlyFault(map) == MapFault::WeightOnEmptySlot);
+}
+
+// Guards against transfers of replicas that a rank holds in another slot.
+TEST_CASE("only replicas new to a rank are transferred", "[map]") {
+  const ExpertMap current = smallMap();
+  ExpertMap next = current;
+  next.setSlot(0, {1, WeightScale});
+  next.setSlot(1, {2, 0});
+  CHECK(transfersBetween(current, next) ==
+        std::vector<ReplicaTransfer>{{2, 0}});
+}
+
+// Guards against counts that are wrong when ranks are late, silent or repeat.
+TEST_CASE("incomplete and late reports are scaled and merged", "[popularity]") {
+  PopularityEstimator estimator(twoRanks());
+  CHECK(estimator.addReport({0, 5, 10, {100, 300}}) == ReportVerdict::Counted);
+  CHECK(estimator.addReport({0, 5, 10, {100, 300}}) ==
+        ReportVerdict::Duplicate);
+  CHECK(estimator.addReport({9, 5, 10, {1, 1}}) == ReportVerdict::Malformed);
+  CHECK(estimator.addReport({1, 5, 0, {1, 1}}) == ReportVerdict::Malformed);
+  CHECK(estimator.addReport({1, 5, 10, {1}}) == ReportVerdict::Malformed);
+  CHECK(estimator.addReport({1, 1000, 10, {1, 1}}) == ReportVerdict::TooEarly);
+  estimator.setNewestWindow(5, TimePoint(seconds(50)));
+  CHECK(estimator.estimate().Coverage == 0.5);
+  CHECK(estimator.estimate().TokensPerStep == std::vector<double>{20.0, 60.0});
+  // The late report of rank 1 still counts while its window is open.
+  CHECK(estimator.addReport({1, 5, 10, {300, 100}}) == ReportVerdict::Counted);
+  estimator.setNewestWindow(5, TimePoint(seconds(51)));
+  CHECK(estimator.estimate().TokensPerStep == std::vector<double>{40.0, 40.0});
+  estimator.setNewestWindow(8, TimePoint(seconds(80)));
+  CHECK(estimator.addReport({1, 5, 10, {300, 100}}) == ReportVerdict::TooLate);
+}
+
+// Guards against a pattern that is held to last while it changes, and the
+// reverse.
+TEST_CASE("life is long for a steady pattern and short for a changing one",
+          "[popularity]") {
+  PopularityEstimator steady(twoRanks());
+  PopularityEstimator changing(twoRanks());
+  for (std::uint32_t window = 0; window < 12; ++window) {
+    for (std::uint32_t rank = 0; rank < 2; ++rank) {
+      steady.addReport({rank, window, 10, {1000, 2000}});
+      changing.addReport({rank, window, 10, {500 + 100 * window, 2000}});
+    }
+    const TimePoint now(seconds(10 * window));
+    steady.setNewestWindow(window, now);
+    changing.setNewestWindow(window, now);
+  }
+  CHECK(steady.estimate().Life == EstimatorSettings().MaxLife);
+  CHECK(changing.estimate().Life < seconds(300));
+  CHECK(changing.estimate().Trend[0] > 5.0);
+  CHECK(steady.estimate().Trend[0] == Approx(0.0).margin(1e-9));
+}
