--- /dev/null
+++ b/bench/skew/main.cpp
@@ -0,0 +1,109 @@
+#include "simulation.h"
+#include "skewplot.h"
+
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <optional>
+
+DEFINE_string(svg, "", "file for the plot of skew over time at 128 ranks");
+DEFINE_uint64(seed, 20240611, "seed of the traces");
+DEFINE_uint32(intervals, 300, "intervals of 10 s per run");
+DEFINE_uint32(ranks, 0, "only this number of ranks; 0 means 8, 32 and 128");
+DEFINE_double(tokens, 8192, "expert tokens per rank, layer and step");
+DEFINE_bool(held_out, true, "also run the family kept out while tuning");
+
+namespace {
+
+using namespace bergamot;
+using skew::Method;
+using skew::RunResult;
+
+constexpr double SkewBound = 1.05;
+constexpr double PlanBoundMs = 5;
+constexpr auto HeldOut = skewtraces::TraceFamily::CorrelatedLayers;
+
+void print(const std::string &name, double value, const char *unit,
+           std::optional<double> bound, std::optional<double> naive) {
+  nlohmann::ordered_json line;
+  line["name"] = name;
+  line["value"] = value;
+  line["unit"] = unit;
+  line["bound"] = bound ? nlohmann::ordered_json(*bound) : nullptr;
+  line["naive"] = naive ? nlohmann::ordered_json(*naive) : nullptr;
+  std::cout << line.dump() << std::endl;
+}
+
+std::vector<RunResult> runAll(skewtraces::TraceFamily family,
+                              std::uint32_t ranks) {
+  std::vector<RunResult> runs;
+  for (const Method method :
+       {Method::Static, Method::FromScratch, Method::Planner}) {
+    skew::RunSettings settings;
+    settings.Chooser = method;
+    settings.Trace.Family = family;
+    settings.Trace.Seed = FLAGS_seed + static_cast<std::uint64_t>(family);
+    settings.Ranks = ranks;
+    settings.Intervals = FLAGS_intervals;
+    settings.TokensPerRank = FLAGS_tokens;
+    runs.push_back(skew::runTrace(settings));
+  }
+  return runs;
+}
+
+void printRuns(const std::string &suffix, std::uint32_t ranks,
+               const std::vector<RunResult> &runs) {
+  const RunResult &fixed = runs[0];
+  const RunResult &scratch = runs[1];
+  const RunResult &planner = runs[2];
+  std::optional<double> bound;
+  if (ranks == 128)
+    bound = SkewBound;
+  print("skew_mean_vs_static" + suffix, planner.MeanSkew, "ratio", bound,
+        fixed.MeanSkew);
+  print("skew_mean_vs_scratch" + suffix, planner.MeanSkew, "ratio", bound,
+        scratch.MeanSkew);
+  print("skew_p99_vs_static" + suffix, planner.P99Skew, "ratio", {},
+        fixed.P99Skew);
+  print("skew_p99_vs_scratch" + suffix, planner.P99Skew, "ratio", {},
+        scratch.P99Skew);
+  print("skew_expected_vs_scratch" + suffix, planner.MeanExpectedSkew, "ratio",
+        {}, scratch.MeanExpectedSkew);
+  print("moved_bytes" + suffix, planner.Bytes, "byte", scratch.Bytes / 5,
+        scratch.Bytes);
+  print("steps_slowed" + suffix, planner.SlowedPart, "part", {},
+        scratch.SlowedPart);
+  print("switches" + suffix, planner.Switches, "count", {}, scratch.Switches);
+  print("switches_with_moves" + suffix, planner.MovingSwitches, "count", {},
+        scratch.MovingSwitches);
+  print("plan_median" + suffix, planner.PlanMedianMs, "ms", PlanBoundMs, {});
+  print("plan_p99" + suffix, planner.PlanP99Ms, "ms", PlanBoundMs, {});
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  print("seed", static_cast<double>(FLAGS_seed), "", {}, {});
+  std::vector<std::uint32_t> sizes = {8, 32, 128};
+  if (FLAGS_ranks != 0)
+    sizes = {FLAGS_ranks};
+  std::vector<skew::PlotPanel> panels;
+  for (const auto ranks : sizes)
+    for (const auto family : skewtraces::allFamilies()) {
+      if (family == HeldOut && !FLAGS_held_out)
+        continue;
+      const std::string name = skewtraces::familyName(family) +
+                               (family == HeldOut ? "_held_out" : "");
+      auto runs = runAll(family, ranks);
+      printRuns("." + name + "." + std::to_string(ranks), ranks, runs);
+      if (ranks == sizes.back())
+        panels.push_back(
+            {name + ", " + std::to_string(ranks) + " ranks", std::move(runs)});
+    }
+  if (!FLAGS_svg.empty())
+    std::ofstream(FLAGS_svg) << skew::skewPlot(panels);
+  return 0;
+}
--- /dev/null
+++ b/bench/skew/simulation.cpp
@@ -0,0 +1,230 @@
+#include "simulation.h"
+
+#include "libbergamotexperts/initialplacement.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <numeric>
+
+namespace bergamot::skew {
+
+namespace {
+
+constexpr auto IntervalLength = std::chrono::seconds(10);
+constexpr double IntervalSeconds = 10;
+constexpr std::uint32_t StepsPerInterval = 200;
+// Part of the store's rate that one plan may use, so that its transfers end
+// in the interval in which it was made.
+constexpr double BudgetPart = 0.4;
+
+double percentile(std::vector<double> values, double part) {
+  if (values.empty())
+    return 0;
+  std::ranges::sort(values);
+  const auto index = static_cast<std::size_t>(
+      std::ceil(part * static_cast<double>(values.size() - 1)));
+  return values[index];
+}
+
+class Run {
+public:
+  explicit Run(const RunSettings &settings);
+  RunResult result();
+
+private:
+  void reportCounts(std::uint64_t interval);
+  void choose(std::uint64_t interval);
+  void chooseLayer(std::size_t layer, base::TimePoint now);
+  void sampleSteps(std::uint64_t interval);
+  double skew(const std::vector<std::vector<double>> &tokens) const;
+
+  RunSettings Settings;
+  std::uint32_t SlotsPerRank;
+  skewtraces::PopularityTrace Trace;
+  std::mt19937_64 Random;
+  std::vector<experts::RankInfo> Ranks;
+  std::vector<experts::PlacementPlanner> Planners;
+  std::vector<experts::PopularityEstimator> Estimators;
+  std::vector<experts::ExpertMap> Maps;
+  std::vector<std::vector<double>> Parts;
+  std::vector<std::vector<experts::CountReport>> Late;
+  std::vector<experts::ExpertMap> Pending;
+  double PendingBytes = 0;
+  double ReadySample = 0;
+  bool HasPending = false;
+  bool HasChange = false;
+  std::vector<double> Skews;
+  std::vector<double> Expected;
+  std::vector<double> PlanMs;
+  RunResult Result;
+};
+
+Run::Run(const RunSettings &settings)
+    : Settings(settings),
+      SlotsPerRank((settings.Trace.Experts + settings.Ranks - 1) /
+                       settings.Ranks +
+                   settings.SpareSlots),
+      Trace(settings.Trace), Random(settings.Trace.Seed + 17) {
+  const bool twoEach =
+      SlotsPerRank * Settings.Ranks >= 2 * Settings.Trace.Experts;
+  Settings.Planner.Search.MinReplicas = twoEach ? 2 : 1;
+  for (std::uint32_t r = 0; r < Settings.Ranks; ++r)
+    Ranks.push_back({10e6, r / 8, r * 3 / Settings.Ranks});
+  Parts = Trace.next();
+  experts::EstimatorSettings estimator;
+  estimator.Experts = Settings.Trace.Experts;
+  estimator.Ranks = Settings.Ranks;
+  estimator.WindowLength = IntervalLength;
+  for (const auto &parts : Parts) {
+    std::vector<double> tokens;
+    tokens.reserve(parts.size());
+    for (const double part : parts)
+      tokens.push_back(part * Settings.TokensPerRank * Settings.Ranks);
+    Maps.push_back(experts::initialMap(Ranks, SlotsPerRank, tokens,
+                                       Settings.Planner.Search.MinReplicas));
+    Planners.emplace_back(Settings.Planner);
+    Estimators.emplace_back(estimator);
+    Late.emplace_back();
+  }
+}
+
+void Run::reportCounts(std::uint64_t interval) {
+  std::uniform_real_distribution<double> uniform;
+  const auto now = base::TimePoint(IntervalLength * (interval + 1));
+  for (std::size_t layer = 0; layer < Maps.size(); ++layer) {
+    for (const auto &report : Late[layer])
+      Estimators[layer].addReport(report);
+    Late[layer].clear();
+    for (std::uint32_t r = 0; r < Settings.Ranks; ++r) {
+      const auto counts = skewtraces::sampledStep(
+          Parts[layer], Settings.TokensPerRank * StepsPerInterval, Random);
+      experts::CountReport report{r, interval, StepsPerInterval, {}};
+      for (const double count : counts)
+        report.Tokens.push_back(static_cast<std::uint32_t>(count));
+      const double fate = uniform(Random);
+      if (fate < 0.10)
+        Late[layer].push_back(std::move(report));
+      else if (fate > 0.05 + 0.10)
+        Estimators[layer].addReport(report);
+    }
+    Estimators[layer].setNewestWindow(interval, now);
+  }
+}
+
+void Run::chooseLayer(std::size_t layer, base::TimePoint now) {
+  if (Estimators[layer].estimate().Coverage <= 0)
+    return;
+  if (Settings.Chooser == Method::FromScratch) {
+    Pending[layer] = experts::initialMap(
+        Ranks, SlotsPerRank, Estimators[layer].estimate().TokensPerStep,
+        Settings.Planner.Search.MinReplicas);
+  } else {
+    experts::PlanRequest request;
+    request.Now = now;
+    request.Current = &Maps[layer];
+    request.Popularity = &Estimators[layer].estimate();
+    request.Ranks = Ranks;
+    request.BudgetBytes = static_cast<std::uint64_t>(
+        Settings.Planner.StoreBytesPerSecond * IntervalSeconds * BudgetPart /
+        static_cast<double>(Maps.size()));
+    const auto start = std::chrono::steady_clock::now();
+    auto plan = Planners[layer].plan(request);
+    PlanMs.push_back(std::chrono::duration<double, std::milli>(
+                         std::chrono::steady_clock::now() - start)
+                         .count());
+    if (plan.Record.Kind == experts::PlanKind::Wait)
+      return;
+    Pending[layer] = std::move(plan.Map);
+  }
+  HasChange = true;
+  const auto moves = experts::transfersBetween(Maps[layer], Pending[layer]);
+  PendingBytes +=
+      static_cast<double>(moves.size() * Settings.Planner.BytesPerExpert);
+}
+
+void Run::choose(std::uint64_t interval) {
+  Result.BytesSeries.push_back(0);
+  if (Settings.Chooser == Method::Static || HasPending)
+    return;
+  Pending = Maps;
+  PendingBytes = 0;
+  HasChange = false;
+  for (std::size_t layer = 0; layer < Maps.size(); ++layer)
+    chooseLayer(layer, base::TimePoint(IntervalLength * interval));
+  HasPending = HasChange;
+  const double transfer = PendingBytes / Settings.Planner.StoreBytesPerSecond;
+  const double wait = std::max(IntervalSeconds / 2, transfer);
+  ReadySample = (static_cast<double>(interval) + wait / IntervalSeconds) *
+                Settings.Samples;
+  Result.Bytes += PendingBytes;
+  Result.BytesSeries.back() = PendingBytes;
+  Result.SlowedPart += transfer / IntervalSeconds / Settings.Intervals;
+}
+
+double Run::skew(const std::vector<std::vector<double>> &tokens) const {
+  double longest = 0;
+  double mean = 0;
+  for (std::size_t layer = 0; layer < Maps.size(); ++layer) {
+    double slowest = 0;
+    for (std::uint32_t r = 0; r < Settings.Ranks; ++r) {
+      double load = 0;
+      for (const auto &slot : Maps[layer].slots(r))
+        if (slot.Expert != experts::NoExpert)
+          load +=
+              tokens[layer][slot.Expert] * slot.Weight / experts::WeightScale;
+      slowest = std::max(slowest, load / Ranks[r].Speed);
+      mean += load / Ranks[r].Speed / Settings.Ranks;
+    }
+    longest += slowest;
+  }
+  return longest / mean;
+}
+
+void Run::sampleSteps(std::uint64_t interval) {
+  double sum = 0;
+  for (std::uint32_t i = 0; i < Settings.Samples; ++i) {
+    const auto sample = interval * Settings.Samples + i;
+    if (HasPending && static_cast<double>(sample) >= ReadySample) {
+      Result.Switches += 1;
+      Result.MovingSwitches += PendingBytes > 0 ? 1 : 0;
+      Maps = Pending;
+      HasPending = false;
+    }
+    std::vector<std::vector<double>> tokens;
+    for (const auto &parts : Parts)
+      tokens.push_back(skewtraces::sampledStep(
+          parts, Settings.TokensPerRank * Settings.Ranks, Random));
+    Skews.push_back(skew(tokens));
+    Expected.push_back(skew(Parts));
+    sum += Skews.back();
+  }
+  Result.SkewSeries.push_back(sum / Settings.Samples);
+}
+
+RunResult Run::result() {
+  for (std::uint64_t interval = 0; interval < Settings.Intervals; ++interval) {
+    choose(interval);
+    sampleSteps(interval);
+    reportCounts(interval);
+    Parts = Trace.next();
+  }
+  const auto mean = [](const std::vector<double> &values) {
+    return std::accumulate(values.begin(), values.end(), 0.0) /
+           static_cast<double>(values.size());
+  };
+  Result.MeanSkew = mean(Skews);
+  Result.MeanExpectedSkew = mean(Expected);
+  Result.P99Skew = percentile(Skews, 0.99);
+  Result.PlanMedianMs = percentile(PlanMs, 0.5);
+  Result.PlanP99Ms = percentile(PlanMs, 0.99);
+  return Result;
+}
+
+} // namespace
+
+RunResult runTrace(const RunSettings &settings) {
+  return Run(settings).result();
+}
+
+} // namespace bergamot::skew
