--- a/tests/state/test_claimbatcher.cpp
+++ b/tests/state/test_claimbatcher.cpp
@@ -49,10 +49,14 @@
 struct Executions {
   std::map<Hash128, std::int64_t> LastClaim;
   std::set<ClaimId> Done;
+  std::set<ClaimId> Withdrawn;
   std::uint64_t Count = 0;
 
-  void add(const Hash128 &key, const ClaimId &id, std::int64_t claimedAt) {
+  void add(const Hash128 &key, const ClaimId &id, std::int64_t claimedAt,
+           std::int64_t now) {
     REQUIRE(Done.insert(id).second);
+    REQUIRE(Withdrawn.count(id) == 0);
+    REQUIRE(now - claimedAt <= LongestDeadlineMs);
     if (const auto it = LastClaim.find(key); it != LastClaim.end())
       REQUIRE(std::abs(claimedAt - it->second) >= WindowMs);
     LastClaim[key] = claimedAt;
@@ -82,6 +86,7 @@
     if (Random.percent(25))
       request(now);
     respond(now);
+    cancel(now);
     dispatch(now);
     finish(now);
     for (const auto &it : Batcher->takeActions(at(now)))
@@ -113,12 +118,17 @@
     ReadBacks.clear();
     Dispatches.clear();
     Outcomes.clear();
+    Cancels.clear();
     Claimed.clear();
   }
 
   void read(std::int64_t now) {
     Table->setEarliest({Log.earliest()}, wallAt(now));
-    for (const auto &it : Log.read(Table->next().Value, 1 + Random.below(20))) {
+    // Reads overlap, as after a lost response.
+    const auto from = Table->next().Value;
+    for (const auto &it :
+         Log.read(from - std::min<std::uint64_t>(from, Random.below(4)),
+                  4 + Random.below(20))) {
       const auto applied = Batcher->apply(it, at(now));
       if (applied.Answer.State == ClaimState::Won)
         Claimed[applied.Record.Id] = {applied.Record.Key,
@@ -133,10 +143,12 @@
 
   void request(std::int64_t now) {
     const Hash128 key{0, Random.below(8)};
-    Batcher->addClaim(
+    const auto made = Batcher->addClaim(
         key, {1, Random.below(10) == 0},
         at(now + 20 + std::int64_t(Random.below(LongestDeadlineMs - 20))),
         at(now));
+    if (made.Id && Random.percent(20))
+      Cancels.push_back({now + std::int64_t(Random.below(150)), *made.Id});
   }
 
   void respond(std::int64_t now) {
@@ -148,6 +160,14 @@
     });
   }
 
+  void cancel(std::int64_t now) {
+    std::erase_if(Cancels, [&](const Timed &it) {
+      if (it.Time <= now && Batcher->addWithdrawal(it.Id, at(now)))
+        Done.Withdrawn.insert(it.Id);
+      return it.Time <= now;
+    });
+  }
+
   void dispatch(std::int64_t now) {
     std::vector<Timed> due;
     std::erase_if(Dispatches, [&](const Timed &it) {
@@ -163,14 +183,14 @@
         Batcher->setRefused(id);
         if (Random.percent(50)) {
           CHECK(Batcher->addWithdrawal(id, at(now)));
-          CHECK_FALSE(Batcher->takeDispatch(id, at(now)));
+          Done.Withdrawn.insert(id);
         } else {
           Dispatches.push_back({now + 20, id});
         }
         continue;
       }
       CHECK_FALSE(Batcher->addWithdrawal(id, at(now)));
-      Done.add(Claimed.at(id).Key, id, Claimed.at(id).Claimed);
+      Done.add(Claimed.at(id).Key, id, Claimed.at(id).Claimed, now);
       if (Random.percent(80))
         Outcomes.push_back({now + std::int64_t(Random.below(200)), id});
     }
@@ -212,6 +232,7 @@
   std::vector<std::uint64_t> ReadBacks;
   std::vector<Timed> Dispatches;
   std::vector<Timed> Outcomes;
+  std::vector<Timed> Cancels;
   std::map<ClaimId, Won> Claimed;
 };
 
