--- /dev/null
+++ b/src/libbergamotrouting/bufferbudget.cpp
@@ -0,0 +1,75 @@
+#include "libbergamotrouting/bufferbudget.h"
+
+#include <algorithm>
+
+namespace bergamot::routing {
+
+namespace {
+
+// Streams are parked before the budget is used up, so that new streams needn't
+// wait for a cancellation.
+constexpr double ShortFrom = 0.9;
+
+} // namespace
+
+BufferBudget::BufferBudget(std::size_t capacity, Duration stallTime)
+    : Capacity(capacity), StallTime(stallTime) {}
+
+void BufferBudget::addStream(StreamId id, bool resumable, TimePoint now) {
+  Streams.try_emplace(id, Stream{resumable, 0, now});
+}
+
+void BufferBudget::removeStream(StreamId id) {
+  const auto it = Streams.find(id);
+  if (it == Streams.end())
+    return;
+  setReserved(id, it->second, 0);
+  Streams.erase(it);
+}
+
+std::size_t BufferBudget::reserve(StreamId id, std::size_t bytes) {
+  const auto it = Streams.find(id);
+  if (it == Streams.end())
+    return 0;
+  const std::size_t n = std::min(bytes, Capacity - Used);
+  setReserved(id, it->second, it->second.Reserved + n);
+  return n;
+}
+
+void BufferBudget::release(StreamId id, std::size_t bytes) {
+  const auto it = Streams.find(id);
+  if (it != Streams.end())
+    setReserved(id, it->second,
+                it->second.Reserved - std::min(bytes, it->second.Reserved));
+}
+
+void BufferBudget::setProgress(StreamId id, TimePoint now) {
+  const auto it = Streams.find(id);
+  if (it == Streams.end())
+    return;
+  Stream &stream = it->second;
+  if (Parkable.erase({stream.ProgressAt, id}) > 0)
+    Parkable.emplace(now, id);
+  stream.ProgressAt = now;
+}
+
+std::optional<StreamId> BufferBudget::parkCandidate(TimePoint now) const {
+  if (Parkable.empty() ||
+      static_cast<double>(Used) < ShortFrom * static_cast<double>(Capacity))
+    return std::nullopt;
+  const auto &[progress, id] = *Parkable.begin();
+  if (now - progress < StallTime)
+    return std::nullopt;
+  return id;
+}
+
+void BufferBudget::setReserved(StreamId id, Stream &stream, std::size_t bytes) {
+  Used = Used - stream.Reserved + bytes;
+  stream.Reserved = bytes;
+  if (stream.Resumable && bytes > 0)
+    Parkable.emplace(stream.ProgressAt, id);
+  else
+    Parkable.erase({stream.ProgressAt, id});
+}
+
+} // namespace bergamot::routing
--- /dev/null
+++ b/src/libbergamotrouting/streambuffer.cpp
@@ -0,0 +1,140 @@
+#include "libbergamotrouting/streambuffer.h"
+
+#include <algorithm>
+
+namespace bergamot::routing {
+
+StreamBuffer::StreamBuffer(StreamId id, bool resumable, BufferBudget &budget,
+                           TimePoint now)
+    : Id(id), Resumable(resumable), Budget(budget) {
+  Budget.addStream(Id, resumable, now);
+}
+
+StreamBuffer::~StreamBuffer() { Budget.removeStream(Id); }
+
+StreamResult StreamBuffer::addChunk(std::uint64_t offset,
+                                    std::string_view bytes) {
+  if (Fault)
+    return *Fault;
+  if (Parked)
+    return StreamResult::Ignored;
+  if (offset > AcceptedTo)
+    return fail(StreamResult::Gap);
+  // A repeated part is dropped; the hash covers the first copy.
+  const std::uint64_t known = AcceptedTo - offset;
+  if (known >= bytes.size())
+    return StreamResult::Repeated;
+  bytes.remove_prefix(known);
+  if (ExpectedLength && AcceptedTo + bytes.size() > *ExpectedLength)
+    return fail(StreamResult::PastEnd);
+  if (AcceptedTo + bytes.size() > WindowEnd)
+    return fail(StreamResult::WindowExceeded);
+  // The string would double its memory past the window.
+  if (Buffer.capacity() < Buffer.size() + bytes.size())
+    Buffer.reserve(
+        std::min(StreamWindowBytes, 2 * (Buffer.size() + bytes.size())));
+  Buffer.append(bytes);
+  AcceptedTo += bytes.size();
+  if (TailHash && AcceptedTo == *ExpectedLength)
+    return checkTail();
+  return StreamResult::Accepted;
+}
+
+StreamResult StreamBuffer::setEnd(std::uint64_t totalLength,
+                                  std::uint64_t hash) {
+  if (Fault)
+    return *Fault;
+  if (Parked)
+    return StreamResult::Ignored;
+  if (totalLength != AcceptedTo ||
+      (ExpectedLength && totalLength != *ExpectedLength))
+    return fail(StreamResult::LengthMismatch);
+  if (EndSeen)
+    return hash == EndHash ? StreamResult::Repeated
+                           : fail(StreamResult::HashMismatch);
+  Hash.add(Buffer);
+  if (Hash.value() != hash)
+    return fail(StreamResult::HashMismatch);
+  ExpectedLength = totalLength;
+  EndHash = hash;
+  EndSeen = Verified = true;
+  Budget.release(Id, WindowEnd - AcceptedTo);
+  WindowEnd = AcceptedTo;
+  return StreamResult::Accepted;
+}
+
+std::string StreamBuffer::take(std::size_t most, TimePoint now) {
+  std::size_t n = std::min(most, Buffer.size());
+  if (!Verified && ExpectedLength && DeliveredTo + n >= *ExpectedLength &&
+      n > 0)
+    n = static_cast<std::size_t>(*ExpectedLength - DeliveredTo) - 1;
+  if (Fault || Parked || TailHash || n == 0)
+    return {};
+  std::string bytes = Buffer.substr(0, n);
+  Buffer.erase(0, n);
+  if (!EndSeen)
+    Hash.add(bytes);
+  DeliveredTo += n;
+  Budget.release(Id, n);
+  Budget.setProgress(Id, now);
+  return bytes;
+}
+
+std::optional<std::uint64_t> StreamBuffer::extendWindow() {
+  if (Fault || Parked || Verified)
+    return std::nullopt;
+  std::uint64_t end = DeliveredTo + StreamWindowBytes;
+  if (ExpectedLength)
+    end = std::min(end, *ExpectedLength);
+  if (end <= WindowEnd)
+    return std::nullopt;
+  const std::size_t n = Budget.reserve(Id, end - WindowEnd);
+  WindowEnd += n;
+  return n == 0 ? std::nullopt : std::optional(WindowEnd);
+}
+
+bool StreamBuffer::park() {
+  if (!Resumable || Parked || (Fault && *Fault != StreamResult::Gap))
+    return false;
+  if (Verified && Buffer.empty())
+    return false;
+  if (Verified) {
+    TailHash = base::xxHash64(Buffer);
+    Verified = false;
+  }
+  dropBuffer();
+  Parked = true;
+  return true;
+}
+
+std::optional<std::uint64_t> StreamBuffer::resume() {
+  if (!Parked && !(Resumable && Fault == StreamResult::Gap))
+    return std::nullopt;
+  if (!Parked)
+    dropBuffer();
+  Parked = false;
+  Fault.reset();
+  return DeliveredTo;
+}
+
+StreamResult StreamBuffer::fail(StreamResult fault) {
+  Fault = fault;
+  return fault;
+}
+
+StreamResult StreamBuffer::checkTail() {
+  if (base::xxHash64(Buffer) != *TailHash)
+    return fail(StreamResult::HashMismatch);
+  TailHash.reset();
+  Verified = true;
+  return StreamResult::Accepted;
+}
+
+void StreamBuffer::dropBuffer() {
+  Budget.release(Id, WindowEnd - DeliveredTo);
+  Buffer.clear();
+  Buffer.shrink_to_fit();
+  AcceptedTo = WindowEnd = DeliveredTo;
+}
+
+} // namespace bergamot::routing
--- /dev/null
+++ b/tests/routing/test_stream.cpp
@@ -0,0 +1,146 @@
+#include "libbergamotrouting/streambuffer.h"
+#include "routinghelpers.h"
+
+#include <algorithm>
+
+using namespace bergamot::routing;
+using namespace bergamot::routing::testing;
+using bergamot::base::xxHash64;
+
+namespace {
+
+constexpr auto StallTime = std::chrono::milliseconds(100);
+
+std::string bytesOf(std::mt19937_64 &random, std::size_t count) {
+  std::string bytes(count, '\0');
+  for (auto &c : bytes)
+    c = static_cast<char>('a' + below(random, 26));
+  return bytes;
+}
+
+} // namespace
+
+// Guards against every way in which a network or a confused target can corrupt
+// a response: whatever happens, a complete response equals the original.
+TEST_CASE("a corrupted response is never complete", "[stream][differential]") {
+  std::size_t complete = 0;
+  forEachSeed([&](std::mt19937_64 &random) {
+    BufferBudget budget(std::size_t{1} << 20, StallTime);
+    const std::string whole = bytesOf(random, 1 + below(random, 90000));
+    const std::string other = bytesOf(random, 100000);
+    const bool resumable = below(random, 2) == 0;
+    StreamBuffer buffer(StreamId{1}, resumable, budget, atMs(0));
+    if (below(random, 2) == 0)
+      buffer.setExpectedLength(whole.size());
+    const std::uint64_t faultRate = below(random, 3) * 3;
+    std::string got;
+    std::uint64_t sent = 0;
+    std::uint64_t window = 0;
+    for (int step = 0; step < 400 && !buffer.isComplete(); ++step) {
+      if (const auto end = buffer.extendWindow())
+        window = *end;
+      std::string chunk =
+          whole.substr(sent, std::min<std::uint64_t>(1 + below(random, 9000),
+                                                     window - sent));
+      std::uint64_t offset = sent;
+      sent += chunk.size();
+      switch (below(random, 100) < faultRate ? below(random, 5) : 9) {
+      case 0: // Lost.
+        chunk.clear();
+        break;
+      case 1: // Crossed with another stream.
+        chunk = other.substr(offset, chunk.size());
+        break;
+      case 2: // Repeated from earlier.
+        offset -= std::min<std::uint64_t>(offset, below(random, 5000));
+        chunk = whole.substr(offset, chunk.size());
+        break;
+      case 3: // Cut.
+        chunk.resize(chunk.size() / 2);
+        break;
+      case 4:
+        buffer.park();
+        break;
+      default:
+        break;
+      }
+      if (!chunk.empty())
+        buffer.addChunk(offset, chunk);
+      if (sent == whole.size())
+        buffer.setEnd(whole.size(), xxHash64(whole));
+      if (const auto at = buffer.resume())
+        sent = window = *at;
+      got += buffer.take(below(random, 12000), atMs(step));
+      REQUIRE(buffer.buffered() <= StreamWindowBytes);
+      REQUIRE(budget.used() <= StreamWindowBytes);
+    }
+    if (buffer.isComplete()) {
+      ++complete;
+      REQUIRE(got == whole);
+    }
+    if (faultRate == 0)
+      REQUIRE(buffer.isComplete());
+  });
+  CHECK(complete > SeedCount / 3);
+}
+
+// Guards against a response with an announced length that reaches the caller
+// whole before it was checked.
+TEST_CASE("the last byte is held back until the end is checked", "[stream]") {
+  BufferBudget budget(1 << 20, StallTime);
+  StreamBuffer buffer(StreamId{1}, false, budget, atMs(0));
+  buffer.setExpectedLength(4);
+  CHECK(buffer.extendWindow() == 4);
+  buffer.addChunk(0, "abcd");
+  CHECK(buffer.take(10, atMs(1)) == "abc");
+  CHECK(buffer.setEnd(4, xxHash64("abcx")) == StreamResult::HashMismatch);
+  CHECK(buffer.take(10, atMs(1)).empty());
+  CHECK_FALSE(buffer.isComplete());
+  StreamBuffer cut(StreamId{2}, false, budget, atMs(0));
+  cut.extendWindow();
+  cut.addChunk(0, "ab");
+  CHECK(cut.setEnd(4, xxHash64("abcd")) == StreamResult::LengthMismatch);
+  CHECK(cut.addChunk(2, "cd") == StreamResult::LengthMismatch);
+}
+
+// Guards against stalled readers that use up the memory of others.
+TEST_CASE("stalled resumable streams are parked, others wait", "[stream]") {
+  BufferBudget budget(2 * StreamWindowBytes, StallTime);
+  const std::string bytes(StreamWindowBytes, 'x');
+  StreamBuffer stalled(StreamId{1}, true, budget, atMs(0));
+  StreamBuffer plain(StreamId{2}, false, budget, atMs(0));
+  StreamBuffer waiting(StreamId{3}, true, budget, atMs(50));
+  stalled.extendWindow();
+  plain.extendWindow();
+  CHECK(stalled.addChunk(0, bytes) == StreamResult::Accepted);
+  CHECK(stalled.setEnd(bytes.size(), xxHash64(bytes)) ==
+        StreamResult::Accepted);
+  CHECK(stalled.take(100, atMs(60)).size() == 100);
+  CHECK(waiting.extendWindow() == 100);
+  CHECK_FALSE(budget.parkCandidate(atMs(90)));
+  CHECK(budget.parkCandidate(atMs(150)) == StreamId{3});
+  waiting.take(1, atMs(151));
+  CHECK(waiting.addChunk(0, "y") == StreamResult::Accepted);
+  CHECK(waiting.take(1, atMs(155)) == "y");
+  CHECK(budget.parkCandidate(atMs(160)) == StreamId{1});
+  CHECK_FALSE(plain.park());
+  CHECK(stalled.park());
+  CHECK(stalled.addChunk(bytes.size(), "late") == StreamResult::Ignored);
+  CHECK(waiting.extendWindow() == StreamWindowBytes + 1);
+  // The tail was checked before it was dropped and is checked again.
+  CHECK(stalled.resume() == 100);
+  CHECK_FALSE(stalled.isComplete());
+  CHECK_FALSE(stalled.extendWindow());
+  CHECK(plain.addChunk(StreamWindowBytes, "z") == StreamResult::Gap);
+  CHECK_FALSE(plain.resume());
+  CHECK(budget.used() <= budget.capacity());
+}
+
+// Guards against a target that ignores the window.
+TEST_CASE("bytes beyond the window are a fault", "[stream]") {
+  BufferBudget budget(10, StallTime);
+  StreamBuffer buffer(StreamId{1}, true, budget, atMs(0));
+  CHECK(buffer.extendWindow() == 10);
+  CHECK(buffer.addChunk(0, "12345678901") == StreamResult::WindowExceeded);
+  CHECK_FALSE(buffer.park());
+}
