--- a/src/libbergamotbase/jsonlog.cpp
+++ b/src/libbergamotbase/jsonlog.cpp
@@ -48,6 +48,13 @@
   return dumpLossy(line);
 }
 
+void write(google::LogSeverity severity, std::string_view kind,
+           std::string_view event, const nlohmann::json &fields,
+           CallSite where) {
+  google::LogMessage(where.File, where.Line, severity).stream()
+      << withEvent(kind, event, fields);
+}
+
 } // namespace
 
 void initJsonLog(const char *program) {
@@ -59,16 +66,19 @@
   google::AddLogSink(&sink);
 }
 
-void logDecision(std::string_view event, const nlohmann::json &fields) {
-  LOG(INFO) << withEvent("decision", event, fields);
+void logDecision(std::string_view event, const nlohmann::json &fields,
+                 CallSite where) {
+  write(google::GLOG_INFO, "decision", event, fields, where);
 }
 
-void logInfo(std::string_view event, const nlohmann::json &fields) {
-  LOG(INFO) << withEvent("event", event, fields);
+void logInfo(std::string_view event, const nlohmann::json &fields,
+             CallSite where) {
+  write(google::GLOG_INFO, "event", event, fields, where);
 }
 
-void logWarning(std::string_view event, const nlohmann::json &fields) {
-  LOG(WARNING) << withEvent("event", event, fields);
+void logWarning(std::string_view event, const nlohmann::json &fields,
+                CallSite where) {
+  write(google::GLOG_WARNING, "event", event, fields, where);
 }
 
 std::string formatLogLine(std::string_view time, std::string_view level,
--- a/src/libbergamotbase/jsonlog.h
+++ b/src/libbergamotbase/jsonlog.h
@@ -8,6 +8,18 @@
 
 namespace bergamot::base {
 
+/// A place in the source. Like std::source_location, which clang-tidy 14 can't
+/// read from this standard library.
+struct CallSite {
+  const char *File = "";
+  int Line = 0;
+
+  static CallSite current(const char *file = __builtin_FILE(),
+                          int line = __builtin_LINE()) {
+    return {file, line};
+  }
+};
+
 /// Sends all glog output of the process to standard error as JSON lines:
 /// time, level, source and either the message or the fields of a decision.
 /// VMs have no disks, so no log file is written. Call it once from main.
@@ -15,13 +27,16 @@
 
 /// Writes one decision line. The event names the decision, e.g.
 /// "route.choose"; the fields are the inputs' summary and the result.
-void logDecision(std::string_view event, const nlohmann::json &fields);
+void logDecision(std::string_view event, const nlohmann::json &fields,
+                 CallSite where = CallSite::current());
 
 /// Writes an informational line about a change of state.
-void logInfo(std::string_view event, const nlohmann::json &fields);
+void logInfo(std::string_view event, const nlohmann::json &fields,
+             CallSite where = CallSite::current());
 
 /// Writes a warning line. An operator may have to act on it.
-void logWarning(std::string_view event, const nlohmann::json &fields);
+void logWarning(std::string_view event, const nlohmann::json &fields,
+                CallSite where = CallSite::current());
 
 /// Returns the JSON line, without a final newline, for one log message. A
 /// message that starts with '{' is taken as an object and merged.
