routing: Count attempts of unknown outcome over a restart

Cause: an attempt sent between a restart of the back end and the report of the new incarnation may run in the new incarnation. Such attempts are now taken out of the history of own reservations, so that the reports count them as foreign work; and after any unknown outcome the cold limit applies until a later report, since the outcome may be the first sign of a restart.

Shares now count from 90% of the capacity in use and refuse an account only if it was above its share before the request.

--- a/src/libbergamotrouting/accountshares.cpp
+++ b/src/libbergamotrouting/accountshares.cpp
@@ -32,7 +32,7 @@
     totalWeight += use.Weight;
     highestOther = std::max(highestOther, use.Amount / use.Weight);
   }
-  const bool above = own > capacity * weight / totalWeight;
+  const bool above = own - amount > capacity * weight / totalWeight;
   return above && own / weight >= highestOther;
 }
 
--- a/src/libbergamotrouting/accountshares.h
+++ b/src/libbergamotrouting/accountshares.h
@@ -17,9 +17,8 @@
   /// Removes an amount that was added before.
   void remove(const AccountId &account, double amount);
 
-  /// Says whether the account, after adding the amount, would be above its
-  /// weighted share of the capacity and further above it than every other
-  /// account.
+  /// Says whether the account is above its weighted share of the capacity and,
+  /// after adding the amount, no less above it than every other account.
   bool isFurthestAbove(const AccountId &account, double weight, double amount,
                        double capacity) const;
 
--- a/src/libbergamotrouting/targetadmission.cpp
+++ b/src/libbergamotrouting/targetadmission.cpp
@@ -49,10 +49,17 @@
   if (it == Reservations.end() || it->second.OutcomeUnknown)
     return RampChange::None;
   const Reservation &held = it->second;
-  if (completion.Outcome == Executed::Unknown &&
-      held.BackEnd == LastReport->BackEnd) {
-    it->second.OutcomeUnknown = true;
-    return RampChange::None;
+  if (completion.Outcome == Executed::Unknown) {
+    UnconfirmedSince = now;
+    if (held.BackEnd == LastReport->BackEnd) {
+      it->second.OutcomeUnknown = true;
+      return RampChange::None;
+    }
+    // Whether the attempt reached the former incarnation or the new one isn't
+    // known, so it counts as foreign until the next report.
+    ForeignSlots += 1;
+    ForeignUnits += held.Units;
+    removeFromHistory(held);
   }
   RampChange change = RampChange::None;
   if (completion.Outcome == Executed::Yes) {
@@ -75,8 +82,10 @@
   if (restarted)
     for (auto it = Reservations.begin(); it != Reservations.end();) {
       const auto next = std::next(it);
-      if (it->second.OutcomeUnknown && it->second.BackEnd < report.BackEnd)
+      if (it->second.OutcomeUnknown && it->second.BackEnd < report.BackEnd) {
+        removeFromHistory(it->second);
         release(it, now);
+      }
       it = next;
     }
   const Level own = levelAt(report.Time);
@@ -106,7 +115,8 @@
 std::uint32_t TargetAdmission::slotLimit(TimePoint now) const {
   if (!LastReport)
     return 0;
-  if (now - LastReport->Time > Settings.LoadStaleAfter)
+  if (now - LastReport->Time > Settings.LoadStaleAfter ||
+      LastReport->Time <= UnconfirmedSince)
     return std::min(Ramp.limit(), Settings.Warmup.ColdLimit);
   return Ramp.limit();
 }
@@ -207,6 +217,14 @@
     History.pop_front();
 }
 
+void TargetAdmission::removeFromHistory(const Reservation &held) {
+  for (auto &level : History)
+    if (level.Time >= held.Since) {
+      level.Slots -= 1;
+      level.Units -= held.Units;
+    }
+}
+
 TargetAdmission::Level TargetAdmission::levelAt(TimePoint time) const {
   const auto it =
       std::upper_bound(History.begin(), History.end(), time,
--- a/src/libbergamotrouting/targetadmission.h
+++ b/src/libbergamotrouting/targetadmission.h
@@ -21,8 +21,9 @@
   Duration GrantLifetime = std::chrono::seconds(1);
   /// Without a load report for this long, the cold limit applies.
   Duration LoadStaleAfter = std::chrono::seconds(5);
-  /// Part of the capacity in use from which priorities and shares count.
-  double PressureFrom = 0.8;
+  /// Part of the capacity in use from which priorities and shares count. At
+  /// 0.8, targets of 8 slots refused 12% of the requests at two thirds load.
+  double PressureFrom = 0.9;
   /// Capacity that each step of lower priority leaves to higher ones.
   double PriorityStep = 0.05;
   std::size_t AttemptCapacity = 65536;
@@ -127,6 +128,9 @@
   void release(std::unordered_map<AttemptKey, Reservation>::iterator it,
                TimePoint now);
   void addLevel(TimePoint now);
+  /// Makes an attempt that may run in a new incarnation foreign work, which
+  /// the reports of that incarnation count.
+  void removeFromHistory(const Reservation &held);
   Level levelAt(TimePoint time) const;
   Duration retryAfter(const AdmissionRequest &request) const;
   std::uint64_t unitLimit() const;
@@ -145,6 +149,9 @@
   std::uint32_t ForeignSlots = 0;
   std::uint64_t ForeignUnits = 0;
   std::uint32_t RefusedSinceRelease = 0;
+  /// Time of the last unknown outcome. It may mean that the back end has
+  /// restarted, so the cold limit applies until a later report.
+  TimePoint UnconfirmedSince = TimePoint::min();
   double MeanHoldSeconds = 0.1;
   bool Draining = false;
   bool DomainRemoved = false;
--- a/tests/routing/faultmodel.cpp
+++ b/tests/routing/faultmodel.cpp
@@ -35,8 +35,7 @@
     startTarget(target);
 }
 
-void FaultModel::run(std::int64_t untilMs, bool faults) {
-  Faults = faults;
+void FaultModel::run(std::int64_t untilMs) {
   for (; Now < untilMs; Now += 5) {
     for (std::size_t i = 0; i < Targets.size(); ++i)
       if (Now % 250 == static_cast<std::int64_t>(i) * 5) {
@@ -161,7 +160,7 @@
   Call &call = Calls.at(request.Key.Request);
   // Promise 2: the back end takes no more than its limit, whatever a former
   // daemon process or a broken connection has left running.
-  REQUIRE(target.Running.size() < FullLimit);
+  REQUIRE(target.Running.size() < target.Admission->slotLimit(atMs(Now)));
   REQUIRE(target.Admission->usedSlots() <=
           target.Admission->slotLimit(atMs(Now)));
   // Promise 3: a removed failure domain receives no new work after 2 s.
@@ -181,7 +180,7 @@
     at(Now + 20, [this, index, life, engineLife, key = request.Key] {
       finish(index, life, engineLife, key, true);
     });
-  at(Now + 50 + static_cast<std::int64_t>(below(Random, 200)),
+  at(Now + 100 + static_cast<std::int64_t>(below(Random, 500)),
      [this, index, life, engineLife, key = request.Key] {
        finish(index, life, engineLife, key, false);
      });
@@ -288,6 +287,15 @@
      });
 }
 
+void FaultModel::endFaults() {
+  Faults = false;
+  setRemoved("");
+  for (auto &target : Targets) {
+    ++target.EngineLife;
+    target.Running.clear();
+  }
+}
+
 void FaultModel::injectFault() {
   const std::size_t index = below(Random, Targets.size());
   Target &target = Targets[index];
@@ -335,10 +343,13 @@
       Targets[i].Admission->setDomainRemoved(Targets[i].Domain.Value ==
                                              RemovedDomain);
     });
+  // Some entries never hear of it; the targets have to hold on their own.
   for (std::size_t i = 0; i < Entries.size(); ++i)
-    notify([this, i] {
-      Entries[i].Selector->setRemovedDomains({FailureDomainId{RemovedDomain}});
-    });
+    if (!Faults || chance(0.7))
+      notify([this, i] {
+        Entries[i].Selector->setRemovedDomains(
+            {FailureDomainId{RemovedDomain}});
+      });
 }
 
 } // namespace bergamot::routing::testing
--- a/tests/routing/faultmodel.h
+++ b/tests/routing/faultmodel.h
@@ -19,8 +19,12 @@
 public:
   explicit FaultModel(std::uint64_t seed);
 
-  /// Runs until the time. faults says whether messages and processes fail.
-  void run(std::int64_t untilMs, bool faults);
+  /// Runs until the time.
+  void run(std::int64_t untilMs);
+
+  /// Ends all faults: the removed failure domain returns, and every engine
+  /// restarts, which frees the slots whose outcome was unknown.
+  void endFaults();
 
   std::uint64_t Sent = 0;
   std::uint64_t Answered = 0;
@@ -81,7 +85,7 @@
 
   std::mt19937_64 Random;
   std::int64_t Now = 0;
-  bool Faults = false;
+  bool Faults = true;
   std::multimap<std::int64_t, Action> Events;
   std::vector<Target> Targets;
   std::vector<Entry> Entries;
--- a/tests/routing/test_admission.cpp
+++ b/tests/routing/test_admission.cpp
@@ -130,7 +130,9 @@
 // Guards against one account or low-priority work taking the whole target.
 TEST_CASE("under pressure the furthest above its share is refused",
           "[admission]") {
-  TargetAdmission admission(settingsOf(20, 20));
+  auto settings = settingsOf(20, 20);
+  settings.PressureFrom = 0.8;
+  TargetAdmission admission(settings);
   admission.addReport(reportOf(1, 0), atMs(0));
   auto small = requestOf("small");
   small.Account = AccountId{"b"};
@@ -198,6 +200,8 @@
     std::map<AttemptKey, std::uint64_t> running;
     std::map<AttemptKey, std::uint64_t> admittedUnder;
     std::set<AttemptKey> stuck;
+    // Attempts that may run in the incarnation reported last, until a report.
+    std::vector<std::uint64_t> foreign;
     std::uint64_t incarnation = 1;
     for (int step = 1; step < 120; ++step) {
       auto request =
@@ -211,7 +215,10 @@
         std::uint64_t units = request.Units;
         for (const auto &[key, value] : running)
           units += value;
-        const bool expected = !isKnown && running.size() < 6 && units <= 40;
+        for (const auto value : foreign)
+          units += value;
+        const bool expected =
+            !isKnown && running.size() + foreign.size() < 6 && units <= 40;
         seen.insert(request.Key);
         REQUIRE(admission.admit(request, atMs(step)).isAdmitted() == expected);
         if (expected) {
@@ -227,8 +234,11 @@
             atMs(step));
         if (unknown && admittedUnder[it->first] == incarnation)
           stuck.insert(it->first);
-        else if (!stuck.contains(it->first))
+        else if (!stuck.contains(it->first)) {
+          if (unknown)
+            foreign.push_back(it->second);
           running.erase(it);
+        }
       } else if (below(random, 4) == 0) {
         admission.addReport({bergamot::base::Incarnation{++incarnation}, 0, 0,
                              0, false, atMs(step)},
@@ -236,6 +246,7 @@
         for (const auto &key : stuck)
           running.erase(key);
         stuck.clear();
+        foreign.clear();
       }
       REQUIRE(admission.reservedSlots() == running.size());
     }
--- a/tests/routing/test_promises.cpp
+++ b/tests/routing/test_promises.cpp
@@ -8,18 +8,16 @@
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     INFO("seed " << seed);
     FaultModel model(seed);
-    model.run(20000, true);
-    const auto sent = model.Sent;
-    const auto repeated = model.Repeated;
-    CHECK(repeated <= sent / 10 + 200);
-    // Without faults, service returns: the slots whose outcome is unknown stay
-    // reserved, so the bound is not all requests.
-    model.run(26000, false);
+    model.run(20000);
+    CHECK(model.Repeated <= model.Sent / 10 + 200);
+    // Service returns at two thirds of the capacity.
+    model.endFaults();
+    model.run(26000);
     const auto answered = model.Answered;
     const auto before = model.Sent;
-    model.run(36000, false);
+    model.run(36000);
     INFO("answered " << model.Answered - answered << " of "
                      << model.Sent - before);
-    CHECK((model.Answered - answered) * 10 >= (model.Sent - before) * 5);
+    CHECK((model.Answered - answered) * 100 >= (model.Sent - before) * 95);
   }
 }
