routing: Count granted slots and ended requests in the selection

The load that a target reports includes the slots it has granted, as other entries can't use them, and an entry counts its own ended requests as free before the next report.

--- a/src/libbergamotrouting/targetselector.cpp
+++ b/src/libbergamotrouting/targetselector.cpp
@@ -121,9 +121,15 @@
   if (best.Score <= 0)
     return {Refusal::NoSlots, {}, {}, 0, 0, Settings.RetryAfter};
   Target &target = Targets[best.Index];
-  ++target.SentSinceLoad;
-  return {Refusal::None, target.Id,  takeGrant(target, request.Units),
-          best.Score,    best.Match, {}};
+  const auto permit = takeGrant(target, request.Units);
+  // The report already counts granted slots as used.
+  if (!permit)
+    ++target.SentSinceLoad;
+  return {Refusal::None, target.Id, permit, best.Score, best.Match, {}};
+}
+
+void TargetSelector::setFinished(const TargetId &target) {
+  --Targets[indexOf(target)].SentSinceLoad;
 }
 
 std::size_t TargetSelector::eligibleCount(const ServiceId &service) const {
@@ -174,13 +180,15 @@
     return UnknownFreePart;
   if (target.Load.SlotLimit == 0)
     return 0;
-  const std::uint32_t used = target.Load.SlotsUsed + target.SentSinceLoad;
+  // The entry's own grants are counted as used in the report, but free here.
+  std::int64_t free = std::int64_t{target.Load.SlotLimit} -
+                      target.Load.SlotsUsed - target.SentSinceLoad;
+  if (granted)
+    for (const auto &grant : target.Grants)
+      free += grant.Slots;
   // A grant is a promise of the target and goes before the lagging report.
-  const double least = granted ? 1.0 / target.Load.SlotLimit : 0;
-  if (used >= target.Load.SlotLimit)
-    return least;
-  return static_cast<double>(target.Load.SlotLimit - used) /
-         target.Load.SlotLimit;
+  free = std::max<std::int64_t>(free, granted ? 1 : 0);
+  return std::min(1.0, static_cast<double>(free) / target.Load.SlotLimit);
 }
 
 double TargetSelector::score(Target &target, double match, std::uint64_t units,
--- a/src/libbergamotrouting/targetselector.h
+++ b/src/libbergamotrouting/targetselector.h
@@ -37,8 +37,9 @@
   FailureDomainId Domain;
 };
 
-/// Load of a target as its daemon reported it at Time. SlotLimit is the limit
-/// of the warm-up ramp; Warm says that the full limit has been reached.
+/// Load of a target as its daemon reported it at Time. SlotsUsed includes the
+/// slots granted to entries, which others can't use. SlotLimit is the limit of
+/// the warm-up ramp; Warm says that the full limit has been reached.
 struct TargetLoad {
   Incarnation Daemon;
   std::uint64_t Sequence = 0;
@@ -98,6 +99,10 @@
   Selection choose(const ServiceId &service, const SelectionRequest &request,
                    TimePoint now);
 
+  /// Records that a request sent to the target has ended, so that its slot
+  /// counts as free before the next load report.
+  void setFinished(const TargetId &target);
+
   /// Returns the targets of a service that may receive new work.
   std::size_t eligibleCount(const ServiceId &service) const;
 
@@ -108,7 +113,8 @@
     TargetLoad Load;
     std::vector<Grant> Grants;
     GrantId LastGrant;
-    std::uint32_t SentSinceLoad = 0;
+    /// Requests sent less those ended since the last load report.
+    std::int32_t SentSinceLoad = 0;
     std::uint32_t SubsetCount = 0;
     bool HasLoad = false;
     bool Leaving = false;
