--- a/src/libbergamotconfig/configledger.cpp
+++ b/src/libbergamotconfig/configledger.cpp
@@ -82,6 +82,24 @@
   return decide(record);
 }
 
+std::vector<Verdict> ConfigLedger::applyPage(std::vector<LogRecord> records,
+                                             base::LogOffset earliest) {
+  std::stable_sort(records.begin(), records.end(),
+                   [](const LogRecord &a, const LogRecord &b) {
+                     return a.Offset < b.Offset;
+                   });
+  std::vector<Verdict> verdicts;
+  for (const LogRecord &record : records) {
+    if (record.Offset < Next)
+      continue;
+    const bool expired = earliest > Next && record.Offset == earliest;
+    if (record.Offset > Next && !expired)
+      break;
+    verdicts.push_back(apply(record));
+  }
+  return verdicts;
+}
+
 Verdict ConfigLedger::decide(const LogRecord &record) {
   Verdict verdict;
   verdict.Kind = VerdictKind::Invalid;
--- a/src/libbergamotconfig/configledger.h
+++ b/src/libbergamotconfig/configledger.h
@@ -42,6 +42,13 @@
   /// covers the gap; the configuration in force stays.
   Verdict apply(const LogRecord &record);
 
+  /// Applies the records of one read of the log, or those that a peer passed
+  /// on, and returns a verdict for each new one. The records may be repeated
+  /// or out of order. Records below earliest have expired from the log; at any
+  /// other hole the rest is left for the next read at nextOffset().
+  std::vector<Verdict> applyPage(std::vector<LogRecord> records,
+                                 base::LogOffset earliest);
+
   /// Takes the text of a peer's snapshot; see snapshotText(). Does nothing and
   /// returns a verdict other than Snapshot if the text is malformed, its hash
   /// is wrong, or it is older than the state of this ledger. Afterwards,
