--- /dev/null
+++ b/tests/state/test_audit.cpp
@@ -0,0 +1,230 @@
+#include "fakelog.h"
+#include "libbergamotbase/error.h"
+#include "libbergamotstate/auditchain.h"
+#include "libbergamotstate/auditverifier.h"
+#include "libbergamotstate/hash128.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace bergamot;
+using namespace bergamot::state;
+
+namespace {
+
+AuditRecord record(std::uint64_t n) {
+  AuditRecord made;
+  made.Kind = AuditKind::Claim;
+  made.Time = wallAt(std::int64_t(n));
+  made.Request = {"r" + std::to_string(n)};
+  made.Account = {"acc" + std::to_string(n % 3)};
+  made.KeyHash = toText(hash128("k"));
+  made.Version = {n % 5};
+  made.Detail = R"({"note":"a \"quoted\" ä"})";
+  return made;
+}
+
+/// Returns the lines of an intact chain.
+std::vector<std::string> chain(std::uint64_t batches, std::uint64_t life = 1,
+                               AuditLink *last = nullptr) {
+  std::vector<std::string> lines;
+  AuditBatch batch;
+  batch.Daemon = {"d"};
+  batch.Link.Life = {life};
+  if (last != nullptr)
+    batch.After = *last;
+  for (std::uint64_t i = 1; i <= batches; ++i) {
+    batch.Previous = i == 1 ? "" : batch.Link.Hash;
+    batch.Link.Sequence = i;
+    batch.Records = {record(2 * i), record(2 * i + 1)};
+    lines.push_back(sealBatch(batch));
+  }
+  if (last != nullptr)
+    *last = batch.Link;
+  return lines;
+}
+
+std::vector<AuditFinding> verify(const std::vector<std::string> &lines) {
+  AuditVerifier verifier;
+  for (const auto &it : lines)
+    verifier.add(it);
+  verifier.finish();
+  return verifier.findings();
+}
+
+/// Runs the writer against a faulty log, then drains it, and returns the
+/// number of records that it dropped.
+std::uint64_t write(FakeLog &log, AuditChain &chain, std::uint64_t seed) {
+  Dice dice(seed);
+  std::uint64_t reads = 0;
+  std::int64_t now = 0;
+  for (int step = 0; step < 3000; ++step, now += 10) {
+    const bool draining = step >= 1500;
+    log.Down = !draining && (step / 300) % 2 == 1;
+    log.tick(now);
+    if (!draining && dice.percent(30))
+      chain.add(record(std::uint64_t(step)), at(now));
+    if (draining)
+      chain.setFlush();
+    for (const auto &it : chain.takeActions(at(now))) {
+      if (const auto *p = std::get_if<AuditAppend>(&it)) {
+        const auto end = log.end();
+        if (log.append({p->Text}, now, 30) == FakeLog::Response::Ok)
+          chain.setAppended(p->Number, {end});
+        else if (dice.percent(50))
+          chain.setLost(p->Number, at(now));
+      } else if (!log.Down) {
+        const auto &q = std::get<AuditReadBack>(it);
+        for (const auto &found : log.read(q.From.Value, 100000)) {
+          chain.apply(found);
+          ++reads;
+        }
+        chain.setReadBack(q.Number);
+      }
+    }
+  }
+  CHECK(chain.isEmpty());
+  CHECK(reads > 0);
+  return chain.droppedCount();
+}
+
+} // namespace
+
+// Guards against fields lost on the way, and unnoticed changes of any byte.
+TEST_CASE("batches survive their text form and protect it", "[audit]") {
+  AuditBatch batch{{"vm/1"},
+                   {{4}, 2, ""},
+                   "ab",
+                   {{3}, 9, "cd"},
+                   {5, wallAt(1), wallAt(2)},
+                   {record(1), record(2)}};
+  const std::string text = sealBatch(batch);
+  const auto back = parseBatch(text);
+  REQUIRE(back);
+  CHECK(back->HashMatches);
+  CHECK(back->Batch == batch);
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    std::string changed = text;
+    changed[i] = static_cast<char>(changed[i] ^ 1);
+    const auto found = parseBatch(changed);
+    CHECK_FALSE((found && found->HashMatches));
+  }
+}
+
+// Guards against a verifier that overlooks tampering.
+TEST_CASE("removed, changed and moved batches are found", "[audit]") {
+  const auto whole = chain(20);
+  CHECK(verify(whole).empty());
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    INFO("seed " << seed);
+    Dice dice(seed);
+    auto lines = whole;
+    const auto i = 1 + dice.below(18);
+    const auto place = lines.begin() + std::ptrdiff_t(i);
+    AuditFault expected = AuditFault::Missing;
+    switch (dice.below(4)) {
+    case 0:
+      lines.erase(place);
+      break;
+    case 1:
+      std::iter_swap(place, place - 1);
+      expected = AuditFault::Reordered;
+      break;
+    case 2:
+      place->replace(place->find("acc"), 4, "ACC1");
+      expected = AuditFault::Changed;
+      break;
+    default: {
+      // The batch is sealed anew; the next one then doesn't follow.
+      auto batch = parseBatch(*place)->Batch;
+      batch.Records.pop_back();
+      *place = sealBatch(batch);
+      expected = AuditFault::Changed;
+    }
+    }
+    const auto found = verify(lines);
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].Fault == expected);
+    CHECK(found[0].Sequence >= i);
+    CHECK(found[0].Sequence <= i + 1);
+  }
+}
+
+// Guards against a cut end, a swapped incarnation and false alarms.
+TEST_CASE("verification continues across exports and restarts", "[audit]") {
+  AuditLink last;
+  auto lines = chain(10, 1, &last);
+  const auto second = chain(5, 2, &last);
+  AuditVerifier first;
+  for (int i = 0; i < 7; ++i)
+    first.add(lines[std::size_t(i)]);
+  first.finish();
+  CHECK(first.isIntact());
+  SECTION("all batches follow, some repeated") {
+    AuditVerifier next(first.checkpoint());
+    for (std::size_t i = 5; i < lines.size(); ++i)
+      next.add(lines[i]);
+    for (const auto &it : second)
+      next.add(it);
+    next.finish();
+    CHECK(next.isIntact());
+    CHECK(next.repeatCount() == 2);
+    CHECK(next.batchCount() == 8);
+  }
+  SECTION("the end of the first incarnation is missing") {
+    AuditVerifier next(first.checkpoint());
+    for (const auto &it : second)
+      next.add(it);
+    next.finish();
+    REQUIRE(next.findings().size() == 1);
+    CHECK(next.findings()[0].Fault == AuditFault::Missing);
+    CHECK(next.findings()[0].Sequence == 8);
+    CHECK(next.findings()[0].Count == 3);
+  }
+  CHECK_THROWS_AS(AuditVerifier("{}"), base::Error);
+}
+
+// Guards against lost or doubled records and wrong gap counts when responses
+// are lost, appends are stored late or twice and the log is down.
+TEST_CASE("a faulty log yields an intact chain", "[audit][property]") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    INFO("seed " << seed);
+    FakeLog log(seed, 1000000);
+    AuditLimits limits;
+    limits.MaxBytes = seed % 2 == 0 ? 3000 : 1000000;
+    limits.MaxBatchBytes = 1000;
+    limits.MaxWait = std::chrono::milliseconds(200);
+    limits.AppendTimeout = limits.ReadBackInterval =
+        std::chrono::milliseconds(50);
+    AuditChain chain({"d"}, {1}, {}, limits);
+    const auto dropped = write(log, chain, seed);
+    AuditVerifier verifier;
+    std::uint64_t gaps = 0;
+    for (const auto &it : log.read(0, 100000))
+      verifier.add(it.Data);
+    verifier.finish();
+    CHECK(verifier.isIntact());
+    for (const auto &it : verifier.findings())
+      gaps += it.Count;
+    CHECK(gaps == dropped);
+    CHECK((dropped > 0) == (seed % 2 == 0));
+    CHECK(verifier.batchCount() == chain.lastLink().Sequence);
+    CHECK(chain.conflictCount() == 0);
+  }
+}
+
+// Guards against records that an inspector can't find.
+TEST_CASE("records are found by each id and by time", "[audit]") {
+  AuditQuery query;
+  CHECK(matches(query, record(7)));
+  query.Request = base::RequestId{"r7"};
+  query.Account = base::AccountId{"acc1"};
+  query.Version = base::ConfigVersion{2};
+  query.KeyHash = record(0).KeyHash;
+  query.From = query.To = wallAt(7);
+  CHECK(matches(query, record(7)));
+  CHECK_FALSE(matches(query, record(8)));
+  query.To = wallAt(6);
+  CHECK_FALSE(matches(query, record(7)));
+}
