--- /dev/null
+++ b/tests/state/test_lease.cpp
@@ -0,0 +1,261 @@
+#include "fakelog.h"
+#include "libbergamotstate/fenceguard.h"
+#include "libbergamotstate/leasetable.h"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace bergamot;
+using namespace bergamot::state;
+
+namespace {
+
+const std::string Group = "g";
+constexpr std::int64_t DurationMs = 1000;
+constexpr std::int64_t RetentionMs = 40000;
+
+LeaseLimits limits() {
+  LeaseLimits made;
+  made.Duration = std::chrono::milliseconds(DurationMs);
+  made.Margin = std::chrono::milliseconds(20);
+  made.Forget = std::chrono::milliseconds(RetentionMs / 2);
+  return made;
+}
+
+/// A candidate whose clock runs up to 0.5% fast or slow, and which may crash
+/// or pause, also between its check and its order.
+class Candidate {
+public:
+  Candidate(std::string name, std::uint64_t seed, FakeLog &log)
+      : Name(std::move(name)), Random(seed), Log(log),
+        Rate(1.0 + (double(Random.below(11)) - 5) / 1000) {
+    start();
+  }
+
+  /// Returns the token of an order that was sent now, if any. Orders are sent
+  /// after the check, possibly much later.
+  std::optional<base::FencingToken> step(std::int64_t now) {
+    if (now < PausedUntil)
+      return std::nullopt;
+    const auto order = std::exchange(Order, std::nullopt);
+    if (Random.below(1500) == 0)
+      start();
+    if (!Log.Down && Random.percent(60))
+      for (const auto &it : Log.read(Table->next().Value, 1 + Random.below(9)))
+        Table->apply(it, clock(now));
+    const bool ended = Table->next().Value >= Log.end();
+    if (const auto renewAt = Table->renewAt(Group);
+        renewAt && clock(now) >= *renewAt && Random.percent(10))
+      send(Random.percent(5) ? Table->release(Group, clock(now))
+                             : Table->renew(Group, clock(now)),
+           now);
+    else if (ended && Random.percent(3))
+      send(Table->acquire(Group, clock(now)), now);
+    Order = Table->heldToken(Group, clock(now));
+    if (Random.below(300) == 0)
+      PausedUntil = now + std::int64_t(Random.below(4 * DurationMs));
+    return order;
+  }
+
+  bool holds(std::int64_t now) const {
+    return now >= PausedUntil && Table->heldToken(Group, clock(now));
+  }
+
+private:
+  base::TimePoint clock(std::int64_t now) const {
+    return base::TimePoint(
+        std::chrono::microseconds(std::int64_t(double(now) * 1000 * Rate)));
+  }
+
+  void start() {
+    Table = std::make_unique<LeaseTable>(base::VmId{Name},
+                                         base::Incarnation{++Life}, limits());
+    Order.reset();
+  }
+
+  void send(const std::optional<std::string> &text, std::int64_t now) {
+    if (text)
+      Log.append({*text}, now, 20);
+  }
+
+  std::string Name;
+  Dice Random;
+  FakeLog &Log;
+  double Rate;
+  std::uint64_t Life = 0;
+  std::int64_t PausedUntil = 0;
+  std::unique_ptr<LeaseTable> Table;
+  std::optional<base::FencingToken> Order;
+};
+
+/// Says at each offset who holds the lease, by reading all records from the
+/// start each time.
+LeaseVersion naiveVersion(const std::vector<LogRecord> &log) {
+  std::optional<LeaseVersion> version;
+  bool released = false;
+  std::int64_t stored = 0;
+  for (const auto &it : log) {
+    const auto in = *parseLeaseRecord(it.Data);
+    const auto ms = base::toUnixMilliseconds(it.Time);
+    const bool acquires = in.Kind == LeaseKind::Acquire;
+    if (version && acquires && in.Version != version &&
+        ms - stored < RetentionMs / 2)
+      continue;
+    if (version && !acquires &&
+        (released || in.Version->Token != version->Token ||
+         in.Version->Renewal <= version->Renewal))
+      continue;
+    version = acquires ? LeaseVersion{{it.Offset.Value}, 0} : *in.Version;
+    released = in.Kind == LeaseKind::Release;
+    stored = ms;
+  }
+  return version.value_or(LeaseVersion{});
+}
+
+} // namespace
+
+// Guards against fields lost on the way through the log.
+TEST_CASE("lease records survive their text form", "[lease]") {
+  LeaseRecord record{LeaseKind::Renew,
+                     "g",
+                     {"vm/1"},
+                     {2},
+                     3,
+                     LeaseVersion{{4}, 5},
+                     std::chrono::milliseconds(6)};
+  CHECK(parseLeaseRecord(toText(record)) == record);
+  record.Version.reset();
+  CHECK_FALSE(parseLeaseRecord(toText(record)));
+  record.Kind = LeaseKind::Acquire;
+  CHECK(parseLeaseRecord(toText(record)) == record);
+  CHECK_FALSE(parseLeaseRecord("{}"));
+}
+
+// Guards against a holder that acts after others may have acquired.
+TEST_CASE("holders stop before others may acquire", "[lease]") {
+  LeaseTable a({"a"}, {1}, limits());
+  LeaseTable b({"b"}, {1}, limits());
+  const auto text = a.acquire(Group, at(0));
+  REQUIRE(text);
+  const LogRecord record{{7}, wallAt(500), *text};
+  CHECK(a.apply(record, at(600)).Accepted);
+  b.apply(record, at(0));
+  CHECK(a.heldToken(Group, at(999)) == base::FencingToken{7});
+  CHECK_FALSE(a.heldToken(Group, at(1000)));
+  CHECK_FALSE(b.mayAcquire(Group, at(1029)));
+  CHECK(b.mayAcquire(Group, at(1030)));
+  // A renewal stored before the acquisition refuses it.
+  const auto taken = b.acquire(Group, at(1030));
+  const auto renewal = a.renew(Group, at(900));
+  REQUIRE(renewal);
+  for (auto *it : {&a, &b}) {
+    CHECK(it->apply({{8}, wallAt(900), *renewal}, at(1040)).Accepted);
+    CHECK_FALSE(it->apply({{9}, wallAt(900), *taken}, at(1040)).Accepted);
+  }
+  CHECK(a.heldToken(Group, at(1899)) == base::FencingToken{7});
+  const auto released = a.release(Group, at(1500));
+  CHECK_FALSE(a.heldToken(Group, at(1500)));
+  b.apply({{10}, wallAt(1500), *released}, at(1500));
+  CHECK(b.mayAcquire(Group, at(1500)));
+}
+
+// Guards against orders of a former holder, and a guard that forgot.
+TEST_CASE("the guard refuses stale tokens and starts closed", "[lease]") {
+  FenceGuard guard;
+  guard.setToken(Group, {5});
+  CHECK(guard.addOrder(Group, {9}) == FenceVerdict::NotReplayed);
+  guard.setReplayed();
+  CHECK(guard.addOrder(Group, {4}) == FenceVerdict::Stale);
+  CHECK(guard.addOrder(Group, {5}) == FenceVerdict::Accepted);
+  CHECK(guard.addOrder(Group, {9}) == FenceVerdict::Accepted);
+  CHECK(guard.addOrder(Group, {5}) == FenceVerdict::Stale);
+  CHECK(guard.addOrder("other", {1}) == FenceVerdict::Accepted);
+}
+
+// Guards against two holders at once, and against an engine that ignores
+// tokens and sees them go back, under pauses longer than the lease, clock
+// drift, crashes, guard restarts, outages, lost responses and retention.
+TEST_CASE("one holder at a time", "[lease][property]") {
+  std::uint64_t orders = 0;
+  std::uint64_t stale = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    INFO("seed " << seed);
+    FakeLog log(seed, RetentionMs);
+    std::vector<std::unique_ptr<Candidate>> all;
+    for (std::uint64_t i = 0; i < 4; ++i)
+      all.push_back(std::make_unique<Candidate>("c" + std::to_string(i),
+                                                seed * 10 + i, log));
+    Dice dice(seed);
+    LeaseTable reader({"target"}, {1}, limits());
+    std::uint64_t guardEnd = 0;
+    FenceGuard guard;
+    base::FencingToken engineHighest;
+    std::int64_t outageEnd = 0;
+    for (std::int64_t now = 0; now < 100000; now += 10) {
+      if (dice.below(1000) == 0)
+        outageEnd =
+            now +
+            std::int64_t(dice.below(dice.percent(10) ? 2 * RetentionMs : 3000));
+      log.Down = now < outageEnd;
+      log.tick(now);
+      if (dice.below(2000) == 0) {
+        guard = {};
+        reader = LeaseTable({"target"}, {1}, limits());
+        guardEnd = log.end();
+      }
+      if (!log.Down && dice.percent(50))
+        for (const auto &it : log.read(reader.next().Value, 20))
+          guard.setToken(Group, reader.apply(it, at(now)).Token);
+      if (!log.Down && reader.next().Value >= guardEnd)
+        guard.setReplayed();
+      int holders = 0;
+      for (auto &it : all) {
+        if (const auto order = it->step(now)) {
+          const auto verdict = guard.addOrder(Group, *order);
+          stale += verdict == FenceVerdict::Stale;
+          if (verdict == FenceVerdict::Accepted) {
+            REQUIRE(*order >= engineHighest);
+            engineHighest = *order;
+            ++orders;
+          }
+        }
+      }
+      for (const auto &it : all)
+        holders += it->holds(now);
+      REQUIRE(holders <= 1);
+    }
+  }
+  WARN("seeds 1 to 60: " << orders << " orders, " << stale << " stale");
+  CHECK(orders > 1000);
+  CHECK(stale > 0);
+}
+
+// Guards against a table that decides otherwise than a replay from the start.
+TEST_CASE("the table equals a replay from the start", "[lease][differential]") {
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    INFO("seed " << seed);
+    Dice dice(seed);
+    LeaseTable table({"t"}, {1}, limits());
+    std::vector<LogRecord> log;
+    std::vector<LeaseVersion> seen{{}};
+    std::int64_t ms = 0;
+    for (std::uint64_t i = 0; i < 80; ++i) {
+      ms += std::int64_t(dice.below(dice.percent(5) ? RetentionMs : 500));
+      LeaseRecord made{LeaseKind(dice.below(3)),
+                       Group,
+                       {"c"},
+                       {1},
+                       i,
+                       seen[seen.size() - 1 -
+                            dice.below(std::min<std::size_t>(3, seen.size()))],
+                       std::chrono::milliseconds(DurationMs)};
+      if (made.Kind != LeaseKind::Acquire)
+        ++made.Version->Renewal;
+      log.push_back({{i + 1}, wallAt(ms), toText(made)});
+      table.apply(log.back(), at(ms));
+      seen.push_back(naiveVersion(log));
+      REQUIRE(table.version(Group).value_or(LeaseVersion{}) == seen.back());
+    }
+  }
+}
