--- a/src/adapterhttp/httpclient.cpp
+++ b/src/adapterhttp/httpclient.cpp
@@ -1,5 +1,9 @@
 #include "adapterhttp/httpclient.h"
 
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace bergamot::adapterhttp {
@@ -15,6 +19,16 @@
          std::string_view::npos;
 }
 
+/// Returns whether the client sets the header itself. A caller that forwards
+/// a request may pass the ones it received.
+bool isSetHere(const std::string &name) {
+  constexpr std::array<const char *, 4> Names = {
+      "Host", "Content-Length", "Transfer-Encoding", "Connection"};
+  return std::any_of(Names.begin(), Names.end(), [&](const char *it) {
+    return strcasecmp(it, name.c_str()) == 0;
+  });
+}
+
 std::string formatRequest(const std::string &peer, const std::string &method,
                           const std::string &target,
                           const std::vector<HttpHeader> &headers,
@@ -25,7 +39,8 @@
   text.append("\r\n");
   for (const HttpHeader &it : headers) {
     invalid = invalid || hasLineBreak(it.Name) || hasLineBreak(it.Value);
-    text.append(it.Name).append(": ").append(it.Value).append("\r\n");
+    if (!isSetHere(it.Name))
+      text.append(it.Name).append(": ").append(it.Value).append("\r\n");
   }
   if (invalid)
     throw HttpClientError(base::Step::Dispatch, peer,
@@ -60,9 +75,10 @@
 std::unique_ptr<HttpStream>
 HttpClient::open(const std::string &method, const std::string &target,
                  const std::vector<HttpHeader> &headers, std::string_view body,
-                 base::TimePoint deadline) {
+                 base::TimePoint deadline, HttpCancel *cancel) {
   std::string text = formatRequest(Pool->peer(), method, target, headers, body);
-  return std::make_unique<HttpStream>(Pool, text, method == "HEAD", deadline);
+  return std::make_unique<HttpStream>(Pool, text, method == "HEAD", deadline,
+                                      cancel);
 }
 
 } // namespace bergamot::adapterhttp
--- a/src/adapterhttp/httpclient.h
+++ b/src/adapterhttp/httpclient.h
@@ -19,19 +19,20 @@
   explicit HttpClient(const std::string &endpoint);
 
   /// Sends a request and returns the complete response. The target is the
-  /// path with an optional query. Throws HttpClientError.
+  /// path with an optional query. Host, Content-Length, Transfer-Encoding and
+  /// Connection are set here and ignored among the headers. Throws
+  /// HttpClientError.
   HttpResponse request(const std::string &method, const std::string &target,
                        const std::vector<HttpHeader> &headers,
                        std::string_view body, base::TimePoint deadline);
 
   /// Sends a request and returns once the head of the response has arrived.
-  /// The deadline covers the sending and the head only. Throws
-  /// HttpClientError.
-  std::unique_ptr<HttpStream> open(const std::string &method,
-                                   const std::string &target,
-                                   const std::vector<HttpHeader> &headers,
-                                   std::string_view body,
-                                   base::TimePoint deadline);
+  /// The deadline covers the sending and the head only. The token, if given,
+  /// must outlive the stream. Throws HttpClientError.
+  std::unique_ptr<HttpStream>
+  open(const std::string &method, const std::string &target,
+       const std::vector<HttpHeader> &headers, std::string_view body,
+       base::TimePoint deadline, HttpCancel *cancel = nullptr);
 
   /// Returns the endpoint as given.
   const std::string &endpoint() const { return Pool->peer(); }
--- a/src/adapterhttp/httpstream.cpp
+++ b/src/adapterhttp/httpstream.cpp
@@ -12,15 +12,25 @@
 
 HttpStream::HttpStream(std::shared_ptr<ConnectionPool> pool,
                        std::string_view request, bool isHead,
-                       base::TimePoint deadline)
-    : Pool(std::move(pool)), Connection(Pool->take(deadline)), Parser(isHead),
-      Buffer(ReceiveBytes, '\0') {
-  Connection->send(request, deadline);
-  while (!Parser.isHeadComplete())
-    receive(deadline);
+                       base::TimePoint deadline, HttpCancel *cancel)
+    : Pool(std::move(pool)), Connection(Pool->take(deadline)), Cancel(cancel),
+      Parser(isHead), Buffer(ReceiveBytes, '\0') {
+  if (Cancel)
+    Cancel->attach(Connection.get());
+  try {
+    Connection->send(request, deadline);
+    while (!Parser.isHeadComplete())
+      receive(deadline);
+  } catch (...) {
+    if (Cancel)
+      Cancel->attach(nullptr);
+    throw;
+  }
 }
 
 HttpStream::~HttpStream() {
+  if (Cancel)
+    Cancel->attach(nullptr);
   // A connection with an unread rest of a response can't be used again.
   if (Parser.keepsAlive())
     Pool->add(std::move(Connection));
--- a/src/adapterhttp/httpstream.h
+++ b/src/adapterhttp/httpstream.h
@@ -2,6 +2,7 @@
 #define BERGAMOT_ADAPTERHTTP_HTTPSTREAM_H
 
 #include "adapterhttp/connectionpool.h"
+#include "adapterhttp/httpcancel.h"
 #include "adapterhttp/httpclienterror.h"
 #include "adapterhttp/httpmessage.h"
 #include "adapterhttp/responseparser.h"
@@ -21,7 +22,7 @@
   /// Sends the request and waits for the head of the response. Used by
   /// HttpClient. Throws HttpClientError.
   HttpStream(std::shared_ptr<ConnectionPool> pool, std::string_view request,
-             bool isHead, base::TimePoint deadline);
+             bool isHead, base::TimePoint deadline, HttpCancel *cancel);
   ~HttpStream();
   HttpStream(const HttpStream &) = delete;
   HttpStream &operator=(const HttpStream &) = delete;
@@ -43,6 +44,7 @@
 
   std::shared_ptr<ConnectionPool> Pool;
   std::unique_ptr<ClientSocket> Connection;
+  HttpCancel *Cancel;
   ResponseParser Parser;
   std::string Buffer;
 };
