--- a/src/adapterhttp/httpresponder.cpp
+++ b/src/adapterhttp/httpresponder.cpp
@@ -31,6 +31,11 @@
   });
 }
 
+/// Returns whether the text could end its line and so add headers of its own.
+bool hasLineBreak(const std::string &text) {
+  return text.find_first_of("\r\n") != std::string::npos;
+}
+
 bool isHeadRequest(const mg_connection *connection) {
   return std::strcmp(mg_get_request_info(connection)->request_method, "HEAD") ==
          0;
@@ -60,7 +65,8 @@
   std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
   head.append(reasonPhrase(status)).append("\r\n");
   for (const HttpHeader &it : headers)
-    if (!isFramingHeader(it.Name))
+    if (!isFramingHeader(it.Name) && !hasLineBreak(it.Name) &&
+        !hasLineBreak(it.Value))
       head.append(it.Name).append(": ").append(it.Value).append("\r\n");
   if (contentLength && !bodiless)
     head.append("Content-Length: ")
--- a/src/adapterhttp/httpresponder.h
+++ b/src/adapterhttp/httpresponder.h
@@ -26,7 +26,7 @@
   /// Starts the response. Without a content length it is sent in chunks and
   /// the head goes out at once; with one, the head goes out with the first
   /// bytes. Content-Length, Transfer-Encoding and Connection are set here and
-  /// ignored among the headers.
+  /// ignored among the headers, as are headers with a line break.
   void start(int status, const std::vector<HttpHeader> &headers,
              std::optional<std::size_t> contentLength);
 
