experts: Value a sequence of moves beyond the budget of one plan

Cause: with several equally slow ranks, the first two moves that the budget of a 2 s window allows don't lower the maximum, so daily_cycle waited with gain_below_cost although the whole sequence pays. Change: the planner values the sequence up to MaxMoves and carries out the part that the budget allows; the next plan continues. Ruled out: a lower hysteresis; the gain of the short prefix was 0.

--- a/src/libbergamotexperts/placementplanner.cpp
+++ b/src/libbergamotexperts/placementplanner.cpp
@@ -68,7 +68,6 @@
                              PlanRecord &record) {
   const double before = state.maxTime();
   const double steps = Settings.StepsPerSecond * seconds(record.Life);
-  const std::uint64_t allowed = request.BudgetBytes / Settings.BytesPerExpert;
   std::vector<std::uint32_t> staged(state.rankCount(), 0);
   std::vector<bool> changed(request.Current->slots().size(), false);
   MoveLimits limits = Settings.Search;
@@ -82,10 +81,6 @@
   record.Reason = WaitReason::GainBelowCost;
   while (current.Moves.size() < Settings.MaxMoves &&
          state.maxTime() > Settings.TargetSkew * state.meanTime()) {
-    if (current.Transfers >= allowed) {
-      record.Reason = WaitReason::TransferBudget;
-      break;
-    }
     const auto move = search.addBestMove(MinPotentialDrop);
     if (!move) {
       if (current.Moves.empty())
@@ -101,17 +96,30 @@
     current.Time = state.maxTime();
     current.Gain = (before - current.Time) * steps;
     current.Cost = costSeconds(current.Transfers);
-    if (current.Transfers <= allowed &&
-        current.Gain > Settings.Hysteresis * current.Cost &&
+    if (current.Gain > Settings.Hysteresis * current.Cost &&
         current.Gain - current.Cost > best.Gain - best.Cost)
       best = current;
   }
   record.Evaluations = search.evaluations();
-  if (best.Moves.empty()) {
-    record.GainSeconds = current.Gain;
-    record.CostSeconds = current.Cost;
+  const Prefix &valued = best.Moves.empty() ? current : best;
+  record.GainSeconds = valued.Gain;
+  record.CostSeconds = valued.Cost;
+  record.SkewPlanned = valued.Time / state.meanTime();
+  return withinBudget(std::move(best), request.BudgetBytes, record);
+}
+
+PlacementPlanner::Prefix
+PlacementPlanner::withinBudget(Prefix prefix, std::uint64_t budgetBytes,
+                               PlanRecord &record) const {
+  const std::uint64_t allowed = budgetBytes / Settings.BytesPerExpert;
+  const bool wanted = !prefix.Moves.empty();
+  while (prefix.Transfers > allowed) {
+    prefix.Transfers -= prefix.Moves.back().ChangeCount;
+    prefix.Moves.pop_back();
   }
-  return best;
+  if (wanted && prefix.Moves.empty())
+    record.Reason = WaitReason::TransferBudget;
+  return prefix;
 }
 
 void PlacementPlanner::finishMove(const PlanRequest &request,
@@ -128,8 +136,6 @@
   PlanRecord &record = plan.Record;
   record.Kind = PlanKind::Move;
   record.Reason = WaitReason::None;
-  record.GainSeconds = prefix.Gain;
-  record.CostSeconds = prefix.Cost;
   record.Moves = static_cast<std::uint32_t>(prefix.Moves.size());
   record.Bytes = prefix.Transfers * Settings.BytesPerExpert;
 }
@@ -150,7 +156,7 @@
   record.SkewNow = state.maxTime() / mean;
   state.setAllLevel(LevelSweeps, LevelTolerance);
   record.SkewReweighted = state.maxTime() / mean;
-  record.SkewPlanned = record.SkewNow;
+  record.SkewPlanned = record.SkewReweighted;
   if (!std::isfinite(record.SkewReweighted)) {
     record.Reason = WaitReason::ExpertLost;
     return result;
@@ -164,10 +170,8 @@
   if (record.Kind == PlanKind::Wait &&
       record.SkewNow - record.SkewReweighted >= Settings.MinReweightDrop)
     record.Kind = PlanKind::Reweight;
-  if (record.Kind != PlanKind::Wait) {
-    record.SkewPlanned = state.maxTime() / mean;
+  if (record.Kind != PlanKind::Wait)
     result.Map = state.map();
-  }
   return result;
 }
 
--- a/src/libbergamotexperts/placementplanner.h
+++ b/src/libbergamotexperts/placementplanner.h
@@ -74,7 +74,10 @@
 };
 
 /// Summary of a decision for the log and the audit stream. Skews are max/mean
-/// rank time as predicted for the popularity estimate.
+/// rank time as predicted for the popularity estimate. Gain, cost and
+/// SkewPlanned are those of the whole sequence of moves that was valued; Moves
+/// and Bytes are those of its first part, which the budget allows now. Where
+/// several ranks are equally slow, only the whole sequence shows a gain.
 struct PlanRecord {
   base::TimePoint At;
   PlanKind Kind = PlanKind::Wait;
@@ -119,6 +122,8 @@
   WaitReason obstacle(const PlanRequest &request) const;
   Prefix bestPrefix(const PlanRequest &request, SplitState state,
                     PlanRecord &record);
+  Prefix withinBudget(Prefix prefix, std::uint64_t budgetBytes,
+                      PlanRecord &record) const;
   double costSeconds(std::uint64_t transfers) const;
   void finishMove(const PlanRequest &request, const Prefix &prefix,
                   SplitState &levelled, Plan &plan);
