routing: Hold requests while a new quota owner withholds; share spare quota

A new owner leases no concurrency for one slice lifetime, and slices were sized by past demand, so that the second of two calls was refused although the account was far below its limit. Now the owner states whether the account is exhausted or withheld, and shares out what nobody asks for; entries ask again only if it is neither. Tests: a burst below the limits, and waiting while withheld; both fail without the change.

--- a/src/bergamotd/quotaexchange.cpp
+++ b/src/bergamotd/quotaexchange.cpp
@@ -31,7 +31,7 @@
   routing::QuotaRequest request{std::move(entry), life, message.sequence, {}};
   for (const auto &it : message.demands)
     request.Demands.push_back({base::AccountId{it->account}, it->wanted,
-                               it->in_flight, it->peak, it->leased});
+                               it->held, it->in_flight, it->peak, it->leased});
   return request;
 }
 
@@ -42,6 +42,7 @@
     auto demand = std::make_unique<fb::QuotaDemandT>();
     demand->account = it.Account.Value;
     demand->wanted = it.Wanted;
+    demand->held = it.Held;
     demand->in_flight = it.InFlight;
     demand->peak = it.Peak;
     demand->leased = it.Leased;
@@ -58,6 +59,7 @@
     part->account = it.Account.Value;
     part->tokens = it.Tokens;
     part->concurrency = it.Concurrency;
+    part->state = static_cast<std::uint8_t>(it.State);
     message.parts.push_back(std::move(part));
   }
   return message;
@@ -118,10 +120,11 @@
       return;
     if (verdict.Decision == LimitVerdict::Kind::Refused || now >= waitUntil)
       refuse(account, verdict);
-    isRepeated = true;
+    const auto slices = SliceCount;
     sendDue(now);
-    SliceArrived.wait_until(
-        lock, std::min(waitUntil, now + base::Duration(ExchangeInterval)));
+    SliceArrived.wait_until(lock, waitUntil,
+                            [&] { return SliceCount != slices || IsStopping; });
+    isRepeated = SliceCount != slices;
   }
 }
 
@@ -148,6 +151,7 @@
   if (outgoing.Owner == Self) {
     if (const auto slice = Owner.answer(outgoing.Request, now)) {
       Limiter.addSlice(*slice, now);
+      ++SliceCount;
       SliceArrived.notify_all();
     }
     return;
@@ -195,10 +199,12 @@
                              const fb::QuotaSliceT &message) {
   routing::QuotaSlice slice{owner, message.sequence, {}};
   for (const auto &it : message.parts)
-    slice.Parts.push_back(
-        {base::AccountId{it->account}, it->tokens, it->concurrency});
+    slice.Parts.push_back({base::AccountId{it->account}, it->tokens,
+                           it->concurrency,
+                           static_cast<routing::QuotaState>(it->state)});
   const std::lock_guard lock(Mutex);
   Limiter.addSlice(slice, steady_clock::now());
+  ++SliceCount;
   SliceArrived.notify_all();
 }
 
--- a/src/bergamotd/quotaexchange.h
+++ b/src/bergamotd/quotaexchange.h
@@ -59,6 +59,7 @@
 
   mutable std::mutex Mutex;
   std::condition_variable SliceArrived;
+  std::uint64_t SliceCount = 0;
   routing::AccountLimiter Limiter;
   routing::QuotaOwner Owner;
   std::map<base::VmId, std::string> EntryEndpoints;
--- a/src/libbergamotrouting/accountlimiter.cpp
+++ b/src/libbergamotrouting/accountlimiter.cpp
@@ -60,7 +60,7 @@
     entry.Arrived += cost;
   const bool valid = now < entry.TokensExpiry && now < entry.LeaseExpiry;
   activate(account, entry, !valid);
-  const Link &link = Links[entry.Owner];
+  Link &link = Links[entry.Owner];
   if (!valid && isSilent(link, now))
     return admitBySplit(entry, cost, now);
   if (!valid) {
@@ -71,19 +71,34 @@
       std::max(Settings.UrgentAfter, link.SentAt + Settings.Period - now);
   if (entry.InFlight >= entry.Leased) {
     entry.Peak = std::max(entry.Peak, entry.InFlight + ++entry.Waiting);
-    return {LimitVerdict::Kind::Refused, Refusal::ConcurrencyLimit, untilSlice};
+    return takeShortfall(entry, link, Refusal::ConcurrencyLimit, untilSlice,
+                         repeated);
   }
   if (entry.Tokens < cost) {
     const Duration refill = fromSeconds(
         (cost - entry.Tokens) / std::max(1e-6, entry.Limits.RatePerSecond));
-    return {LimitVerdict::Kind::Refused, Refusal::RateLimit,
-            std::max(untilSlice, refill)};
+    return takeShortfall(entry, link, Refusal::RateLimit,
+                         std::max(untilSlice, refill), repeated);
   }
   entry.Tokens -= cost;
   entry.Peak = std::max(entry.Peak, ++entry.InFlight);
   return {};
 }
 
+LimitVerdict AccountLimiter::takeShortfall(const Account &account, Link &link,
+                                           Refusal reason, Duration retryAfter,
+                                           bool repeated) {
+  // A slice sized by past demand doesn't show that the account is at its
+  // limit, so the owner is asked before a request is refused. While the owner
+  // says that the account is at its limit, a flood causes no messages.
+  const bool canGrow = account.State == QuotaState::Sufficient && !repeated;
+  if (account.State == QuotaState::Withheld || canGrow) {
+    link.Urgent = true;
+    return {LimitVerdict::Kind::Wait, Refusal::None, retryAfter};
+  }
+  return {LimitVerdict::Kind::Refused, reason, retryAfter};
+}
+
 void AccountLimiter::setFinished(const AccountId &account) {
   const auto it = Accounts.find(account);
   if (it != Accounts.end() && it->second.InFlight > 0)
@@ -159,6 +174,7 @@
     account.Tokens += part.Tokens;
     account.TokensExpiry = expiry;
     account.Leased = part.Concurrency;
+    account.State = part.State;
     account.LeaseExpiry = expiry;
   }
 }
@@ -213,6 +229,7 @@
   demand.Account = id;
   demand.Wanted =
       std::max(0.0, account.Expected * Headroom + 1 - account.Tokens);
+  demand.Held = account.Tokens;
   demand.InFlight = account.InFlight;
   demand.Peak = std::max(account.Peak + 1, account.InFlight + 1);
   demand.Leased = now < account.LeaseExpiry ? account.Leased : 0;
--- a/src/libbergamotrouting/accountlimiter.h
+++ b/src/libbergamotrouting/accountlimiter.h
@@ -39,7 +39,7 @@
   void setEntries(const std::vector<VmId> &entries);
 
   /// Takes the cost and one place of concurrency from the account. repeated
-  /// says that the same request was told to wait before.
+  /// says that the same request was told to wait and a slice has arrived since.
   LimitVerdict admit(const AccountId &account, double cost, bool repeated,
                      TimePoint now);
 
@@ -70,6 +70,7 @@
     double SplitTokens = 0;
     TimePoint SplitAt;
     bool Active = false;
+    QuotaState State = QuotaState::Sufficient;
   };
   struct Link {
     std::uint64_t Sequence = 0;
@@ -85,6 +86,9 @@
 
   QuotaRequest newRequest(Link &link, TimePoint now);
   bool isSilent(const Link &link, TimePoint now) const;
+  static LimitVerdict takeShortfall(const Account &account, Link &link,
+                                    Refusal reason, Duration retryAfter,
+                                    bool repeated);
   LimitVerdict admitBySplit(Account &account, double cost, TimePoint now) const;
   void activate(const AccountId &id, Account &account, bool urgent);
   QuotaDemand demand(const AccountId &id, Account &account, double periods,
--- a/src/libbergamotrouting/quotaowner.cpp
+++ b/src/libbergamotrouting/quotaowner.cpp
@@ -92,11 +92,29 @@
   }
   holder.Leased = count;
   holder.Expiry = now + Settings.Lifetime;
-  return {demand.Account, takeTokens(owned, limits, holder), count};
+  return {demand.Account, takeTokens(owned, limits, holder, demand.Held), count,
+          stateOf(owned, limits, now)};
+}
+
+QuotaState QuotaOwner::stateOf(const Account &account,
+                               const AccountLimits &limits,
+                               TimePoint now) const {
+  if (now < account.WithholdUntil)
+    return QuotaState::Withheld;
+  double tokens = 0;
+  std::uint64_t places = 0;
+  for (const auto &[id, holder] : account.Holders) {
+    tokens += holder.Wanted;
+    places += holder.Peak;
+  }
+  const bool isShort =
+      tokens > limits.RatePerSecond * toSeconds(Settings.Period) ||
+      places > limits.Concurrency;
+  return isShort ? QuotaState::Exhausted : QuotaState::Sufficient;
 }
 
 double QuotaOwner::takeTokens(Account &account, const AccountLimits &limits,
-                              const Holder &holder) const {
+                              const Holder &holder, double held) const {
   double total = 0;
   for (const auto &[id, other] : account.Holders)
     total += other.Wanted;
@@ -104,6 +122,10 @@
   double due = holder.Wanted;
   if (total > perPeriod)
     due = perPeriod * holder.Wanted / total;
+  else
+    // What nobody asks for is shared out, so that a burst at one entry isn't
+    // refused while the account is below its limit.
+    due += std::max(0.0, (perPeriod - total) / entryCount() - held);
   const double taken = std::clamp(due, 0.0, std::max(0.0, account.Tokens));
   account.Tokens -= taken;
   return taken;
@@ -135,10 +157,16 @@
   if (wanted > limits.Concurrency)
     due =
         (std::uint64_t{limits.Concurrency} * demand.Peak + wanted - 1) / wanted;
+  else
+    due += (limits.Concurrency - wanted) / Entries.size();
   due = std::max<std::uint64_t>(due, demand.InFlight);
   return static_cast<std::uint32_t>(std::min<std::uint64_t>(due, free));
 }
 
+double QuotaOwner::entryCount() const {
+  return static_cast<double>(std::max<std::size_t>(1, Entries.size()));
+}
+
 void QuotaOwner::removeIdle(TimePoint now) {
   if (now - CheckedIdleAt < Settings.Lifetime)
     return;
--- a/src/libbergamotrouting/quotaowner.h
+++ b/src/libbergamotrouting/quotaowner.h
@@ -57,11 +57,14 @@
   Account &account(const AccountId &id, const AccountLimits &limits,
                    TimePoint now);
   QuotaPart lease(const VmId &entry, const QuotaDemand &demand, TimePoint now);
+  QuotaState stateOf(const Account &account, const AccountLimits &limits,
+                     TimePoint now) const;
   double takeTokens(Account &account, const AccountLimits &limits,
-                    const Holder &holder) const;
+                    const Holder &holder, double held) const;
   std::uint32_t takeConcurrency(const Account &account,
                                 const AccountLimits &limits, const VmId &entry,
                                 const QuotaDemand &demand, TimePoint now) const;
+  double entryCount() const;
   void removeIdle(TimePoint now);
 
   VmId Self;
--- a/src/libbergamotrouting/quotatypes.h
+++ b/src/libbergamotrouting/quotatypes.h
@@ -28,12 +28,13 @@
 };
 
 /// What an entry needs for one account. Wanted is the rate tokens beyond those
-/// it holds. InFlight counts its running requests, Peak the most that it had
-/// running or waiting in the last period, and Leased the concurrency that it
-/// still holds by an unexpired slice.
+/// it holds, Held those that it holds. InFlight counts its running requests,
+/// Peak the most that it had running or waiting in the last period, and Leased
+/// the concurrency that it still holds by an unexpired slice.
 struct QuotaDemand {
   AccountId Account;
   double Wanted = 0;
+  double Held = 0;
   std::uint32_t InFlight = 0;
   std::uint32_t Peak = 0;
   std::uint32_t Leased = 0;
@@ -48,11 +49,17 @@
   std::vector<QuotaDemand> Demands;
 };
 
+/// How a part relates to the account's limits. Exhausted says that the entries
+/// together want more than the limits; Withheld that a new owner doesn't know
+/// yet what its predecessor leased to others.
+enum class QuotaState : std::uint8_t { Sufficient, Exhausted, Withheld };
+
 /// Part of an account's limits leased to an entry.
 struct QuotaPart {
   AccountId Account;
   double Tokens = 0;
   std::uint32_t Concurrency = 0;
+  QuotaState State = QuotaState::Sufficient;
 };
 
 /// Answer of an owner to the request with the same sequence.
--- a/tests/routing/test_quota.cpp
+++ b/tests/routing/test_quota.cpp
@@ -203,3 +203,65 @@
     ++admitted;
   CHECK(admitted < 5);
 }
+
+// Guards against an account far below its limits that gets refusals because
+// its slice was sized by what it asked for before the burst.
+TEST_CASE("a burst below the limits is not refused", "[quota]") {
+  AccountLimiter limiter(VmId{"e"}, Incarnation{1}, QuotaSettings{});
+  const std::vector<VmId> entries = {VmId{"e"}, VmId{"f"}};
+  QuotaOwner owner(rendezvousOwner(Account.Value, entries), QuotaSettings{});
+  limiter.setLimits({{Account, {100, 50}}});
+  owner.setLimits({{Account, {100, 50}}});
+  limiter.setEntries(entries);
+  owner.setEntries(entries, atMs(-10000));
+  int refused = 0;
+  int admitted = 0;
+  int waiting = 0;
+  bool isRepeated = false;
+  for (int ms = 0; ms < 1000; ms += 5) {
+    waiting += ms == 0 || ms == 500 ? 20 : 0;
+    for (; waiting > 0; --waiting) {
+      // Only the request at the head was told to wait before.
+      const auto verdict =
+          limiter.admit(Account, 1, std::exchange(isRepeated, false), atMs(ms));
+      if (verdict.Decision == LimitVerdict::Kind::Wait)
+        break;
+      refused += verdict.Decision == LimitVerdict::Kind::Refused;
+      admitted += verdict.Decision == LimitVerdict::Kind::Admitted;
+    }
+    for (auto &out : limiter.dueRequests(atMs(ms)))
+      if (auto slice = owner.answer(out.Request, atMs(ms))) {
+        limiter.addSlice(*slice, atMs(ms));
+        isRepeated = true;
+      }
+  }
+  CHECK(refused == 0);
+  CHECK(admitted == 40);
+}
+
+// Guards against refusals for two seconds after each restart of an owner: the
+// requests are held until it knows what is leased.
+TEST_CASE("requests wait while a new owner withholds", "[quota]") {
+  AccountLimiter limiter(VmId{"e"}, Incarnation{1}, QuotaSettings{});
+  QuotaOwner owner(VmId{"e"}, QuotaSettings{});
+  limiter.setLimits({{Account, {100, 50}}});
+  owner.setLimits({{Account, {100, 50}}});
+  limiter.setEntries({VmId{"e"}});
+  owner.setEntries({VmId{"e"}}, atMs(0));
+  bool isRepeated = false;
+  std::int64_t admittedAt = -1;
+  for (int ms = 0; ms < 3000 && admittedAt < 0; ms += 5) {
+    const auto verdict = limiter.admit(Account, 1, isRepeated, atMs(ms));
+    REQUIRE(verdict.Decision != LimitVerdict::Kind::Refused);
+    if (verdict.Decision == LimitVerdict::Kind::Admitted)
+      admittedAt = ms;
+    isRepeated = false;
+    for (auto &out : limiter.dueRequests(atMs(ms)))
+      if (auto slice = owner.answer(out.Request, atMs(ms))) {
+        limiter.addSlice(*slice, atMs(ms));
+        isRepeated = true;
+      }
+  }
+  CHECK(admittedAt >= 1900);
+  CHECK(admittedAt <= 2200);
+}
