routing: Choose a tried target again when no other has room

Cause: targets of earlier attempts were excluded. With three targets and one domain gone, a request refused by both others could go nowhere and blocked the head of its entry's queue until its deadline.

--- a/src/libbergamotrouting/targetselector.cpp
+++ b/src/libbergamotrouting/targetselector.cpp
@@ -9,6 +9,9 @@
 // Free part assumed while the load is unknown or stale. It is low, so that
 // targets with a known load go first.
 constexpr double UnknownFreePart = 0.1;
+// Factor on the score of targets that an earlier attempt went to. Any other
+// target with room goes first, but with few targets all may have been tried.
+constexpr double TriedFactor = 1e-6;
 
 } // namespace
 
@@ -115,7 +118,7 @@
     consider(best, eligible[(first + 1 + Generator() % (n - 1)) % n], holder,
              request, now);
   // All candidates are full or were tried: the rest of the subset follows.
-  if (best.Score <= 0)
+  if (best.Score <= 0 || isTried(Targets[best.Index], request))
     for (std::size_t i = 0; i < n; ++i)
       consider(best, eligible[(first + i) % n], holder, request, now);
   if (best.Score <= 0)
@@ -214,10 +217,10 @@
                               const PrefixMatch &holder,
                               const SelectionRequest &request, TimePoint now) {
   Target &target = Targets[index];
-  if (isTried(target, request))
-    return;
   const double match = holder.Target == index ? holder.Match : 0;
-  const double value = score(target, match, request.Units, now);
+  double value = score(target, match, request.Units, now);
+  if (isTried(target, request))
+    value *= TriedFactor;
   if (value > best.Score)
     best = {index, value, match};
 }
--- a/src/libbergamotrouting/targetselector.h
+++ b/src/libbergamotrouting/targetselector.h
@@ -51,7 +51,8 @@
 };
 
 /// What a request needs. Blocks are its prefix hashes, shortest first; Tried
-/// are the targets that earlier attempts went to.
+/// are the targets that earlier attempts went to; they are chosen only if no
+/// other target has room.
 struct SelectionRequest {
   std::uint64_t Units = 0;
   std::span<const std::uint64_t> Blocks;
--- a/tests/routing/test_selector.cpp
+++ b/tests/routing/test_selector.cpp
@@ -175,11 +175,17 @@
         SelectionRequest request;
         request.Tried = tried;
         std::set<TargetId> allowed;
+        const bool triedHasRoom = flag && !naive[n].Leaving &&
+                                  !naive[n].Ejected && naive[n].Reachable &&
+                                  !removed.contains(domainOf(n)) &&
+                                  naive[n].Used < 4;
         for (std::uint64_t i = 0; i < count; ++i)
           if (!naive[i].Leaving && !naive[i].Ejected && naive[i].Reachable &&
               !removed.contains(domainOf(i)) && naive[i].Used < 4 &&
               !(flag && i == n))
             allowed.insert(targetOf(i));
+        if (allowed.empty() && triedHasRoom)
+          allowed.insert(targetOf(n));
         const auto chosen = selector.choose(Chat, request, atMs(1));
         REQUIRE((chosen.Reason == Refusal::None) == !allowed.empty());
         if (allowed.empty())
