--- a/src/libbergamotrouting/targetadmission.cpp
+++ b/src/libbergamotrouting/targetadmission.cpp
@@ -36,8 +36,6 @@
     reason = pressureRefusal(request, now);
   if (reason != Refusal::None) {
     ++RefusedSinceRelease;
-    if (reason == Refusal::NoSlots || reason == Refusal::NoUnits)
-      addContender(request.Account, now);
     return {reason, Executed::No, retryAfter(request)};
   }
   reserve(request, now);
@@ -174,8 +172,6 @@
   const auto keptSlots = static_cast<std::uint32_t>(limit * kept);
   if (usedSlots() + 1 + keptSlots > limit || unitLoad > 1 - kept)
     return Refusal::Priority;
-  if (!hasOtherContender(request.Account, now))
-    return Refusal::None;
   const double capacity =
       static_cast<double>(limit) / Settings.Warmup.FullLimit;
   if (Shares.isFurthestAbove(request.Account, request.Weight,
@@ -184,21 +180,6 @@
   return Refusal::None;
 }
 
-void TargetAdmission::addContender(const AccountId &account, TimePoint now) {
-  if (Contenders[0].Account != account)
-    std::swap(Contenders[0], Contenders[1]);
-  Contenders[0] = {account, now};
-}
-
-bool TargetAdmission::hasOtherContender(const AccountId &account,
-                                        TimePoint now) const {
-  return std::any_of(Contenders.begin(), Contenders.end(),
-                     [&](const Contender &it) {
-                       return it.Account != account &&
-                              now - it.RefusedAt < Settings.ContentionTime;
-                     });
-}
-
 void TargetAdmission::reserve(const AdmissionRequest &request, TimePoint now) {
   if (request.Permit && Grants.unusedPart(request.Entry, *request.Permit))
     Grants.removeUsed(*request.Permit, request.Units);
--- a/src/libbergamotrouting/targetadmission.h
+++ b/src/libbergamotrouting/targetadmission.h
@@ -6,7 +6,6 @@
 #include "libbergamotrouting/granttable.h"
 #include "libbergamotrouting/warmupramp.h"
 
-#include <array>
 #include <deque>
 #include <optional>
 #include <unordered_map>
@@ -25,9 +24,6 @@
   /// Part of the capacity in use from which priorities and shares count. At
   /// 0.8, targets of 8 slots refused 12% of the requests at two thirds load.
   double PressureFrom = 0.9;
-  /// Shares count this long after another account was refused for lack of
-  /// capacity; without contention, an account may use all of it.
-  Duration ContentionTime = std::chrono::seconds(1);
   /// Capacity that each step of lower priority leaves to higher ones.
   double PriorityStep = 0.05;
   std::size_t AttemptCapacity = 65536;
@@ -119,11 +115,6 @@
     bool Busy = false;
     bool OutcomeUnknown = false;
   };
-  /// An account that was refused for lack of capacity.
-  struct Contender {
-    AccountId Account;
-    TimePoint RefusedAt{};
-  };
   struct Level {
     TimePoint Time;
     std::uint32_t Slots = 0;
@@ -133,8 +124,6 @@
   Refusal stateRefusal(const AdmissionRequest &request, TimePoint now) const;
   Refusal capacityRefusal(const AdmissionRequest &request, TimePoint now) const;
   Refusal pressureRefusal(const AdmissionRequest &request, TimePoint now) const;
-  void addContender(const AccountId &account, TimePoint now);
-  bool hasOtherContender(const AccountId &account, TimePoint now) const;
   void reserve(const AdmissionRequest &request, TimePoint now);
   void release(std::unordered_map<AttemptKey, Reservation>::iterator it,
                TimePoint now);
@@ -153,8 +142,6 @@
   AttemptTable Attempts;
   AccountShares Shares;
   std::unordered_map<AttemptKey, Reservation> Reservations;
-  /// The last two different accounts: one of them isn't the account that asks.
-  std::array<Contender, 2> Contenders;
   std::deque<Level> History;
   std::optional<LoadReport> LastReport;
   std::uint32_t ReservedSlots = 0;
--- a/tests/routing/test_admission.cpp
+++ b/tests/routing/test_admission.cpp
@@ -140,11 +140,6 @@
   for (int i = 0; i < 15; ++i)
     REQUIRE(admission.admit(requestOf("l" + std::to_string(i)), atMs(1))
                 .isAdmitted());
-  // Without contention, the account may go on.
-  REQUIRE(admission.admit(requestOf("l15"), atMs(1)).isAdmitted());
-  auto huge = requestOf("huge", 1000);
-  huge.Account = AccountId{"b"};
-  CHECK(admission.admit(huge, atMs(2)).Reason == Refusal::NoUnits);
   CHECK(admission.admit(requestOf("more"), atMs(2)).Reason ==
         Refusal::AccountShare);
   small.Key.Request = RequestId{"small2"};
