routing: Requeue proven refusals without drawing on the retry budget

Cause: at 105% of the capacity left, 11% of dispatches are refused by lagging load, more than the 10% budget, so requests ended that had never reached a back end. The budget bounds the load that retries add to back ends, and a proven refusal adds none; 16 refusals per request bound the messages. A target that refused isn't chosen without a grant until its retry-after or its next report.

--- a/bench/routingmodel.h
+++ b/bench/routingmodel.h
@@ -95,6 +95,7 @@
     AttemptNumber Attempt;
     std::size_t Target = 0;
     std::vector<TargetId> Tried;
+    std::uint32_t RefusedBefore = 0;
     bool Open = false;
     bool Ended = false;
   };
--- a/src/libbergamotrouting/retrypolicy.cpp
+++ b/src/libbergamotrouting/retrypolicy.cpp
@@ -21,10 +21,16 @@
   const RetryVerdict giveUp{RetryVerdict::Action::GiveUp, outcome};
   if (failed.Rule == RepeatRule::NonIdempotent && outcome != Executed::No)
     return giveUp;
-  if (failed.Attempt.Value >= Settings.MostAttempts)
-    return giveUp;
   if (std::max(now, failed.NotBefore) >= failed.Deadline)
     return giveUp;
+  // The budget bounds the load that retries add to back ends; a proven refusal
+  // adds none. The count of refusals bounds the messages.
+  if (outcome == Executed::No)
+    return failed.RefusedBefore < Settings.MostRefusals
+               ? RetryVerdict{RetryVerdict::Action::Requeue, outcome}
+               : giveUp;
+  if (failed.Attempt.Value - failed.RefusedBefore >= Settings.MostAttempts)
+    return giveUp;
   if (!take(failed.Account, failed.Service))
     return giveUp;
   return {RetryVerdict::Action::SendAgain, outcome};
--- a/src/libbergamotrouting/retrypolicy.h
+++ b/src/libbergamotrouting/retrypolicy.h
@@ -17,6 +17,8 @@
   /// Budget of an account that has sent nothing yet.
   double FirstBudget = 1;
   std::uint32_t MostAttempts = 3;
+  /// Refused dispatches of one request that don't count as attempts.
+  std::uint32_t MostRefusals = 16;
   /// Budgets kept; the least recently used one is forgotten.
   std::size_t Capacity = 16384;
 };
@@ -28,6 +30,9 @@
   ServiceId Service;
   RepeatRule Rule = RepeatRule::NonIdempotent;
   AttemptNumber Attempt;
+  /// Earlier dispatches of the request that were refused before any byte was
+  /// sent to the back end.
+  std::uint32_t RefusedBefore = 0;
   Executed Outcome = Executed::Unknown;
   bool BytesSent = true;
   TimePoint Deadline;
@@ -35,10 +40,11 @@
   TimePoint NotBefore;
 };
 
-/// What follows a failed attempt. GiveUp carries what the final response says
-/// about execution.
+/// What follows a failed attempt. Requeue puts the request back to the front of
+/// the entry's queue: nothing was sent to a back end, so this is no retry.
+/// GiveUp carries what the final response says about execution.
 struct RetryVerdict {
-  enum class Action { SendAgain, GiveUp };
+  enum class Action { SendAgain, Requeue, GiveUp };
 
   Action Next = Action::GiveUp;
   Executed Outcome = Executed::Unknown;
--- a/src/libbergamotrouting/targetselector.cpp
+++ b/src/libbergamotrouting/targetselector.cpp
@@ -57,6 +57,10 @@
   setEligible(entry);
 }
 
+void TargetSelector::setRefused(const TargetId &target, TimePoint retryAt) {
+  Targets[indexOf(target)].RefusedUntil = retryAt;
+}
+
 void TargetSelector::setLoad(const TargetId &target, const TargetLoad &load) {
   Target &entry = Targets[indexOf(target)];
   if (entry.HasLoad && (load.Daemon < entry.Load.Daemon ||
@@ -70,6 +74,7 @@
   entry.Load = load;
   entry.HasLoad = true;
   entry.SentSinceLoad = 0;
+  entry.RefusedUntil = {};
   setEligible(entry);
 }
 
@@ -181,7 +186,7 @@
                                 TimePoint now) const {
   if (!target.HasLoad || now - target.Load.Time > Settings.LoadStaleAfter)
     return UnknownFreePart;
-  if (target.Load.SlotLimit == 0)
+  if (target.Load.SlotLimit == 0 || (!granted && now < target.RefusedUntil))
     return 0;
   // The entry's own grants are counted as used in the report, but free here.
   std::int64_t free = std::int64_t{target.Load.SlotLimit} -
--- a/src/libbergamotrouting/targetselector.h
+++ b/src/libbergamotrouting/targetselector.h
@@ -86,6 +86,10 @@
   void setReachable(const TargetId &target, bool reachable);
   void setEjected(const TargetId &target, bool ejected);
 
+  /// Records that the target refused a request for lack of capacity. Without a
+  /// grant it is not chosen until then, or until its next load report.
+  void setRefused(const TargetId &target, TimePoint retryAt);
+
   /// Takes a load report; repeated and older ones are ignored. A new
   /// incarnation of the daemon voids the grants held from it.
   void setLoad(const TargetId &target, const TargetLoad &load);
@@ -116,6 +120,7 @@
     GrantId LastGrant;
     /// Requests sent less those ended since the last load report.
     std::int32_t SentSinceLoad = 0;
+    TimePoint RefusedUntil;
     std::uint32_t SubsetCount = 0;
     bool HasLoad = false;
     bool Leaving = false;
--- a/tests/routing/faultmodel.cpp
+++ b/tests/routing/faultmodel.cpp
@@ -249,8 +249,17 @@
   failed.Service = Service;
   failed.Rule = call.Rule;
   failed.Attempt = key.Attempt;
+  failed.RefusedBefore = call.RefusedBefore;
   failed.Deadline = call.Deadline;
   const auto verdict = entry.Retries->decide(failed, atMs(Now));
+  if (verdict.Next == RetryVerdict::Action::Requeue) {
+    ++call.RefusedBefore;
+    at(Now + 50, [this, key, life = call.EntryLife] {
+      if (Entries[Calls.at(key.Request).Entry].Life == life)
+        dispatch(key.Request);
+    });
+    return;
+  }
   if (verdict.Next == RetryVerdict::Action::SendAgain) {
     ++Repeated;
     dispatch(key.Request);
--- a/tests/routing/faultmodel.h
+++ b/tests/routing/faultmodel.h
@@ -43,6 +43,7 @@
     /// acted on once, whatever else arrives for the attempt.
     bool Open = false;
     std::vector<TargetId> Tried;
+    std::uint32_t RefusedBefore = 0;
     std::set<AttemptNumber> Executions;
     std::set<AttemptNumber> StatedNotExecuted;
   };
