--- a/src/libbergamotrouting/targetselector.cpp
+++ b/src/libbergamotrouting/targetselector.cpp
@@ -9,6 +9,9 @@
 // Free part assumed while the load is unknown or stale. It is low, so that
 // targets with a known load go first.
 constexpr double UnknownFreePart = 0.1;
+// Factor on the score of targets that an earlier attempt went to. Any other
+// target with room goes first, but with few targets all may have been tried.
+constexpr double TriedFactor = 1e-6;
 
 } // namespace
 
@@ -54,6 +57,10 @@
   setEligible(entry);
 }
 
+void TargetSelector::setRefused(const TargetId &target, TimePoint retryAt) {
+  Targets[indexOf(target)].RefusedUntil = retryAt;
+}
+
 void TargetSelector::setLoad(const TargetId &target, const TargetLoad &load) {
   Target &entry = Targets[indexOf(target)];
   if (entry.HasLoad && (load.Daemon < entry.Load.Daemon ||
@@ -67,6 +74,7 @@
   entry.Load = load;
   entry.HasLoad = true;
   entry.SentSinceLoad = 0;
+  entry.RefusedUntil = {};
   setEligible(entry);
 }
 
@@ -115,7 +123,7 @@
     consider(best, eligible[(first + 1 + Generator() % (n - 1)) % n], holder,
              request, now);
   // All candidates are full or were tried: the rest of the subset follows.
-  if (best.Score <= 0)
+  if (best.Score <= 0 || isTried(Targets[best.Index], request))
     for (std::size_t i = 0; i < n; ++i)
       consider(best, eligible[(first + i) % n], holder, request, now);
   if (best.Score <= 0)
@@ -178,7 +186,7 @@
                                 TimePoint now) const {
   if (!target.HasLoad || now - target.Load.Time > Settings.LoadStaleAfter)
     return UnknownFreePart;
-  if (target.Load.SlotLimit == 0)
+  if (target.Load.SlotLimit == 0 || (!granted && now < target.RefusedUntil))
     return 0;
   // The entry's own grants are counted as used in the report, but free here.
   std::int64_t free = std::int64_t{target.Load.SlotLimit} -
@@ -214,10 +222,10 @@
                               const PrefixMatch &holder,
                               const SelectionRequest &request, TimePoint now) {
   Target &target = Targets[index];
-  if (isTried(target, request))
-    return;
   const double match = holder.Target == index ? holder.Match : 0;
-  const double value = score(target, match, request.Units, now);
+  double value = score(target, match, request.Units, now);
+  if (isTried(target, request))
+    value *= TriedFactor;
   if (value > best.Score)
     best = {index, value, match};
 }
