--- a/support/standin/exchange.cpp
+++ b/support/standin/exchange.cpp
@@ -4,7 +4,6 @@
 
 #include <charconv>
 #include <thread>
-#include <utility>
 
 namespace bergamot::standin {
 
@@ -68,11 +67,12 @@
 void Exchange::answer(int status, const nlohmann::json &body,
                       std::vector<adapterhttp::HttpHeader> headers) {
   headers.push_back({"Content-Type", "application/json"});
-  answerBytes(status, body.dump(), std::move(headers));
+  answerBytes(status, body.dump(), headers);
 }
 
-void Exchange::answerBytes(int status, std::string_view bytes,
-                           std::vector<adapterhttp::HttpHeader> headers) {
+void Exchange::answerBytes(
+    int status, std::string_view bytes,
+    const std::vector<adapterhttp::HttpHeader> &headers) {
   if (LosesAnswer) {
     Responder.drop();
     return;
@@ -85,7 +85,7 @@
                              std::vector<adapterhttp::HttpHeader> headers) {
   headers.push_back({"Content-Type", "application/problem+json"});
   answerBytes(status, adapterhttp::problemDocument(status, detail, "no"),
-              std::move(headers));
+              headers);
 }
 
 bool Exchange::waitUntil(base::TimePoint time) const {
--- a/support/standin/exchange.h
+++ b/support/standin/exchange.h
@@ -48,7 +48,7 @@
 
   /// Sends a response with other content.
   void answerBytes(int status, std::string_view bytes,
-                   std::vector<adapterhttp::HttpHeader> headers);
+                   const std::vector<adapterhttp::HttpHeader> &headers);
 
   /// Sends a problem document.
   void answerProblem(int status, std::string_view detail,
--- a/tests/adapters/test_engine.cpp
+++ b/tests/adapters/test_engine.cpp
@@ -248,7 +248,7 @@
   port.stageMap("h1", {1, 2}, in(2s));
   CHECK(port.switchMap("h1", 2, in(2s)));
   CHECK(port.switchMap("h1", 2, in(2s)));
-  CHECK(port.expertCounts(in(2s))["map"] == "");
+  CHECK(port.expertCounts(in(2s)).value("map", std::string("x")).empty());
   CHECK(port.expertCounts(in(2s))["map"] == "h1");
   port.stageMap("h2", {3}, in(2s));
   CHECK_FALSE(port.switchMap("h2", 1, in(2s)));
