--- a/tests/routing/faultmodel.cpp
+++ b/tests/routing/faultmodel.cpp
@@ -35,8 +35,7 @@
     startTarget(target);
 }
 
-void FaultModel::run(std::int64_t untilMs, bool faults) {
-  Faults = faults;
+void FaultModel::run(std::int64_t untilMs) {
   for (; Now < untilMs; Now += 5) {
     for (std::size_t i = 0; i < Targets.size(); ++i)
       if (Now % 250 == static_cast<std::int64_t>(i) * 5) {
@@ -110,11 +109,19 @@
   wanted.Tried = call.Tried;
   const auto chosen = entry.Selector->choose(Service, wanted, atMs(Now));
   if (chosen.Reason != routing::Refusal::None) {
-    call.Settled = true;
+    // It waits at the entry while that leaves time for an attempt.
+    if (atMs(Now + AttemptTimeoutMs) < call.Deadline) {
+      at(Now + 50, [this, id, life = call.EntryLife] {
+        if (Entries[Calls.at(id).Entry].Life == life)
+          dispatch(id);
+      });
+      return;
+    }
     ++Refused;
     return;
   }
   ++call.Attempt.Value;
+  call.Open = true;
   call.Tried.push_back(chosen.Target);
   AdmissionRequest request;
   request.Key = {id, call.Attempt};
@@ -161,7 +168,7 @@
   Call &call = Calls.at(request.Key.Request);
   // Promise 2: the back end takes no more than its limit, whatever a former
   // daemon process or a broken connection has left running.
-  REQUIRE(target.Running.size() < FullLimit);
+  REQUIRE(target.Running.size() < target.Admission->slotLimit(atMs(Now)));
   REQUIRE(target.Admission->usedSlots() <=
           target.Admission->slotLimit(atMs(Now)));
   // Promise 3: a removed failure domain receives no new work after 2 s.
@@ -181,7 +188,7 @@
     at(Now + 20, [this, index, life, engineLife, key = request.Key] {
       finish(index, life, engineLife, key, true);
     });
-  at(Now + 50 + static_cast<std::int64_t>(below(Random, 200)),
+  at(Now + 100 + static_cast<std::int64_t>(below(Random, 500)),
      [this, index, life, engineLife, key = request.Key] {
        finish(index, life, engineLife, key, false);
      });
@@ -212,11 +219,12 @@
       fail(key, failed);
       return;
     }
-    if (call.Settled || call.Attempt != key.Attempt ||
+    if (!call.Open || call.Attempt != key.Attempt ||
         call.EntryLife != Entries[call.Entry].Life)
       return;
-    call.Settled = true;
+    call.Open = false;
     ++Answered;
+    Entries[call.Entry].Selector->setFinished(call.Tried.back());
   });
 }
 
@@ -229,12 +237,14 @@
     REQUIRE_FALSE(call.Executions.contains(key.Attempt));
     call.StatedNotExecuted.insert(key.Attempt);
   }
-  if (call.Settled || call.Attempt != key.Attempt)
+  if (!call.Open || call.Attempt != key.Attempt)
     return;
   if (Now < entry.PausedUntil) {
     at(entry.PausedUntil, [this, key, failed] { fail(key, failed); });
     return;
   }
+  call.Open = false;
+  entry.Selector->setFinished(call.Tried.back());
   failed.Account = AccountId{"a"};
   failed.Service = Service;
   failed.Rule = call.Rule;
@@ -246,7 +256,6 @@
     dispatch(key.Request);
     return;
   }
-  call.Settled = true;
   ++(verdict.Outcome == Executed::No ? Refused : UnknownOutcomes);
 }
 
@@ -257,11 +266,12 @@
   TargetLoad load;
   load.Daemon = Incarnation{target.Life};
   load.Sequence = ++target.LoadSequence;
-  load.SlotsUsed = target.Admission->usedSlots();
+  const auto grants = target.Admission->issueGrants(atMs(Now));
+  load.SlotsUsed =
+      target.Admission->usedSlots() + target.Admission->grantedSlots();
   load.SlotLimit = target.Admission->slotLimit(atMs(Now));
   load.Warm = target.Admission->ramp().isWarm();
   load.Time = atMs(Now);
-  const auto grants = target.Admission->issueGrants(atMs(Now));
   REQUIRE(target.Admission->grantedSlots() <= FullLimit);
   for (std::size_t i = 0; i < Entries.size(); ++i)
     send([this, i, load, grants, id = target.Id] {
@@ -288,6 +298,15 @@
      });
 }
 
+void FaultModel::endFaults() {
+  Faults = false;
+  setRemoved("");
+  for (auto &target : Targets) {
+    ++target.EngineLife;
+    target.Running.clear();
+  }
+}
+
 void FaultModel::injectFault() {
   const std::size_t index = below(Random, Targets.size());
   Target &target = Targets[index];
@@ -335,10 +354,13 @@
       Targets[i].Admission->setDomainRemoved(Targets[i].Domain.Value ==
                                              RemovedDomain);
     });
+  // Some entries never hear of it; the targets have to hold on their own.
   for (std::size_t i = 0; i < Entries.size(); ++i)
-    notify([this, i] {
-      Entries[i].Selector->setRemovedDomains({FailureDomainId{RemovedDomain}});
-    });
+    if (!Faults || chance(0.7))
+      notify([this, i] {
+        Entries[i].Selector->setRemovedDomains(
+            {FailureDomainId{RemovedDomain}});
+      });
 }
 
 } // namespace bergamot::routing::testing
