--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <string_view>
 
 namespace bergamot::testsupport {
 
@@ -32,6 +33,27 @@
   }
 };
 
+/// Returns the environment of a program under test. Variables such as
+/// BERGAMOT_JOBS of the scripts would be refused as unknown settings.
+std::vector<std::string>
+environmentWith(const std::vector<std::string> &variables) {
+  constexpr std::string_view Prefix = "BERGAMOT_";
+  std::vector<std::string> all = variables;
+  for (char **it = environ; *it; ++it)
+    if (std::string_view(*it).substr(0, Prefix.size()) != Prefix)
+      all.emplace_back(*it);
+  return all;
+}
+
+/// Returns the pointers that execve() takes. The texts must outlive them.
+std::vector<char *> pointersTo(std::vector<std::string> &texts) {
+  std::vector<char *> pointers;
+  for (std::string &it : texts)
+    pointers.push_back(it.data());
+  pointers.push_back(nullptr);
+  return pointers;
+}
+
 } // namespace
 
 std::string programPath(const std::string &name) {
@@ -39,15 +61,15 @@
 }
 
 ChildProcess::ChildProcess(const std::string &program,
-                           const std::vector<std::string> &flags) {
+                           const std::vector<std::string> &flags,
+                           const std::vector<std::string> &variables) {
   Pipe output;
   Pipe log;
   std::vector<std::string> texts = {program};
   texts.insert(texts.end(), flags.begin(), flags.end());
-  std::vector<char *> arguments;
-  for (std::string &it : texts)
-    arguments.push_back(it.data());
-  arguments.push_back(nullptr);
+  std::vector<std::string> environment = environmentWith(variables);
+  std::vector<char *> arguments = pointersTo(texts);
+  std::vector<char *> variablePointers = pointersTo(environment);
   Pid = fork();
   if (Pid == 0) {
     // Only functions that are safe after fork() in a threaded process.
@@ -57,7 +79,7 @@
     sigprocmask(SIG_SETMASK, &none, nullptr);
     dup2(output.Write, STDOUT_FILENO);
     dup2(log.Write, STDERR_FILENO);
-    execv(program.c_str(), arguments.data());
+    execve(program.c_str(), arguments.data(), variablePointers.data());
     _exit(ExecFailed);
   }
   close(output.Write);
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -22,10 +22,12 @@
 /// destroyed, and by the kernel when the thread that created it ends.
 class ChildProcess {
 public:
-  /// Starts the program with flags such as "--kind=engine". Throws
-  /// base::Error if it can't be started.
+  /// Starts the program with flags such as "--kind=engine". Of the variables
+  /// whose names start with BERGAMOT_, it gets only those given here as
+  /// "NAME=value". Throws base::Error if it can't be started.
   ChildProcess(const std::string &program,
-               const std::vector<std::string> &flags);
+               const std::vector<std::string> &flags,
+               const std::vector<std::string> &variables = {});
   ~ChildProcess();
   ChildProcess(const ChildProcess &) = delete;
   ChildProcess &operator=(const ChildProcess &) = delete;
