--- a/src/libbergamotconfig/jsonfields.h
+++ b/src/libbergamotconfig/jsonfields.h
@@ -147,7 +147,8 @@
   }
   template <typename T> static std::string valueText(const T &value);
   template <typename T> static std::string listText(const std::vector<T> &list);
-  std::string text() const;
+  /// Returns the text of the object and drops the members.
+  std::string takeText();
 };
 
 template <typename T> std::string TextWriter::valueText(const T &value) {
@@ -158,7 +159,7 @@
   } else if constexpr (requires(TextWriter w) { visitFields(w, value); }) {
     TextWriter writer;
     visitFields(writer, value);
-    return writer.text();
+    return writer.takeText();
   } else {
     return dumpJson(toJson(value));
   }
@@ -179,7 +180,8 @@
       text += ',';
     text += dumpJson(toJson(*element));
   }
-  return text + "]";
+  text += ']';
+  return text;
 }
 
 } // namespace detail
