daemon: Bound answers by a memory budget, queue fairly and retry by policy

Chunks carry a hash over request, attempt bytes and offset, because the hash at the end of a resumed stream covers its last part only. Answers of all calls share one memory budget; the longest-stalled resumable one is parked. Calls wait in a weighted fair queue when no target has room. Retries go through the budgeted policy, and failing targets are ejected.

--- a/src/bergamotd/callerrequest.cpp
+++ b/src/bergamotd/callerrequest.cpp
@@ -1,5 +1,6 @@
 #include "bergamotd/callerrequest.h"
 
+#include "adapterengine/promptblocks.h"
 #include "bergamotd/problem.h"
 
 #include <nlohmann/json.hpp>
@@ -76,6 +77,14 @@
   return service.Limits.DefaultMaximumOutputTokens;
 }
 
+std::string promptOf(const nlohmann::json &json) {
+  try {
+    return adapterengine::promptText(json);
+  } catch (const base::Error &e) {
+    throw ProblemError(400, Step::Parse, "", e.what());
+  }
+}
+
 void readModelCall(CallerRequest &call, const HttpRequest &http,
                    const ActiveConfig &active) {
   if (http.Method != "POST")
@@ -100,8 +109,10 @@
   call.Kind = service->Kind;
   call.Path = http.Path;
   call.Body = json.dump();
-  // A token has at least one byte, so the body's size bounds the prompt.
-  call.Units = call.Body.size() + output;
+  // A token has at least one byte, so the prompt's size bounds its tokens.
+  const std::string prompt = promptOf(json);
+  call.PromptBlocks = adapterengine::promptBlocks(prompt);
+  call.Units = prompt.size() + output;
 }
 
 void readServiceCall(CallerRequest &call, const HttpRequest &http,
@@ -158,6 +169,7 @@
   call.CallerRequestId = headerOr(http, "X-Request-Id", call.Request.Value);
   call.Account = account.Id;
   call.Priority = account.Priority;
+  call.Weight = account.Weight;
   call.Method = http.Method;
   call.Deadline = parseDeadline(http, limits, now);
   readHeaders(call, http);
--- a/src/bergamotd/callerrequest.h
+++ b/src/bergamotd/callerrequest.h
@@ -5,6 +5,7 @@
 #include "bergamotd/activeconfig.h"
 
 #include <string>
+#include <vector>
 
 namespace bergamot::bergamotd {
 
@@ -15,6 +16,7 @@
   std::string CallerRequestId;
   base::AccountId Account;
   std::uint32_t Priority = 0;
+  double Weight = 1;
   base::ServiceId Service;
   config::ServiceKind Kind = config::ServiceKind::Plain;
   std::string Method;
@@ -22,6 +24,8 @@
   std::string Path;
   std::vector<adapterhttp::HttpHeader> Headers;
   std::string Body;
+  /// Hashes of the prompt's prefixes by cache block, shortest first.
+  std::vector<std::uint64_t> PromptBlocks;
   std::string IdempotencyKey;
   bool IsIdempotent = false;
   bool IsStreaming = false;
--- a/src/bergamotd/callrunner.cpp
+++ b/src/bergamotd/callrunner.cpp
@@ -11,43 +11,57 @@
 
 namespace fb = wire::fb;
 using base::Step;
+using routing::Refusal;
+using routing::RetryVerdict;
 using std::chrono::steady_clock;
 
 namespace {
 
-/// Bytes of one answer that may be on their way to or held by this entry.
-constexpr std::uint64_t WindowBytes = 32 * 1024;
-
-/// The window is renewed when half of it was consumed, which keeps the answer
-/// flowing with few messages.
-constexpr std::uint64_t RenewBytes = WindowBytes / 2;
-
-/// Attempts after which a call is given up if targets keep failing.
-constexpr std::uint32_t MostFailedAttempts = 3;
-
-/// How often a waiting call checks that its caller is still there.
-constexpr std::chrono::milliseconds ClientCheckInterval{250};
+/// How often a waiting call checks that its caller is still there, and asks
+/// again for window that memory did not allow.
+constexpr std::chrono::milliseconds CheckInterval{250};
 
 constexpr std::chrono::milliseconds DefaultRetryAfter{1000};
 
 const std::string *findHeader(const AnswerHead &head, std::string_view name) {
   for (const auto &[key, value] : head.Headers)
-    if (key.size() == name.size() &&
-        std::equal(key.begin(), key.end(), name.begin(), [](char a, char b) {
-          return std::tolower(static_cast<unsigned char>(a)) == b;
-        }))
+    if (std::equal(key.begin(), key.end(), name.begin(), name.end(),
+                   [](char a, char b) {
+                     return std::tolower(static_cast<unsigned char>(a)) == b;
+                   }))
       return &value;
   return nullptr;
 }
 
+routing::Executed toRouting(Executed executed) {
+  switch (executed) {
+  case Executed::No:
+    return routing::Executed::No;
+  case Executed::Yes:
+    return routing::Executed::Yes;
+  case Executed::Unknown:
+    break;
+  }
+  return routing::Executed::Unknown;
+}
+
+std::uint32_t millisecondsUntil(base::TimePoint deadline) {
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      deadline - steady_clock::now());
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count()));
+}
+
 } // namespace
 
 CallRunner::CallRunner(CallContext context, const CallerRequest &call,
                        adapterhttp::HttpResponder &responder,
                        DispatchGate *gate)
-    : Context(context), Call(call), Responder(responder), Gate(gate) {}
+    : Context(context), Call(call), Responder(responder), Gate(gate),
+      Stream(std::make_shared<AnswerStream>(context.Memory, call.Request,
+                                            isResumable())) {}
 
 CallResult CallRunner::run() {
+  Context.Retries.addRequest(Call.Account, Call.Service);
   for (;;) {
     startAttempt();
     const Next next = followAttempt();
@@ -56,34 +70,51 @@
       break;
   }
   Result.Attempts = Attempt;
-  Result.Bytes = Delivered;
+  Result.Bytes = Stream->deliveredTo();
   return std::move(Result);
 }
 
+void CallRunner::chooseTarget() {
+  if (Attempt == 1 && Context.Room.hasWaiters(Call.Service))
+    Context.Room.waitForTurn(Call);
+  for (;;) {
+    routing::SelectionRequest request;
+    request.Units = Call.Units;
+    request.Tried = Tried;
+    request.Blocks = Call.PromptBlocks;
+    Choice = Context.Targets.choose(Call.Service, request);
+    if (Choice.Session) {
+      Context.Room.setCapacityFree(Call.Service);
+      return;
+    }
+    if (Choice.Selection.Reason != Refusal::NoSlots &&
+        (Choice.Selection.Reason != Refusal::NoTarget || Tried.empty())) {
+      RetryAfter = std::chrono::ceil<std::chrono::milliseconds>(
+          Choice.Selection.RetryAfter);
+      giveUp(503, Step::Route,
+             "no target of service '" + Call.Service.Value + "' is available");
+    }
+    // A target that refused or failed before may have room by the next turn.
+    Tried.clear();
+    Context.Room.waitForTurn(Call);
+  }
+}
+
 void CallRunner::startAttempt() {
   ++Attempt;
-  routing::SelectionRequest request;
-  request.Units = Call.Units;
-  request.Tried = Tried;
-  Choice = Context.Targets.choose(Call.Service, request);
-  if (!Choice.Session) {
-    RetryAfter =
-        RetryAfter.value_or(std::chrono::ceil<std::chrono::milliseconds>(
-            Choice.Selection.RetryAfter));
-    giveUp(503, Step::Route,
-           "no target of service '" + Call.Service.Value + "' can take it: " +
-               routing::refusalName(Choice.Selection.Reason));
-  }
+  chooseTarget();
   if (Gate != nullptr && !Gate->takeDispatch())
     giveUp(503, Step::Claim, "the claim on the idempotency key has expired");
-  Channel =
-      std::make_shared<AnswerChannel>(Delivered + Pending.size(), WindowBytes);
-  Context.Requests.add(Call.Request, {Attempt}, Choice.Session, Channel);
-  logChoice();
-  sendDispatch();
+  const std::uint64_t offset = Stream->startAttempt();
+  if (offset == 0 && !Responder.isStarted())
+    Head.reset();
+  DispatchedAt = steady_clock::now();
+  Context.Requests.add(Call.Request, {Attempt}, Choice.Session, Stream);
+  logChoice(offset);
+  sendDispatch(offset);
 }
 
-void CallRunner::logChoice() const {
+void CallRunner::logChoice(std::uint64_t offset) const {
   const auto &selection = Choice.Selection;
   base::logDecision("route.choose",
                     {{"request", Call.Request.Value},
@@ -97,10 +128,16 @@
                      {"prefix_match", selection.Match},
                      {"units", Call.Units},
                      {"idempotent", Call.IsIdempotent},
-                     {"offset", Delivered + Pending.size()}});
+                     {"offset", offset}});
 }
 
-void CallRunner::sendDispatch() {
+wire::Envelope CallRunner::addressed(wire::Envelope message) const {
+  message.request = Call.Request.Value;
+  message.attempt = Attempt;
+  return message;
+}
+
+void CallRunner::sendDispatch(std::uint64_t offset) {
   fb::DispatchT dispatch;
   dispatch.service = Call.Service.Value;
   dispatch.account = Call.Account.Value;
@@ -116,207 +153,191 @@
   dispatch.reserved_units = Call.Units;
   if (Choice.Selection.Permit)
     dispatch.grant = Choice.Selection.Permit->Value;
-  dispatch.deadline_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(
-      1, std::chrono::duration_cast<std::chrono::milliseconds>(
-             Call.Deadline - steady_clock::now())
-             .count()));
+  dispatch.deadline_ms = millisecondsUntil(Call.Deadline);
   dispatch.priority = static_cast<std::uint8_t>(Call.Priority);
   dispatch.idempotent = Call.IsIdempotent;
-  dispatch.resumable =
-      Call.Kind == config::ServiceKind::Model && Call.IsIdempotent;
+  dispatch.resumable = isResumable();
   dispatch.streaming = Call.IsStreaming;
-  dispatch.resume_offset = Delivered + Pending.size();
-  dispatch.window = Delivered + WindowBytes;
-  WindowSent = dispatch.window;
-  auto message = wire::makeEnvelope(std::move(dispatch));
-  message.request = Call.Request.Value;
-  message.attempt = Attempt;
-  if (!Choice.Session->send(std::move(message)))
-    Channel->addFailure({Executed::No, "connect", "the session is closed"});
+  dispatch.resume_offset = offset;
+  dispatch.window = Stream->takeWindow().value_or(offset);
+  if (!Choice.Session->send(addressed(wire::makeEnvelope(std::move(dispatch)))))
+    Stream->addFailure({Executed::No, "connect", "the session is closed"});
 }
 
 CallRunner::Next CallRunner::followAttempt() {
-  bool hasEnded = false;
   for (;;) {
-    const Next next = takeEvent(nextEvent(), hasEnded);
-    if (hasEnded)
+    const Next next = takeEvent(nextEvent());
+    if (next != Next::Continue)
       return next;
   }
 }
 
 AnswerEvent CallRunner::nextEvent() {
+  // A body that isn't streamed is sent in one piece if it fits a window, so
+  // that a failure in its middle can still be repeated or reported.
+  const bool whole = !Call.IsStreaming && !Responder.isStarted();
   for (;;) {
     const auto now = steady_clock::now();
-    const auto check = std::min(Call.Deadline, now + ClientCheckInterval);
-    if (Channel->waitForEvent(check) || now >= Call.Deadline)
-      return Channel->nextEvent(Call.Deadline);
+    if (auto event = Stream->nextEvent(
+            whole, std::min(Call.Deadline, now + CheckInterval)))
+      return std::move(*event);
+    if (now >= Call.Deadline)
+      return AttemptFailed{Executed::Unknown, "answer",
+                           "no answer before the deadline"};
     // A caller that left doesn't need the answer; work that must not be
     // repeated still runs to its end so that its outcome is recorded.
     if (Call.IsIdempotent && Responder.isClientGone()) {
-      cancelAttempt();
       Result.IsClientGone = true;
       return AttemptFailed{Executed::Unknown, "answer", "the caller left"};
     }
+    sendWindow();
   }
 }
 
-CallRunner::Next CallRunner::takeEvent(AnswerEvent event, bool &hasEnded) {
-  if (auto *head = std::get_if<AnswerHead>(&event)) {
-    takeHead(std::move(*head));
-    return Next::Done;
-  }
-  if (const auto *bytes = std::get_if<AnswerBytes>(&event)) {
-    hasEnded = !takeBytes(bytes->Bytes);
-    return Next::Done;
-  }
-  hasEnded = true;
+CallRunner::Next CallRunner::takeEvent(const AnswerEvent &event) {
+  if (const auto *head = std::get_if<AnswerHead>(&event))
+    return takeHead(*head);
+  if (const auto *bytes = std::get_if<AnswerBytes>(&event))
+    return takeBytes(bytes->Bytes);
   if (const auto *refused = std::get_if<AttemptRefused>(&event))
     return takeRefused(*refused);
   if (const auto *failed = std::get_if<AttemptFailed>(&event))
     return takeFailed(*failed);
   if (std::holds_alternative<AnswerParked>(event)) {
     Context.Metrics.addCount("bergamot_entry_parked_total", "");
-    return Next::Retry;
-  }
-  takeEnd(std::get<AnswerEnd>(event));
-  return Next::Done;
-}
-
-CallRunner::Next CallRunner::takeRefused(const AttemptRefused &refused) {
-  Tried.push_back(Choice.Target);
-  if (Gate != nullptr)
-    Gate->setRefused();
-  RetryAfter = RetryAfter ? std::min(*RetryAfter, refused.RetryAfter)
-                          : refused.RetryAfter;
-  Context.Metrics.addCount("bergamot_entry_refused_attempts_total", "");
-  return Next::Retry;
-}
-
-CallRunner::Next CallRunner::takeFailed(const AttemptFailed &failed) {
-  if (Result.IsClientGone)
-    return Next::Done;
-  Tried.push_back(Choice.Target);
-  ++FailedAttempts;
-  if (failed.ExecutedState != Executed::No)
-    Result.ExecutedState = failed.ExecutedState;
-  const bool mayRepeat =
-      failed.ExecutedState == Executed::No || Call.IsIdempotent;
-  const bool isLate = steady_clock::now() >= Call.Deadline;
-  base::logDecision("route.failed",
-                    {{"request", Call.Request.Value},
-                     {"attempt", Attempt},
-                     {"target", Choice.Target.Value},
-                     {"step", failed.Step},
-                     {"detail", failed.Detail},
-                     {"executed", executedName(failed.ExecutedState)},
-                     {"repeat", mayRepeat && !isLate}});
-  if (isLate) {
     cancelAttempt();
-    giveUp(504, Step::Answer, failed.Detail);
-  }
-  if (!mayRepeat || FailedAttempts >= MostFailedAttempts ||
-      (IsStarted && !canResume()))
-    giveUp(502, Step::Answer, failed.Detail);
-  if (Gate != nullptr && failed.ExecutedState == Executed::No)
-    Gate->setRefused();
-  if (!IsStarted) {
-    Head.reset();
-    Pending.clear();
+    return Next::Retry;
   }
-  return Next::Retry;
+  return takeEnd();
 }
 
-bool CallRunner::canResume() const {
-  return Call.Kind == config::ServiceKind::Model && Call.IsIdempotent && Head &&
-         Head->Status == 200;
-}
-
-void CallRunner::takeHead(AnswerHead head) {
+CallRunner::Next CallRunner::takeHead(const AnswerHead &head) {
   Result.ExecutedState = Executed::Yes;
   Result.Status = head.Status;
   // The head of a resumed answer was delivered by an earlier attempt.
   if (!Head)
-    Head = std::move(head);
+    Head = head;
+  else if (Responder.isStarted() && head.Status != Head->Status)
+    return takeFailed(
+        {Executed::Yes, "answer", "the engine refused to resume the stream"});
+  return Next::Continue;
 }
 
-bool CallRunner::takeBytes(const std::string &bytes) {
-  Pending += bytes;
-  if (!IsStarted && !mustStart())
-    return true;
-  if (!IsStarted)
-    startResponse();
-  if (!writePending()) {
-    cancelAttempt();
-    Result.IsClientGone = true;
-    return false;
+CallRunner::Next CallRunner::takeBytes(const std::string &bytes) {
+  if (!Responder.isStarted()) {
+    const auto *length = findHeader(*Head, "content-length");
+    startResponse(length != nullptr ? std::optional<std::size_t>(std::strtoull(
+                                          length->c_str(), nullptr, 10))
+                                    : std::nullopt);
   }
+  if (!Responder.write(bytes, Call.Deadline))
+    return leaveCaller();
   sendWindow();
-  return true;
+  return Next::Continue;
 }
 
-bool CallRunner::mustStart() const {
-  return Call.IsStreaming || Pending.size() >= WindowBytes;
+CallRunner::Next CallRunner::leaveCaller() {
+  cancelAttempt();
+  Result.IsClientGone = true;
+  return Next::Done;
 }
 
-void CallRunner::startResponse() {
+void CallRunner::startResponse(std::optional<std::size_t> length) {
   std::vector<adapterhttp::HttpHeader> headers = {
       {"X-Request-Id", Call.CallerRequestId}};
   const auto *type = findHeader(*Head, "content-type");
+  Result.ContentType = type != nullptr ? *type : "";
   if (type != nullptr)
     headers.push_back({"Content-Type", *type});
-  const auto *length = findHeader(*Head, "content-length");
-  std::optional<std::size_t> size;
-  if (length != nullptr)
-    size = std::strtoull(length->c_str(), nullptr, 10);
-  Responder.start(Head->Status, headers, size);
-  IsStarted = true;
+  Responder.start(Head->Status, headers, length);
 }
 
-bool CallRunner::writePending() {
-  if (!Responder.write(Pending, Call.Deadline))
-    return false;
-  Delivered += Pending.size();
-  Pending.clear();
-  return true;
+CallRunner::Next CallRunner::takeEnd() {
+  Context.Targets.addResult(Choice.Target, Head->Status >= 500);
+  Context.Room.addServiceTime(Call.Service, steady_clock::now() - DispatchedAt);
+  Result.IsComplete = true;
+  // Without finish() the caller sees a cut response instead of a whole one.
+  if (!Responder.isStarted()) {
+    Result.Body = Stream->takeRest();
+    startResponse(Result.Body.size());
+    Responder.write(Result.Body, Call.Deadline);
+  }
+  Responder.finish();
+  return Next::Done;
 }
 
-void CallRunner::takeEnd(const AnswerEnd &end) {
-  Result.IsComplete = end.TotalLength == Delivered + Pending.size();
-  const auto *type = findHeader(*Head, "content-type");
-  Result.ContentType = type != nullptr ? *type : "";
-  if (IsStarted) {
-    // Without finish() the caller sees a cut response instead of a whole one.
-    if (Result.IsComplete)
-      Responder.finish();
-    return;
-  }
-  Result.Body = Pending;
-  std::vector<adapterhttp::HttpHeader> headers = {
-      {"X-Request-Id", Call.CallerRequestId}};
-  if (type != nullptr)
-    headers.push_back({"Content-Type", *type});
-  Responder.respond(Head->Status, headers, Pending, Call.Deadline);
-  Delivered = Pending.size();
+CallRunner::Next CallRunner::takeRefused(const AttemptRefused &refused) {
+  RetryAfter = RetryAfter ? std::min(*RetryAfter, refused.RetryAfter)
+                          : refused.RetryAfter;
+  Context.Metrics.addCount("bergamot_entry_refused_attempts_total", "");
+  const Next next = retryOrGiveUp(Executed::No, false, refused.Detail);
+  ++RefusedAttempts;
+  return next;
+}
+
+CallRunner::Next CallRunner::takeFailed(const AttemptFailed &failed) {
+  if (Result.IsClientGone)
+    return leaveCaller();
+  if (failed.ExecutedState != Executed::No)
+    Result.ExecutedState = failed.ExecutedState;
+  Context.Targets.addResult(Choice.Target, true);
+  const Next next =
+      retryOrGiveUp(failed.ExecutedState, failed.ExecutedState != Executed::No,
+                    failed.Detail);
+  if (failed.ExecutedState == Executed::No)
+    ++RefusedAttempts;
+  return next;
+}
+
+CallRunner::Next CallRunner::retryOrGiveUp(Executed outcome, bool bytesSent,
+                                           const std::string &detail) {
+  const auto now = steady_clock::now();
+  Tried.push_back(Choice.Target);
+  if (Gate != nullptr && outcome == Executed::No)
+    Gate->setRefused();
+  routing::FailedAttempt failed;
+  failed.Account = Call.Account;
+  failed.Service = Call.Service;
+  failed.Rule = Call.IsIdempotent ? routing::RepeatRule::Idempotent
+                                  : routing::RepeatRule::NonIdempotent;
+  failed.Attempt = {Attempt};
+  failed.RefusedBefore = RefusedAttempts;
+  failed.Outcome = toRouting(outcome);
+  failed.BytesSent = bytesSent;
+  failed.Deadline = Call.Deadline;
+  const auto verdict = Context.Retries.decide(failed, now);
+  const bool isLost = Responder.isStarted() && !isResumable();
+  const bool mayRepeat =
+      verdict.Next != RetryVerdict::Action::GiveUp && !isLost;
+  base::logDecision("route.failed", {{"request", Call.Request.Value},
+                                     {"attempt", Attempt},
+                                     {"target", Choice.Target.Value},
+                                     {"detail", detail},
+                                     {"executed", executedName(outcome)},
+                                     {"repeat", mayRepeat}});
+  if (mayRepeat)
+    return Next::Retry;
+  cancelAttempt();
+  if (now >= Call.Deadline)
+    giveUp(504, Step::Answer, detail);
+  giveUp(outcome == Executed::No ? 503 : 502, Step::Answer, detail);
+}
+
+bool CallRunner::isResumable() const {
+  return Call.Kind == config::ServiceKind::Model && Call.IsIdempotent;
 }
 
 void CallRunner::sendWindow() {
-  const std::uint64_t next = Delivered + WindowBytes;
-  if (next < WindowSent + RenewBytes)
+  const auto window = Stream->takeWindow();
+  if (!window)
     return;
-  WindowSent = next;
-  fb::WindowT window;
-  window.received_up_to = next;
-  auto message = wire::makeEnvelope(window);
-  message.request = Call.Request.Value;
-  message.attempt = Attempt;
-  Choice.Session->send(std::move(message));
+  fb::WindowT message;
+  message.received_up_to = *window;
+  Choice.Session->send(addressed(wire::makeEnvelope(message)));
 }
 
 void CallRunner::cancelAttempt() {
-  auto message = wire::makeEnvelope(fb::CancelT());
-  message.request = Call.Request.Value;
-  message.attempt = Attempt;
-  Choice.Session->send(std::move(message));
+  Choice.Session->send(addressed(wire::makeEnvelope(fb::CancelT())));
 }
 
 void CallRunner::endAttempt() {
--- a/src/bergamotd/callrunner.h
+++ b/src/bergamotd/callrunner.h
@@ -2,12 +2,15 @@
 #define BERGAMOT_BERGAMOTD_CALLRUNNER_H
 
 #include "adapterhttp/httpresponder.h"
-#include "bergamotd/answerchannel.h"
+#include "bergamotd/answerstream.h"
 #include "bergamotd/callerrequest.h"
 #include "bergamotd/requesttable.h"
+#include "bergamotd/retrygate.h"
 #include "bergamotd/targettable.h"
+#include "bergamotd/waitingroom.h"
 #include "libbergamotbase/metrics.h"
 
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -17,6 +20,9 @@
 struct CallContext {
   TargetTable &Targets;
   RequestTable &Requests;
+  AnswerMemory &Memory;
+  WaitingRoom &Room;
+  RetryGate &Retries;
   base::Metrics &Metrics;
 };
 
@@ -57,26 +63,29 @@
   CallResult run();
 
 private:
-  enum class Next { Done, Retry };
+  enum class Next { Continue, Done, Retry };
 
   void startAttempt();
-  void logChoice() const;
-  void sendDispatch();
+  void chooseTarget();
+  void logChoice(std::uint64_t offset) const;
+  void sendDispatch(std::uint64_t offset);
   Next followAttempt();
   AnswerEvent nextEvent();
-  Next takeEvent(AnswerEvent event, bool &hasEnded);
+  Next takeEvent(const AnswerEvent &event);
   Next takeRefused(const AttemptRefused &refused);
   Next takeFailed(const AttemptFailed &failed);
-  void takeHead(AnswerHead head);
-  bool takeBytes(const std::string &bytes);
-  void takeEnd(const AnswerEnd &end);
-  bool canResume() const;
-  bool mustStart() const;
-  void startResponse();
-  bool writePending();
+  Next retryOrGiveUp(Executed outcome, bool bytesSent,
+                     const std::string &detail);
+  Next takeHead(const AnswerHead &head);
+  Next takeBytes(const std::string &bytes);
+  Next takeEnd();
+  Next leaveCaller();
+  bool isResumable() const;
+  void startResponse(std::optional<std::size_t> length);
   void sendWindow();
   void cancelAttempt();
   void endAttempt();
+  wire::Envelope addressed(wire::Envelope message) const;
   [[noreturn]] void giveUp(int status, base::Step step,
                            const std::string &detail);
 
@@ -86,18 +95,14 @@
   /// Null for a call without a claim.
   DispatchGate *Gate;
 
+  std::shared_ptr<AnswerStream> Stream;
   std::uint32_t Attempt = 0;
-  std::uint32_t FailedAttempts = 0;
+  std::uint32_t RefusedAttempts = 0;
   TargetChoice Choice;
-  RequestTable::ChannelPtr Channel;
   std::vector<base::TargetId> Tried;
   std::optional<std::chrono::milliseconds> RetryAfter;
-
+  base::TimePoint DispatchedAt;
   std::optional<AnswerHead> Head;
-  std::string Pending;
-  std::uint64_t Delivered = 0;
-  std::uint64_t WindowSent = 0;
-  bool IsStarted = false;
   CallResult Result;
 };
 
--- a/src/bergamotd/daemonsettings.cpp
+++ b/src/bergamotd/daemonsettings.cpp
@@ -23,6 +23,9 @@
 DEFINE_int32(worker_threads, 64, "requests at the back end at once");
 DEFINE_int32(peer_threads, 2, "threads for messages between daemons");
 DEFINE_int32(max_body_bytes, 512 * 1024, "largest body of a caller's request");
+DEFINE_int32(answer_memory_kib, 32 * 1024,
+             "memory for the bodies of all responses in progress, in KiB "
+             "(entry role)");
 DEFINE_int32(request_timeout_ms, 10000, "time in which a request must arrive");
 DEFINE_int32(default_deadline_ms, 60000,
              "deadline of a request that states none");
@@ -86,6 +89,8 @@
   base::checkRange(problems, "peer_threads", FLAGS_peer_threads, 1, 64);
   base::checkRange(problems, "max_body_bytes", FLAGS_max_body_bytes, 1,
                    MostBodyBytes);
+  base::checkRange(problems, "answer_memory_kib", FLAGS_answer_memory_kib, 64,
+                   1024 * 1024);
   base::checkRange(problems, "request_timeout_ms", FLAGS_request_timeout_ms, 1,
                    MostMilliseconds);
   base::checkRange(problems, "default_deadline_ms", FLAGS_default_deadline_ms,
@@ -121,6 +126,7 @@
   s.PeerThreads = FLAGS_peer_threads;
   s.WorkerThreads = FLAGS_worker_threads;
   s.MaxBodyBytes = static_cast<std::size_t>(FLAGS_max_body_bytes);
+  s.AnswerBytes = static_cast<std::size_t>(FLAGS_answer_memory_kib) * 1024;
   s.RequestTimeout = milliseconds(FLAGS_request_timeout_ms);
   s.DrainGrace = milliseconds(FLAGS_drain_grace_ms);
   s.DrainTimeout = milliseconds(FLAGS_drain_timeout_ms);
--- a/src/bergamotd/entryservice.cpp
+++ b/src/bergamotd/entryservice.cpp
@@ -52,6 +52,7 @@
                            base::Metrics &metrics)
     : Options(std::move(options)), Store(store), Metrics(metrics),
       Targets(Options.Domain, Options.Incarnation.Value),
+      Memory(Options.AnswerBytes, Options.StallTime),
       Claims(Options.Vm, Options.Incarnation, Options.PlatformEndpoint),
       Quota(Options.Vm, Options.Incarnation) {
   Store.addListener([this](const ActiveConfigPtr &active) {
@@ -112,7 +113,7 @@
 
 void EntryService::runCall(const CallerRequest &call, HttpResponder &responder,
                            base::TimePoint started) {
-  const CallContext context{Targets, Requests, Metrics};
+  const CallContext context{Targets, Requests, Memory, Room, Retries, Metrics};
   if (call.IsIdempotent || call.IdempotencyKey.empty()) {
     CallRunner runner(context, call, responder, nullptr);
     logDone(call, runner.run(), started);
--- a/src/bergamotd/entryservice.h
+++ b/src/bergamotd/entryservice.h
@@ -18,6 +18,10 @@
   base::FailureDomainId Domain;
   CallerLimits Limits;
   std::string PlatformEndpoint;
+  /// Memory for the bodies of all answers in progress.
+  std::size_t AnswerBytes = 0;
+  /// A reader that takes nothing for this long may be parked.
+  std::chrono::milliseconds StallTime{};
 };
 
 /// The entry role: serves callers by sending their requests to targets.
@@ -45,7 +49,7 @@
   wire::fb::HeartbeatT makeHeartbeat() const { return {}; }
 
   /// Does periodic work.
-  void tick() {}
+  void tick() { Targets.tick(); }
 
   /// Refuses new requests from now on.
   void setDraining() { IsDraining = true; }
@@ -74,6 +78,9 @@
   base::Metrics &Metrics;
   TargetTable Targets;
   RequestTable Requests;
+  AnswerMemory Memory;
+  WaitingRoom Room;
+  RetryGate Retries;
   ClaimService Claims;
   QuotaExchange Quota;
   std::atomic<std::uint64_t> LastRequest{0};
--- a/src/bergamotd/main.cpp
+++ b/src/bergamotd/main.cpp
@@ -52,6 +52,8 @@
   options.Incarnation = incarnation;
   options.Domain = settings.Domain;
   options.Limits = settings.Limits;
+  options.AnswerBytes = settings.AnswerBytes;
+  options.StallTime = settings.Job.ParkAfter;
   options.PlatformEndpoint = settings.PlatformEndpoint;
   serve<EntryService>(settings, incarnation, signals,
                       [&](ConfigStore &store, base::Metrics &metrics) {
--- a/src/bergamotd/requesttable.cpp
+++ b/src/bergamotd/requesttable.cpp
@@ -7,9 +7,9 @@
 void RequestTable::add(const base::RequestId &request,
                        base::AttemptNumber attempt,
                        const adapterpeer::PeerSessionPtr &session,
-                       ChannelPtr channel) {
+                       StreamPtr stream) {
   const std::lock_guard lock(Mutex);
-  WaitingByRequest[request] = {attempt, session, std::move(channel)};
+  WaitingByRequest[request] = {attempt, session, std::move(stream)};
 }
 
 void RequestTable::remove(const base::RequestId &request) {
@@ -19,7 +19,7 @@
 
 bool RequestTable::addMessage(const adapterpeer::PeerSessionPtr &session,
                               const wire::Envelope &message) {
-  ChannelPtr channel;
+  StreamPtr stream;
   {
     const std::lock_guard lock(Mutex);
     const auto it = WaitingByRequest.find(base::RequestId{message.request});
@@ -27,22 +27,23 @@
         it->second.Attempt.Value != message.attempt ||
         it->second.Session != session)
       return false;
-    channel = it->second.Channel;
+    stream = it->second.Stream;
   }
-  return channel->addMessage(message);
+  stream->addMessage(message);
+  return true;
 }
 
 void RequestTable::sessionLost(const adapterpeer::PeerSessionPtr &session,
                                const std::string &detail) {
-  std::vector<ChannelPtr> lost;
+  std::vector<StreamPtr> lost;
   {
     const std::lock_guard lock(Mutex);
     for (const auto &[request, waiting] : WaitingByRequest)
       if (waiting.Session == session)
-        lost.push_back(waiting.Channel);
+        lost.push_back(waiting.Stream);
   }
-  for (const auto &channel : lost)
-    channel->addFailure({Executed::Unknown, "connect", detail});
+  for (const auto &stream : lost)
+    stream->addFailure({Executed::Unknown, "connect", detail});
 }
 
 std::size_t RequestTable::size() const {
--- a/src/bergamotd/requesttable.h
+++ b/src/bergamotd/requesttable.h
@@ -2,7 +2,7 @@
 #define BERGAMOT_BERGAMOTD_REQUESTTABLE_H
 
 #include "adapterpeer/peersession.h"
-#include "bergamotd/answerchannel.h"
+#include "bergamotd/answerstream.h"
 #include "libbergamotbase/ids.h"
 
 #include <memory>
@@ -13,14 +13,14 @@
 
 /// The attempts that wait for an answer, by request id. A message is passed
 /// on only if request, attempt and session are those of the waiting attempt.
-/// Thread-safe. Lock order: Mutex before a channel's own lock.
+/// Thread-safe. Lock order: Mutex before the lock of AnswerMemory.
 class RequestTable {
 public:
-  using ChannelPtr = std::shared_ptr<AnswerChannel>;
+  using StreamPtr = std::shared_ptr<AnswerStream>;
 
   /// Registers an attempt before it is sent.
   void add(const base::RequestId &request, base::AttemptNumber attempt,
-           const adapterpeer::PeerSessionPtr &session, ChannelPtr channel);
+           const adapterpeer::PeerSessionPtr &session, StreamPtr stream);
 
   /// Removes the request's attempt.
   void remove(const base::RequestId &request);
@@ -42,7 +42,7 @@
   struct Waiting {
     base::AttemptNumber Attempt;
     adapterpeer::PeerSessionPtr Session;
-    ChannelPtr Channel;
+    StreamPtr Stream;
   };
 
   mutable std::mutex Mutex;
--- a/src/bergamotd/targetjob.cpp
+++ b/src/bergamotd/targetjob.cpp
@@ -1,6 +1,7 @@
 #include "bergamotd/targetjob.h"
 
 #include "libbergamotbase/digest.h"
+#include "libbergamotrouting/streambuffer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -36,7 +37,7 @@
       Session(std::move(session)), BackEnd(backEnd), Settings(settings),
       Received(received),
       Deadline(received + std::chrono::milliseconds(Dispatch->deadline_ms)),
-      Window(Dispatch->window) {}
+      HashSeed(base::xxHash64(Message.request)), Window(Dispatch->window) {}
 
 JobResult TargetJob::run() {
   JobResult result;
@@ -114,6 +115,7 @@
       break;
     fb::ChunkT chunk;
     chunk.offset = offset;
+    chunk.hash = routing::chunkHash(HashSeed, offset, bytes);
     chunk.bytes.assign(bytes.begin(), bytes.end());
     hash.add(bytes);
     offset += bytes.size();
--- a/src/bergamotd/targetjob.h
+++ b/src/bergamotd/targetjob.h
@@ -80,6 +80,7 @@
   JobSettings Settings;
   base::TimePoint Received;
   base::TimePoint Deadline;
+  std::uint64_t HashSeed;
 
   std::mutex Mutex;
   std::condition_variable Changed;
--- a/src/bergamotd/targettable.cpp
+++ b/src/bergamotd/targettable.cpp
@@ -1,7 +1,10 @@
 #include "bergamotd/targettable.h"
 
+#include "libbergamotbase/jsonlog.h"
+
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace bergamot::bergamotd {
@@ -27,6 +30,7 @@
   std::unordered_map<std::string, Known> next;
   std::map<base::ServiceId, std::vector<routing::SubsetTarget>> subsets;
   Endpoints.clear();
+  Services.clear();
   for (const auto &target : active->config().Targets) {
     Known known{target.Id, nullptr};
     const auto it = ByEndpoint.find(target.PeerEndpoint);
@@ -34,6 +38,7 @@
       known = it->second;
     Endpoints[target.Id] = target.PeerEndpoint;
     subsets[target.Service].push_back({target.Id, target.Domain});
+    Services[target.Id] = target.Service;
     next.emplace(target.PeerEndpoint, std::move(known));
   }
   ByEndpoint = std::move(next);
@@ -42,8 +47,17 @@
     if (domain.State == config::DomainState::Removed)
       removed.insert(domain.Id);
   Selector.setRemovedDomains(std::move(removed));
-  for (const auto &service : active->config().Services)
-    Selector.setSubset(service.Id, subsets[service.Id]);
+  for (const auto &service : active->config().Services) {
+    const auto &subset = subsets[service.Id];
+    Selector.setSubset(service.Id, subset);
+    std::vector<base::TargetId> ids;
+    for (const auto &target : subset)
+      ids.push_back(target.Id);
+    auto &detector =
+        Outliers.try_emplace(service.Id, routing::OutlierSettings{})
+            .first->second;
+    applyEjections(detector.setTargets(ids));
+  }
   for (const auto &target : active->config().Targets) {
     const auto &session = ByEndpoint.at(target.PeerEndpoint).Session;
     Selector.setLeaving(target.Id,
@@ -131,6 +145,31 @@
   return choice;
 }
 
+void TargetTable::applyEjections(
+    const std::vector<routing::EjectionChange> &changes) {
+  for (const auto &change : changes) {
+    Selector.setEjected(change.Target, change.Ejected);
+    base::logDecision("route.eject", {{"target", change.Target.Value},
+                                      {"ejected", change.Ejected}});
+  }
+}
+
+void TargetTable::addResult(const base::TargetId &target, bool failed) {
+  const std::lock_guard lock(Mutex);
+  const auto service = Services.find(target);
+  if (service == Services.end())
+    return;
+  auto &detector = Outliers.at(service->second);
+  if (detector.addResult(target, failed, steady_clock::now()))
+    applyEjections({{target, true}});
+}
+
+void TargetTable::tick() {
+  const std::lock_guard lock(Mutex);
+  for (auto &[service, detector] : Outliers)
+    applyEjections(detector.removeExpired(steady_clock::now()));
+}
+
 std::size_t TargetTable::connectedCount() const {
   const std::lock_guard lock(Mutex);
   return static_cast<std::size_t>(
--- a/src/bergamotd/targettable.h
+++ b/src/bergamotd/targettable.h
@@ -3,8 +3,10 @@
 
 #include "adapterpeer/peersession.h"
 #include "bergamotd/activeconfig.h"
+#include "libbergamotrouting/outlierdetector.h"
 #include "libbergamotrouting/targetselector.h"
 
+#include <map>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -46,6 +48,13 @@
   TargetChoice choose(const base::ServiceId &service,
                       const routing::SelectionRequest &request);
 
+  /// Takes the result of an attempt; a target that keeps failing is ejected
+  /// for a while.
+  void addResult(const base::TargetId &target, bool failed);
+
+  /// Takes back targets whose ejection is over. Call it periodically.
+  void tick();
+
   /// Returns how many targets have an open session.
   std::size_t connectedCount() const;
 
@@ -55,6 +64,7 @@
     adapterpeer::PeerSessionPtr Session;
   };
 
+  void applyEjections(const std::vector<routing::EjectionChange> &changes);
   void addHeartbeat(const Known &known, const wire::Envelope &message,
                     const wire::fb::HeartbeatT &heartbeat);
   void addGrant(const Known &known, const wire::Envelope &message,
@@ -64,6 +74,9 @@
   std::unordered_map<std::string, Known> ByEndpoint;
   std::unordered_map<base::TargetId, std::string> Endpoints;
   routing::TargetSelector Selector;
+  /// One detector per service, as its limit counts the service's targets.
+  std::map<base::ServiceId, routing::OutlierDetector> Outliers;
+  std::unordered_map<base::TargetId, base::ServiceId> Services;
 };
 
 } // namespace bergamot::bergamotd
--- a/src/libbergamotbase/digest.cpp
+++ b/src/libbergamotbase/digest.cpp
@@ -40,6 +40,8 @@
   XXH64_update(State, bytes.data(), bytes.size());
 }
 
+void StreamHash::reset() { XXH64_reset(State, 0); }
+
 std::uint64_t StreamHash::value() const { return XXH64_digest(State); }
 
 std::string sha256Hex(std::string_view bytes) {
--- a/src/libbergamotbase/digest.h
+++ b/src/libbergamotbase/digest.h
@@ -22,6 +22,9 @@
   StreamHash &operator=(const StreamHash &) = delete;
 
   void add(std::string_view bytes);
+
+  /// Starts again as if no bytes had been added.
+  void reset();
   std::uint64_t value() const;
 
 private:
--- a/src/libbergamotrouting/streambuffer.cpp
+++ b/src/libbergamotrouting/streambuffer.cpp
@@ -4,6 +4,12 @@
 
 namespace bergamot::routing {
 
+std::uint64_t chunkHash(std::uint64_t seed, std::uint64_t offset,
+                        std::string_view bytes) {
+  const std::string position = std::to_string(offset);
+  return base::xxHash64(bytes, base::xxHash64(position, seed));
+}
+
 StreamBuffer::StreamBuffer(StreamId id, bool resumable, BufferBudget &budget,
                            TimePoint now)
     : Id(id), Resumable(resumable), Budget(budget) {
@@ -13,11 +19,14 @@
 StreamBuffer::~StreamBuffer() { Budget.removeStream(Id); }
 
 StreamResult StreamBuffer::addChunk(std::uint64_t offset,
-                                    std::string_view bytes) {
+                                    std::string_view bytes,
+                                    std::uint64_t hash) {
   if (Fault)
     return *Fault;
   if (Parked)
     return StreamResult::Ignored;
+  if (hash != chunkHash(HashSeed, offset, bytes))
+    return fail(StreamResult::HashMismatch);
   if (offset > AcceptedTo)
     return fail(StreamResult::Gap);
   // A repeated part is dropped; the hash covers the first copy.
@@ -114,6 +123,8 @@
     dropBuffer();
   Parked = false;
   Fault.reset();
+  Hash.reset();
+  EndSeen = false;
   return DeliveredTo;
 }
 
--- a/src/libbergamotrouting/streambuffer.h
+++ b/src/libbergamotrouting/streambuffer.h
@@ -27,6 +27,11 @@
   HashMismatch,
 };
 
+/// Returns the hash that binds the bytes of a chunk to its request, by the
+/// seed, and to its offset.
+std::uint64_t chunkHash(std::uint64_t seed, std::uint64_t offset,
+                        std::string_view bytes);
+
 /// Response bytes between a target and the caller. The response counts as
 /// complete only if its offsets have no gap and its total length and xxHash64
 /// match, so that a cut, repeated or crossed chunk is never handed on as whole.
@@ -43,10 +48,18 @@
   /// then held back until the end has been checked.
   void setExpectedLength(std::uint64_t length) { ExpectedLength = length; }
 
-  /// Takes bytes that start at the offset of the response.
-  StreamResult addChunk(std::uint64_t offset, std::string_view bytes);
+  /// Sets the seed of the chunk hashes, which is that of the request.
+  void setHashSeed(std::uint64_t seed) { HashSeed = seed; }
+
+  /// Takes bytes that start at the offset of the response. The hash is their
+  /// chunkHash(): the end's hash covers a resumed stream only in part, so each
+  /// chunk proves by itself that it belongs here.
+  StreamResult addChunk(std::uint64_t offset, std::string_view bytes,
+                        std::uint64_t hash);
 
-  /// Takes the end of the response and checks it.
+  /// Takes the end of the response and checks it. The hash covers the bytes
+  /// since the last resume(): a target that resumes a stream doesn't have the
+  /// bytes before.
   StreamResult setEnd(std::uint64_t totalLength, std::uint64_t hash);
 
   /// Removes and returns up to the number of bytes for the reader. Empty if
@@ -76,6 +89,12 @@
   std::uint64_t deliveredTo() const { return DeliveredTo; }
   std::size_t buffered() const { return Buffer.size(); }
 
+  /// Says whether the target may not send more until bytes were taken.
+  bool isWindowFull() const { return AcceptedTo >= WindowEnd; }
+
+  /// Says whether the end has been checked.
+  bool isVerified() const { return Verified; }
+
 private:
   StreamResult fail(StreamResult fault);
   StreamResult checkTail();
@@ -85,6 +104,7 @@
   bool Resumable;
   BufferBudget &Budget;
   std::string Buffer;
+  std::uint64_t HashSeed = 0;
   base::StreamHash Hash;
   std::uint64_t DeliveredTo = 0;
   std::uint64_t AcceptedTo = 0;
