routing: Release unknown attempts only by a report that covers them

A reservation of unknown outcome now stays until a report of a newer incarnation that was read after the outcome became unknown. This replaces the correction of the foreign work.

--- a/src/libbergamotrouting/targetadmission.cpp
+++ b/src/libbergamotrouting/targetadmission.cpp
@@ -51,15 +51,9 @@
   const Reservation &held = it->second;
   if (completion.Outcome == Executed::Unknown) {
     UnconfirmedSince = now;
-    if (held.BackEnd == LastReport->BackEnd) {
-      it->second.OutcomeUnknown = true;
-      return RampChange::None;
-    }
-    // Whether the attempt reached the former incarnation or the new one isn't
-    // known, so it counts as foreign until the next report.
-    ForeignSlots += 1;
-    ForeignUnits += held.Units;
-    removeFromHistory(held);
+    it->second.OutcomeUnknown = true;
+    it->second.UnknownSince = now;
+    return RampChange::None;
   }
   RampChange change = RampChange::None;
   if (completion.Outcome == Executed::Yes) {
@@ -77,17 +71,8 @@
                      (report.BackEnd == LastReport->BackEnd &&
                       report.Time <= LastReport->Time)))
     return RampChange::None;
-  const bool restarted = LastReport && report.BackEnd > LastReport->BackEnd;
   LastReport = report;
-  if (restarted)
-    for (auto it = Reservations.begin(); it != Reservations.end();) {
-      const auto next = std::next(it);
-      if (it->second.OutcomeUnknown && it->second.BackEnd < report.BackEnd) {
-        removeFromHistory(it->second);
-        release(it, now);
-      }
-      it = next;
-    }
+  releaseUnknown(now);
   const Level own = levelAt(report.Time);
   ForeignSlots = report.Running > own.Slots ? report.Running - own.Slots : 0;
   ForeignUnits =
@@ -95,6 +80,23 @@
   return Ramp.addReport(report);
 }
 
+void TargetAdmission::releaseUnknown(TimePoint now) {
+  if (UnconfirmedSince == TimePoint::min())
+    return;
+  for (auto it = Reservations.begin(); it != Reservations.end();) {
+    const auto next = std::next(it);
+    const Reservation &held = it->second;
+    // The attempt may have reached the new incarnation before that was known
+    // here. The report counts it then, unless it is older than the attempt.
+    if (held.OutcomeUnknown && held.BackEnd < LastReport->BackEnd &&
+        held.UnknownSince <= LastReport->Time) {
+      removeFromHistory(held);
+      release(it, now);
+    }
+    it = next;
+  }
+}
+
 std::vector<EntryGrant> TargetAdmission::issueGrants(TimePoint now) {
   Grants.removeExpired(now);
   if (Draining || DomainRemoved || !LastReport)
--- a/src/libbergamotrouting/targetadmission.h
+++ b/src/libbergamotrouting/targetadmission.h
@@ -112,6 +112,7 @@
     std::uint64_t Epoch = 0;
     Incarnation BackEnd;
     TimePoint Since;
+    TimePoint UnknownSince;
     bool Busy = false;
     bool OutcomeUnknown = false;
   };
@@ -127,6 +128,7 @@
   void reserve(const AdmissionRequest &request, TimePoint now);
   void release(std::unordered_map<AttemptKey, Reservation>::iterator it,
                TimePoint now);
+  void releaseUnknown(TimePoint now);
   void addLevel(TimePoint now);
   /// Makes an attempt that may run in a new incarnation foreign work, which
   /// the reports of that incarnation count.
--- a/tests/routing/test_admission.cpp
+++ b/tests/routing/test_admission.cpp
@@ -198,10 +198,7 @@
         {bergamot::base::Incarnation{1}, 0, 0, 0, false, atMs(0)}, atMs(0));
     std::set<AttemptKey> seen;
     std::map<AttemptKey, std::uint64_t> running;
-    std::map<AttemptKey, std::uint64_t> admittedUnder;
     std::set<AttemptKey> stuck;
-    // Attempts that may run in the incarnation reported last, until a report.
-    std::vector<std::uint64_t> foreign;
     std::uint64_t incarnation = 1;
     for (int step = 1; step < 120; ++step) {
       auto request =
@@ -215,16 +212,11 @@
         std::uint64_t units = request.Units;
         for (const auto &[key, value] : running)
           units += value;
-        for (const auto value : foreign)
-          units += value;
-        const bool expected =
-            !isKnown && running.size() + foreign.size() < 6 && units <= 40;
+        const bool expected = !isKnown && running.size() < 6 && units <= 40;
         seen.insert(request.Key);
         REQUIRE(admission.admit(request, atMs(step)).isAdmitted() == expected);
-        if (expected) {
+        if (expected)
           running[request.Key] = request.Units;
-          admittedUnder[request.Key] = incarnation;
-        }
       } else if (action < 9 && !running.empty()) {
         auto it = running.begin();
         std::advance(it, below(random, running.size()));
@@ -232,13 +224,10 @@
         admission.setCompleted(
             it->first, {unknown ? Executed::Unknown : Executed::Yes, true, {}},
             atMs(step));
-        if (unknown && admittedUnder[it->first] == incarnation)
+        if (unknown)
           stuck.insert(it->first);
-        else if (!stuck.contains(it->first)) {
-          if (unknown)
-            foreign.push_back(it->second);
+        else if (!stuck.contains(it->first))
           running.erase(it);
-        }
       } else if (below(random, 4) == 0) {
         admission.addReport({bergamot::base::Incarnation{++incarnation}, 0, 0,
                              0, false, atMs(step)},
@@ -246,7 +235,6 @@
         for (const auto &key : stuck)
           running.erase(key);
         stuck.clear();
-        foreign.clear();
       }
       REQUIRE(admission.reservedSlots() == running.size());
     }
