--- a/src/libbergamotrouting/targetselector.cpp
+++ b/src/libbergamotrouting/targetselector.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// Free part assumed while the load is unknown or stale. It is low, so that
-// targets with a known load go first.
-constexpr double UnknownFreePart = 0.1;
 // Factor on the score of targets that an earlier attempt went to. Any other
 // target with room goes first, but with few targets all may have been tried.
 constexpr double TriedFactor = 1e-6;
@@ -48,6 +45,7 @@
 void TargetSelector::setReachable(const TargetId &target, bool reachable) {
   Target &entry = Targets[indexOf(target)];
   entry.Reachable = reachable;
+  entry.HasLoad = entry.HasLoad && reachable;
   setEligible(entry);
 }
 
@@ -185,7 +183,7 @@
 double TargetSelector::freePart(const Target &target, bool granted,
                                 TimePoint now) const {
   if (!target.HasLoad || now - target.Load.Time > Settings.LoadStaleAfter)
-    return UnknownFreePart;
+    return 0; // A new target reports its load within a heartbeat.
   if (target.Load.SlotLimit == 0 || (!granted && now < target.RefusedUntil))
     return 0;
   // The entry's own grants are counted as used in the report, but free here.
