--- a/src/libbergamotrouting/fairqueue.cpp
+++ b/src/libbergamotrouting/fairqueue.cpp
@@ -196,15 +196,14 @@
   const Duration gap = now - std::max(LastServedAt, WindowStart);
   if (Entries.empty() || gap <= ServiceWindow)
     return ServedPerSecond;
-  // Nothing was sent for longer than a window: at best, the next request is
-  // sent now.
-  return std::min(ServedPerSecond, LastServedCost / toSeconds(gap));
+  // Each window without service counts as one of rate 0.
+  return ServedPerSecond * std::pow(1 - ServiceSmoothing,
+                                    toSeconds(gap) / toSeconds(ServiceWindow));
 }
 
 void FairQueue::addServed(double cost, TimePoint now) {
   ServedInWindow += cost;
   LastServedAt = now;
-  LastServedCost = cost;
   const Duration passed = now - WindowStart;
   if (passed < ServiceWindow)
     return;
--- a/src/libbergamotrouting/fairqueue.h
+++ b/src/libbergamotrouting/fairqueue.h
@@ -112,7 +112,6 @@
   double ServedInWindow = 0;
   TimePoint WindowStart;
   TimePoint LastServedAt;
-  double LastServedCost = 0;
 };
 
 } // namespace bergamot::routing
