routing: Grant freed slots to the entries with requests waiting

Cause: a freed slot went to whoever sent first, which is mostly the entry whose request ended; an entry that fell behind was served at half of its share (17 of 43 requests/s) and refused for its expected wait. The target now learns from heartbeats how many requests wait and grants freed slots by that.

--- a/bench/routingmodel.h
+++ b/bench/routingmodel.h
@@ -147,6 +147,7 @@
             bool bytesSent);
   void end(std::size_t id, bool answered, Executed stated);
   void breakConnections(std::size_t target);
+  void sendGrants(std::size_t index, const std::vector<EntryGrant> &grants);
   void heartbeat(std::size_t index);
   void tick();
 
--- a/src/libbergamotrouting/granttable.cpp
+++ b/src/libbergamotrouting/granttable.cpp
@@ -21,6 +21,27 @@
 
 void GrantTable::addDemand(const VmId &entry) { ++Holders[entry].Arrived; }
 
+void GrantTable::setWaiting(const VmId &entry, double count) {
+  Holders[entry].Waiting = count;
+}
+
+void GrantTable::updateDemand() {
+  for (auto &[entry, holder] : Holders) {
+    holder.Demand = DemandSmoothing * holder.Demand +
+                    (1 - DemandSmoothing) * holder.Arrived;
+    holder.Arrived = 0;
+  }
+}
+
+bool GrantTable::hasWaiting() const {
+  return std::any_of(Holders.begin(), Holders.end(),
+                     [](const auto &it) { return it.second.Waiting > 0; });
+}
+
+double GrantTable::weightOf(const Holder &holder) {
+  return holder.Demand + holder.Waiting + IdleDemand;
+}
+
 void GrantTable::removeExpired(TimePoint now) {
   // Ids rise and all grants live equally long, so the oldest come first.
   while (!Grants.empty() && Grants.begin()->second.Left.Expiry <= now)
@@ -74,11 +95,8 @@
 GrantTable::slotsByDemand(std::uint32_t free) {
   double total = 0;
   std::uint32_t pool = free;
-  for (auto &[entry, holder] : Holders) {
-    holder.Demand = DemandSmoothing * holder.Demand +
-                    (1 - DemandSmoothing) * holder.Arrived;
-    holder.Arrived = 0;
-    total += holder.Demand + IdleDemand;
+  for (const auto &[entry, holder] : Holders) {
+    total += weightOf(holder);
     pool += holder.HeldSlots;
   }
   // Each entry's due part of the pool, less what it holds. The largest
@@ -86,7 +104,7 @@
   std::vector<std::pair<double, const VmId *>> wants;
   double missing = 0;
   for (const auto &[entry, holder] : Holders) {
-    const double due = pool * (holder.Demand + IdleDemand) / total;
+    const double due = pool * weightOf(holder) / total;
     wants.emplace_back(std::max(0.0, due - holder.HeldSlots), &entry);
     missing += wants.back().first;
   }
--- a/src/libbergamotrouting/granttable.h
+++ b/src/libbergamotrouting/granttable.h
@@ -32,6 +32,15 @@
   /// Counts one request of an entry, whether or not it was admitted.
   void addDemand(const VmId &entry);
 
+  /// Sets how many requests wait at an entry for this target.
+  void setWaiting(const VmId &entry, double count);
+
+  /// Ends a period of demand. Call it at each heartbeat.
+  void updateDemand();
+
+  /// Says whether any entry has requests waiting.
+  bool hasWaiting() const;
+
   /// Drops the grants that have expired.
   void removeExpired(TimePoint now);
 
@@ -53,6 +62,7 @@
 private:
   struct Holder {
     double Demand = 0;
+    double Waiting = 0;
     std::uint32_t Arrived = 0;
     std::uint32_t HeldSlots = 0;
   };
@@ -61,6 +71,7 @@
     Grant Left;
   };
 
+  static double weightOf(const Holder &holder);
   std::vector<std::pair<VmId, std::uint32_t>> slotsByDemand(std::uint32_t free);
   void remove(std::map<GrantId, Issued>::iterator it);
 
--- a/src/libbergamotrouting/targetadmission.cpp
+++ b/src/libbergamotrouting/targetadmission.cpp
@@ -98,6 +98,15 @@
 }
 
 std::vector<EntryGrant> TargetAdmission::issueGrants(TimePoint now) {
+  Grants.updateDemand();
+  return issue(now);
+}
+
+std::vector<EntryGrant> TargetAdmission::issueFreed(TimePoint now) {
+  return Grants.hasWaiting() ? issue(now) : std::vector<EntryGrant>{};
+}
+
+std::vector<EntryGrant> TargetAdmission::issue(TimePoint now) {
   Grants.removeExpired(now);
   if (Draining || DomainRemoved || !LastReport)
     return {};
--- a/src/libbergamotrouting/targetadmission.h
+++ b/src/libbergamotrouting/targetadmission.h
@@ -85,6 +85,17 @@
   /// Issues grants to the known entries. Call it at each heartbeat.
   std::vector<EntryGrant> issueGrants(TimePoint now);
 
+  /// Issues grants for slots that have just become free, if requests wait at
+  /// any entry. Call it after setCompleted: without it, a freed slot goes to
+  /// whoever sends first, which is mostly the entry whose request ended.
+  std::vector<EntryGrant> issueFreed(TimePoint now);
+
+  /// Sets how many requests wait at an entry for this target: what the entry's
+  /// heartbeat reports, divided by the targets that can take them.
+  void setWaiting(const VmId &entry, double count) {
+    Grants.setWaiting(entry, count);
+  }
+
   void addEntry(const VmId &entry) { Grants.addEntry(entry); }
   void removeEntry(const VmId &entry) { Grants.removeEntry(entry); }
   void setDraining(bool draining) { Draining = draining; }
@@ -128,6 +139,7 @@
   void reserve(const AdmissionRequest &request, TimePoint now);
   void release(std::unordered_map<AttemptKey, Reservation>::iterator it,
                TimePoint now);
+  std::vector<EntryGrant> issue(TimePoint now);
   void releaseUnknown(TimePoint now);
   void addLevel(TimePoint now);
   /// Makes an attempt that may run in a new incarnation foreign work, which
