--- a/src/libbergamotrouting/granttable.cpp
+++ b/src/libbergamotrouting/granttable.cpp
@@ -13,8 +13,6 @@
 
 } // namespace
 
-GrantTable::GrantTable(Duration lifetime) : Lifetime(lifetime) {}
-
 void GrantTable::addEntry(const VmId &entry) { Holders.try_emplace(entry); }
 
 void GrantTable::removeEntry(const VmId &entry) { Holders.erase(entry); }
@@ -43,9 +41,8 @@
 }
 
 void GrantTable::removeExpired(TimePoint now) {
-  // Ids rise and all grants live equally long, so the oldest come first.
-  while (!Grants.empty() && Grants.begin()->second.Left.Expiry <= now)
-    remove(Grants.begin());
+  while (!ByExpiry.empty() && ByExpiry.begin()->first <= now)
+    remove(Grants.find(ByExpiry.begin()->second));
 }
 
 std::optional<Grant> GrantTable::unusedPart(const VmId &entry,
@@ -73,15 +70,15 @@
     remove(it);
 }
 
-std::vector<EntryGrant> GrantTable::issue(std::uint32_t slots,
-                                          std::uint64_t units, TimePoint now) {
+std::vector<EntryGrant>
+GrantTable::issue(std::uint32_t slots, std::uint64_t units, TimePoint expiry) {
   std::vector<EntryGrant> issued;
   const auto shares = slotsByDemand(slots);
   for (const auto &[entry, count] : shares) {
     if (count == 0)
       continue;
-    const Grant grant{GrantId{++LastId}, count, units / slots * count,
-                      now + Lifetime};
+    const Grant grant{GrantId{++LastId}, count, units / slots * count, expiry};
+    ByExpiry.emplace(expiry, grant.Id);
     Grants.emplace(grant.Id, Issued{entry, grant});
     Holders[entry].HeldSlots += count;
     UnusedSlots += grant.Slots;
@@ -137,6 +134,7 @@
   if (holder != Holders.end())
     holder->second.HeldSlots -=
         std::min(it->second.Left.Slots, holder->second.HeldSlots);
+  ByExpiry.erase({it->second.Left.Expiry, it->first});
   Grants.erase(it);
 }
 
--- a/src/libbergamotrouting/granttable.h
+++ b/src/libbergamotrouting/granttable.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bergamot::routing {
@@ -20,8 +21,6 @@
 /// counts as taken until its expiry.
 class GrantTable {
 public:
-  explicit GrantTable(Duration lifetime);
-
   /// Makes an entry known, which lets it receive grants before its first
   /// request. Demand of an unknown entry also makes it known.
   void addEntry(const VmId &entry);
@@ -52,9 +51,9 @@
   void removeUsed(GrantId id, std::uint64_t units);
 
   /// Divides slots and units over the known entries by recent demand, less
-  /// what each already holds, and records the grants.
+  /// what each already holds, and records the grants with their expiry.
   std::vector<EntryGrant> issue(std::uint32_t slots, std::uint64_t units,
-                                TimePoint now);
+                                TimePoint expiry);
 
   std::uint32_t unusedSlots() const { return UnusedSlots; }
   std::uint64_t unusedUnits() const { return UnusedUnits; }
@@ -75,9 +74,9 @@
   std::vector<std::pair<VmId, std::uint32_t>> slotsByDemand(std::uint32_t free);
   void remove(std::map<GrantId, Issued>::iterator it);
 
-  Duration Lifetime;
   std::map<VmId, Holder> Holders;
   std::map<GrantId, Issued> Grants;
+  std::set<std::pair<TimePoint, GrantId>> ByExpiry;
   std::uint64_t LastId = 0;
   std::uint32_t UnusedSlots = 0;
   std::uint64_t UnusedUnits = 0;
--- a/src/libbergamotrouting/targetadmission.cpp
+++ b/src/libbergamotrouting/targetadmission.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 TargetAdmission::TargetAdmission(const AdmissionSettings &settings)
-    : Settings(settings), Ramp(settings.Warmup), Grants(settings.GrantLifetime),
+    : Settings(settings), Ramp(settings.Warmup),
       Attempts(settings.AttemptCapacity, settings.AttemptRetention) {}
 
 AdmissionVerdict TargetAdmission::admit(const AdmissionRequest &request,
@@ -99,14 +99,17 @@
 
 std::vector<EntryGrant> TargetAdmission::issueGrants(TimePoint now) {
   Grants.updateDemand();
-  return issue(now);
+  return issue(now, Settings.GrantLifetime);
 }
 
 std::vector<EntryGrant> TargetAdmission::issueFreed(TimePoint now) {
-  return Grants.hasWaiting() ? issue(now) : std::vector<EntryGrant>{};
+  if (!Grants.hasWaiting())
+    return {};
+  return issue(now, Settings.FreedGrantLifetime);
 }
 
-std::vector<EntryGrant> TargetAdmission::issue(TimePoint now) {
+std::vector<EntryGrant> TargetAdmission::issue(TimePoint now,
+                                               Duration lifetime) {
   Grants.removeExpired(now);
   if (Draining || DomainRemoved || !LastReport)
     return {};
@@ -120,7 +123,7 @@
   if (free == 0)
     return {};
   const std::uint64_t unitsEach = (unitLimit() - units) / (limit - taken);
-  return Grants.issue(free, unitsEach * free, now);
+  return Grants.issue(free, unitsEach * free, now + lifetime);
 }
 
 std::uint32_t TargetAdmission::slotLimit(TimePoint now) const {
--- a/src/libbergamotrouting/targetadmission.h
+++ b/src/libbergamotrouting/targetadmission.h
@@ -19,6 +19,10 @@
   /// Tokens or bytes that may be reserved at once.
   std::uint64_t UnitCount = 0;
   Duration GrantLifetime = std::chrono::seconds(1);
+  /// Grants of freed slots are used at once or not at all. At 1 s, unused ones
+  /// held back slots: 96.6% instead of 99.99% of the requests of a plain
+  /// service were in time while a domain left (bench_domain).
+  Duration FreedGrantLifetime = std::chrono::milliseconds(50);
   /// Without a load report for this long, the cold limit applies.
   Duration LoadStaleAfter = std::chrono::seconds(5);
   /// Part of the capacity in use from which priorities and shares count. At
@@ -139,7 +143,7 @@
   void reserve(const AdmissionRequest &request, TimePoint now);
   void release(std::unordered_map<AttemptKey, Reservation>::iterator it,
                TimePoint now);
-  std::vector<EntryGrant> issue(TimePoint now);
+  std::vector<EntryGrant> issue(TimePoint now, Duration lifetime);
   void releaseUnknown(TimePoint now);
   void addLevel(TimePoint now);
   /// Makes an attempt that may run in a new incarnation foreign work, which
