routing: Send granted work only to contended targets

Cause: while requests wait, an entry that counted its own ended request as a free slot sent without a grant, but the slot had been granted elsewhere: about 15 refused dispatches per request, and the requeued requests bypassed the queue so that its expected wait grew to 10 s and newcomers were refused. A target now reports that it is contended and then grants every slot, none is kept back for entries without a grant. Ruled out: the returned domain's cold targets (2 to 3 running each, as granted).

--- a/src/libbergamotrouting/targetadmission.cpp
+++ b/src/libbergamotrouting/targetadmission.cpp
@@ -118,7 +118,8 @@
   const std::uint64_t units = usedUnits() + Grants.unusedUnits();
   if (taken >= limit || units >= unitLimit())
     return {};
-  const std::uint32_t kept = std::min(limit / UngrantedDivisor, limit - taken);
+  const std::uint32_t kept =
+      isContended() ? 0 : std::min(limit / UngrantedDivisor, limit - taken);
   const std::uint32_t free = limit - taken - kept;
   if (free == 0)
     return {};
--- a/src/libbergamotrouting/targetadmission.h
+++ b/src/libbergamotrouting/targetadmission.h
@@ -94,6 +94,9 @@
   /// whoever sends first, which is mostly the entry whose request ended.
   std::vector<EntryGrant> issueFreed(TimePoint now);
 
+  /// Says whether requests wait at any entry.
+  bool isContended() const { return Grants.hasWaiting(); }
+
   /// Sets how many requests wait at an entry for this target: what the entry's
   /// heartbeat reports, divided by the targets that can take them.
   void setWaiting(const VmId &entry, double count) {
--- a/src/libbergamotrouting/targetselector.cpp
+++ b/src/libbergamotrouting/targetselector.cpp
@@ -184,7 +184,9 @@
                                 TimePoint now) const {
   if (!target.HasLoad || now - target.Load.Time > Settings.LoadStaleAfter)
     return 0; // A new target reports its load within a heartbeat.
-  if (target.Load.SlotLimit == 0 || (!granted && now < target.RefusedUntil))
+  if (target.Load.SlotLimit == 0)
+    return 0;
+  if (!granted && (target.Load.Contended || now < target.RefusedUntil))
     return 0;
   // The entry's own grants are counted as used in the report, but free here.
   std::int64_t free = std::int64_t{target.Load.SlotLimit} -
--- a/src/libbergamotrouting/targetselector.h
+++ b/src/libbergamotrouting/targetselector.h
@@ -47,6 +47,8 @@
   std::uint32_t SlotLimit = 0;
   bool Warm = true;
   bool Draining = false;
+  /// Requests wait for this target at some entry, so that it grants each slot.
+  bool Contended = false;
   TimePoint Time;
 };
 
--- a/tests/routing/test_selector.cpp
+++ b/tests/routing/test_selector.cpp
@@ -16,7 +16,13 @@
 
 TargetLoad loadOf(std::uint64_t sequence, std::uint32_t used,
                   std::uint32_t limit, std::int64_t ms) {
-  return {Incarnation{1}, sequence, used, limit, true, false, atMs(ms)};
+  TargetLoad load;
+  load.Daemon = Incarnation{1};
+  load.Sequence = sequence;
+  load.SlotsUsed = used;
+  load.SlotLimit = limit;
+  load.Time = atMs(ms);
+  return load;
 }
 
 TargetSelector selectorOf(std::uint64_t count, std::uint64_t seed) {
@@ -84,6 +90,20 @@
   CHECK(selector.choose(Chat, {}, atMs(502)).Reason == Refusal::NoSlots);
 }
 
+// Guards against dispatches that a target with requests waiting will refuse.
+TEST_CASE("contended targets receive granted work only", "[selector]") {
+  auto selector = selectorOf(1, 1);
+  auto load = loadOf(1, 0, 10, 0);
+  load.Contended = true;
+  selector.setLoad(targetOf(0), load);
+  CHECK(selector.choose(Chat, {}, atMs(1)).Reason == Refusal::NoSlots);
+  selector.addGrant(targetOf(0), Incarnation{1},
+                    {GrantId{1}, 1, 50, atMs(500)});
+  CHECK(selector.choose(Chat, {}, atMs(2)).Permit == GrantId{1});
+  selector.setLoad(targetOf(0), loadOf(2, 0, 10, 3));
+  CHECK(selector.choose(Chat, {}, atMs(4)).Reason == Refusal::None);
+}
+
 // Guards against affinity that outweighs a full target or survives a restart.
 TEST_CASE("the holder of the prefix is preferred while it has room",
           "[selector]") {
