--- a/bench/routingmodel.h
+++ b/bench/routingmodel.h
@@ -127,7 +127,9 @@
   TimePoint time(std::int64_t ms) const {
     return TimePoint(std::chrono::hours(1)) + std::chrono::milliseconds(ms);
   }
-  double unit() { return (Random() % 1000000 + 0.5) / 1e6; }
+  double unit() {
+    return (static_cast<double>(Random() % 1000000) + 0.5) / 1e6;
+  }
   void at(std::int64_t ms, Action action) {
     Events.emplace(ms, std::move(action));
   }
