routing: End the scan over full targets early

Cause: when no target has room, each of 600 targets ran the whole scoring with string comparisons of domains and attempts. A target without grants and without a free slot now ends the scoring at once, and the domain is compared when the subset is set. A cap on the scan was left out, as it could miss the only free target.

--- a/src/libbergamotrouting/targetselector.cpp
+++ b/src/libbergamotrouting/targetselector.cpp
@@ -25,6 +25,7 @@
   for (const auto &it : targets) {
     const TargetIndex index = indexOf(it.Id);
     Targets[index].Domain = it.Domain;
+    Targets[index].InOwnDomain = it.Domain == Settings.OwnDomain;
     ++Targets[index].SubsetCount;
     entry.Subset.push_back(index);
   }
@@ -180,6 +181,12 @@
          request.Tried.end();
 }
 
+bool TargetSelector::hasFreeSlot(const Target &target) {
+  return !target.Load.Contended &&
+         std::int64_t{target.Load.SlotsUsed} + target.SentSinceLoad <
+             std::int64_t{target.Load.SlotLimit};
+}
+
 double TargetSelector::freePart(const Target &target, bool granted,
                                 TimePoint now) const {
   if (!target.HasLoad || now - target.Load.Time > Settings.LoadStaleAfter)
@@ -201,6 +208,9 @@
 
 double TargetSelector::score(Target &target, double match, std::uint64_t units,
                              TimePoint now) const {
+  // Most targets of a scan over full ones end here.
+  if (target.Grants.empty() && target.HasLoad && !hasFreeSlot(target))
+    return 0;
   std::erase_if(target.Grants, [now](const Grant &grant) {
     return grant.Expiry <= now || grant.Slots == 0;
   });
@@ -213,7 +223,7 @@
     return 0;
   double value = freePart(target, granted, now);
   value *= 1 + Settings.AffinityWeight * match;
-  if (target.Domain != Settings.OwnDomain)
+  if (!target.InOwnDomain)
     value *= Settings.OtherDomainFactor;
   return granted ? value : value * Settings.NoGrantFactor;
 }
@@ -224,7 +234,7 @@
   Target &target = Targets[index];
   const double match = holder.Target == index ? holder.Match : 0;
   double value = score(target, match, request.Units, now);
-  if (isTried(target, request))
+  if (value > 0 && isTried(target, request))
     value *= TriedFactor;
   if (value > best.Score)
     best = {index, value, match};
--- a/src/libbergamotrouting/targetselector.h
+++ b/src/libbergamotrouting/targetselector.h
@@ -124,6 +124,7 @@
     std::int32_t SentSinceLoad = 0;
     TimePoint RefusedUntil;
     std::uint32_t SubsetCount = 0;
+    bool InOwnDomain = false;
     bool HasLoad = false;
     bool Leaving = false;
     bool Reachable = true;
@@ -144,6 +145,7 @@
   void refreshEligible();
   void setEligible(Target &target);
   bool isTried(const Target &target, const SelectionRequest &request) const;
+  static bool hasFreeSlot(const Target &target);
   double score(Target &target, double match, std::uint64_t units,
                TimePoint now) const;
   double freePart(const Target &target, bool granted, TimePoint now) const;
