routing: Cover contention and freed slots in the fault model

Waiting counts and grants of freed slots are sent over the faulty network, and at each issue the granted and used slots are checked against the limit. The part answered after the faults end has to be 95% (90% before).

--- a/tests/routing/faultmodel.cpp
+++ b/tests/routing/faultmodel.cpp
@@ -83,6 +83,7 @@
   settings.OwnDomain = FailureDomainId{"d0"};
   entry.Selector = std::make_unique<TargetSelector>(settings, Random());
   entry.Retries = std::make_unique<RetryPolicy>(RetrySettings{});
+  entry.WaitingCount = 0;
   std::vector<SubsetTarget> subset;
   for (const auto &target : Targets)
     subset.push_back({target.Id, target.Domain});
@@ -111,10 +112,7 @@
   if (chosen.Reason != routing::Refusal::None) {
     // It waits at the entry while that leaves time for an attempt.
     if (atMs(Now + AttemptTimeoutMs) < call.Deadline) {
-      at(Now + 50, [this, id, life = call.EntryLife] {
-        if (Entries[Calls.at(id).Entry].Life == life)
-          dispatch(id);
-      });
+      wait(id);
       return;
     }
     ++Refused;
@@ -139,6 +137,18 @@
      [this, key = request.Key, silent] { fail(key, silent); });
 }
 
+void FaultModel::wait(const RequestId &id) {
+  const Call &call = Calls.at(id);
+  ++Entries[call.Entry].WaitingCount;
+  at(Now + 50, [this, id, life = call.EntryLife] {
+    Entry &entry = Entries[Calls.at(id).Entry];
+    if (entry.Life != life)
+      return;
+    --entry.WaitingCount;
+    dispatch(id);
+  });
+}
+
 void FaultModel::receive(std::size_t index, std::uint64_t life,
                          const AdmissionRequest &request) {
   Target &target = Targets[index];
@@ -206,6 +216,7 @@
   const bool whole = sameEngine && !broken;
   target.Admission->setCompleted(
       key, {whole ? Executed::Yes : Executed::Unknown, true, {}}, atMs(Now));
+  sendGrants(index, target.Admission->issueFreed(atMs(Now)));
   FailedAttempt failed;
   failed.Outcome = Executed::Unknown;
   reply(key, whole, failed);
@@ -254,10 +265,7 @@
   const auto verdict = entry.Retries->decide(failed, atMs(Now));
   if (verdict.Next == RetryVerdict::Action::Requeue) {
     ++call.RefusedBefore;
-    at(Now + 50, [this, key, life = call.EntryLife] {
-      if (Entries[Calls.at(key.Request).Entry].Life == life)
-        dispatch(key.Request);
-    });
+    wait(key.Request);
     return;
   }
   if (verdict.Next == RetryVerdict::Action::SendAgain) {
@@ -280,15 +288,32 @@
       target.Admission->usedSlots() + target.Admission->grantedSlots();
   load.SlotLimit = target.Admission->slotLimit(atMs(Now));
   load.Warm = target.Admission->ramp().isWarm();
+  load.Contended = target.Admission->isContended();
   load.Time = atMs(Now);
-  REQUIRE(target.Admission->grantedSlots() <= FullLimit);
   for (std::size_t i = 0; i < Entries.size(); ++i)
-    send([this, i, load, grants, id = target.Id] {
-      TargetSelector &selector = *Entries[i].Selector;
-      selector.setLoad(id, load);
-      for (const auto &it : grants)
-        if (it.Entry == Entries[i].Id)
-          selector.addGrant(id, load.Daemon, it.Issued);
+    send([this, i, index, load, id = target.Id] {
+      Entries[i].Selector->setLoad(id, load);
+      const double waiting = Entries[i].WaitingCount / 6.0;
+      send([this, i, index, waiting, life = load.Daemon.Value] {
+        if (Targets[index].Life == life)
+          Targets[index].Admission->setWaiting(Entries[i].Id, waiting);
+      });
+    });
+  sendGrants(index, grants);
+}
+
+void FaultModel::sendGrants(std::size_t index,
+                            const std::vector<EntryGrant> &grants) {
+  const Target &target = Targets[index];
+  // What the entries hold together never exceeds what the target can take.
+  if (!grants.empty())
+    REQUIRE(target.Admission->usedSlots() + target.Admission->grantedSlots() <=
+            target.Admission->slotLimit(atMs(Now)));
+  for (const auto &it : grants)
+    send([this, it, id = target.Id, life = target.Life] {
+      for (auto &entry : Entries)
+        if (entry.Id == it.Entry)
+          entry.Selector->addGrant(id, Incarnation{life}, it.Issued);
     });
 }
 
--- a/tests/routing/faultmodel.h
+++ b/tests/routing/faultmodel.h
@@ -63,6 +63,7 @@
     std::unique_ptr<RetryPolicy> Retries;
     std::uint64_t Life = 1;
     std::int64_t PausedUntil = 0;
+    std::uint32_t WaitingCount = 0;
   };
   using Action = std::function<void()>;
 
@@ -81,6 +82,8 @@
               const AttemptKey &key, bool broken);
   void reply(const AttemptKey &key, bool answered, const FailedAttempt &failed);
   void fail(const AttemptKey &key, FailedAttempt failed);
+  void wait(const RequestId &id);
+  void sendGrants(std::size_t index, const std::vector<EntryGrant> &grants);
   void heartbeat(std::size_t index);
   void readLoad(std::size_t index);
   void injectFault();
--- a/tests/routing/test_promises.cpp
+++ b/tests/routing/test_promises.cpp
@@ -18,6 +18,6 @@
     model.run(36000);
     INFO("answered " << model.Answered - answered << " of "
                      << model.Sent - before);
-    CHECK((model.Answered - answered) * 100 >= (model.Sent - before) * 90);
+    CHECK((model.Answered - answered) * 100 >= (model.Sent - before) * 95);
   }
 }
