--- a/bench/routingmodel.h
+++ b/bench/routingmodel.h
@@ -127,7 +127,9 @@
   TimePoint time(std::int64_t ms) const {
     return TimePoint(std::chrono::hours(1)) + std::chrono::milliseconds(ms);
   }
-  double unit() { return (Random() % 1000000 + 0.5) / 1e6; }
+  double unit() {
+    return (static_cast<double>(Random() % 1000000) + 0.5) / 1e6;
+  }
   void at(std::int64_t ms, Action action) {
     Events.emplace(ms, std::move(action));
   }
@@ -147,6 +149,7 @@
             bool bytesSent);
   void end(std::size_t id, bool answered, Executed stated);
   void breakConnections(std::size_t target);
+  void sendGrants(std::size_t index, const std::vector<EntryGrant> &grants);
   void heartbeat(std::size_t index);
   void tick();
 
--- a/src/libbergamotrouting/granttable.cpp
+++ b/src/libbergamotrouting/granttable.cpp
@@ -13,18 +13,36 @@
 
 } // namespace
 
-GrantTable::GrantTable(Duration lifetime) : Lifetime(lifetime) {}
-
 void GrantTable::addEntry(const VmId &entry) { Holders.try_emplace(entry); }
 
 void GrantTable::removeEntry(const VmId &entry) { Holders.erase(entry); }
 
 void GrantTable::addDemand(const VmId &entry) { ++Holders[entry].Arrived; }
 
+void GrantTable::setWaiting(const VmId &entry, double count) {
+  Holders[entry].Waiting = count;
+}
+
+void GrantTable::updateDemand() {
+  for (auto &[entry, holder] : Holders) {
+    holder.Demand = DemandSmoothing * holder.Demand +
+                    (1 - DemandSmoothing) * holder.Arrived;
+    holder.Arrived = 0;
+  }
+}
+
+bool GrantTable::hasWaiting() const {
+  return std::any_of(Holders.begin(), Holders.end(),
+                     [](const auto &it) { return it.second.Waiting > 0; });
+}
+
+double GrantTable::weightOf(const Holder &holder) {
+  return holder.Demand + holder.Waiting + IdleDemand;
+}
+
 void GrantTable::removeExpired(TimePoint now) {
-  // Ids rise and all grants live equally long, so the oldest come first.
-  while (!Grants.empty() && Grants.begin()->second.Left.Expiry <= now)
-    remove(Grants.begin());
+  while (!ByExpiry.empty() && ByExpiry.begin()->first <= now)
+    remove(Grants.find(ByExpiry.begin()->second));
 }
 
 std::optional<Grant> GrantTable::unusedPart(const VmId &entry,
@@ -52,15 +70,15 @@
     remove(it);
 }
 
-std::vector<EntryGrant> GrantTable::issue(std::uint32_t slots,
-                                          std::uint64_t units, TimePoint now) {
+std::vector<EntryGrant>
+GrantTable::issue(std::uint32_t slots, std::uint64_t units, TimePoint expiry) {
   std::vector<EntryGrant> issued;
   const auto shares = slotsByDemand(slots);
   for (const auto &[entry, count] : shares) {
     if (count == 0)
       continue;
-    const Grant grant{GrantId{++LastId}, count, units / slots * count,
-                      now + Lifetime};
+    const Grant grant{GrantId{++LastId}, count, units / slots * count, expiry};
+    ByExpiry.emplace(expiry, grant.Id);
     Grants.emplace(grant.Id, Issued{entry, grant});
     Holders[entry].HeldSlots += count;
     UnusedSlots += grant.Slots;
@@ -74,11 +92,8 @@
 GrantTable::slotsByDemand(std::uint32_t free) {
   double total = 0;
   std::uint32_t pool = free;
-  for (auto &[entry, holder] : Holders) {
-    holder.Demand = DemandSmoothing * holder.Demand +
-                    (1 - DemandSmoothing) * holder.Arrived;
-    holder.Arrived = 0;
-    total += holder.Demand + IdleDemand;
+  for (const auto &[entry, holder] : Holders) {
+    total += weightOf(holder);
     pool += holder.HeldSlots;
   }
   // Each entry's due part of the pool, less what it holds. The largest
@@ -86,7 +101,7 @@
   std::vector<std::pair<double, const VmId *>> wants;
   double missing = 0;
   for (const auto &[entry, holder] : Holders) {
-    const double due = pool * (holder.Demand + IdleDemand) / total;
+    const double due = pool * weightOf(holder) / total;
     wants.emplace_back(std::max(0.0, due - holder.HeldSlots), &entry);
     missing += wants.back().first;
   }
@@ -119,6 +134,7 @@
   if (holder != Holders.end())
     holder->second.HeldSlots -=
         std::min(it->second.Left.Slots, holder->second.HeldSlots);
+  ByExpiry.erase({it->second.Left.Expiry, it->first});
   Grants.erase(it);
 }
 
--- a/src/libbergamotrouting/targetadmission.cpp
+++ b/src/libbergamotrouting/targetadmission.cpp
@@ -15,7 +15,7 @@
 } // namespace
 
 TargetAdmission::TargetAdmission(const AdmissionSettings &settings)
-    : Settings(settings), Ramp(settings.Warmup), Grants(settings.GrantLifetime),
+    : Settings(settings), Ramp(settings.Warmup),
       Attempts(settings.AttemptCapacity, settings.AttemptRetention) {}
 
 AdmissionVerdict TargetAdmission::admit(const AdmissionRequest &request,
@@ -51,15 +51,9 @@
   const Reservation &held = it->second;
   if (completion.Outcome == Executed::Unknown) {
     UnconfirmedSince = now;
-    if (held.BackEnd == LastReport->BackEnd) {
-      it->second.OutcomeUnknown = true;
-      return RampChange::None;
-    }
-    // Whether the attempt reached the former incarnation or the new one isn't
-    // known, so it counts as foreign until the next report.
-    ForeignSlots += 1;
-    ForeignUnits += held.Units;
-    removeFromHistory(held);
+    it->second.OutcomeUnknown = true;
+    it->second.UnknownSince = now;
+    return RampChange::None;
   }
   RampChange change = RampChange::None;
   if (completion.Outcome == Executed::Yes) {
@@ -77,17 +71,8 @@
                      (report.BackEnd == LastReport->BackEnd &&
                       report.Time <= LastReport->Time)))
     return RampChange::None;
-  const bool restarted = LastReport && report.BackEnd > LastReport->BackEnd;
   LastReport = report;
-  if (restarted)
-    for (auto it = Reservations.begin(); it != Reservations.end();) {
-      const auto next = std::next(it);
-      if (it->second.OutcomeUnknown && it->second.BackEnd < report.BackEnd) {
-        removeFromHistory(it->second);
-        release(it, now);
-      }
-      it = next;
-    }
+  releaseUnknown(now);
   const Level own = levelAt(report.Time);
   ForeignSlots = report.Running > own.Slots ? report.Running - own.Slots : 0;
   ForeignUnits =
@@ -95,7 +80,36 @@
   return Ramp.addReport(report);
 }
 
+void TargetAdmission::releaseUnknown(TimePoint now) {
+  if (UnconfirmedSince == TimePoint::min())
+    return;
+  for (auto it = Reservations.begin(); it != Reservations.end();) {
+    const auto next = std::next(it);
+    const Reservation &held = it->second;
+    // The attempt may have reached the new incarnation before that was known
+    // here. The report counts it then, unless it is older than the attempt.
+    if (held.OutcomeUnknown && held.BackEnd < LastReport->BackEnd &&
+        held.UnknownSince <= LastReport->Time) {
+      removeFromHistory(held);
+      release(it, now);
+    }
+    it = next;
+  }
+}
+
 std::vector<EntryGrant> TargetAdmission::issueGrants(TimePoint now) {
+  Grants.updateDemand();
+  return issue(now, Settings.GrantLifetime);
+}
+
+std::vector<EntryGrant> TargetAdmission::issueFreed(TimePoint now) {
+  if (!Grants.hasWaiting())
+    return {};
+  return issue(now, Settings.FreedGrantLifetime);
+}
+
+std::vector<EntryGrant> TargetAdmission::issue(TimePoint now,
+                                               Duration lifetime) {
   Grants.removeExpired(now);
   if (Draining || DomainRemoved || !LastReport)
     return {};
@@ -104,12 +118,13 @@
   const std::uint64_t units = usedUnits() + Grants.unusedUnits();
   if (taken >= limit || units >= unitLimit())
     return {};
-  const std::uint32_t kept = std::min(limit / UngrantedDivisor, limit - taken);
+  const std::uint32_t kept =
+      isContended() ? 0 : std::min(limit / UngrantedDivisor, limit - taken);
   const std::uint32_t free = limit - taken - kept;
   if (free == 0)
     return {};
   const std::uint64_t unitsEach = (unitLimit() - units) / (limit - taken);
-  return Grants.issue(free, unitsEach * free, now);
+  return Grants.issue(free, unitsEach * free, now + lifetime);
 }
 
 std::uint32_t TargetAdmission::slotLimit(TimePoint now) const {
--- a/src/libbergamotrouting/targetadmission.h
+++ b/src/libbergamotrouting/targetadmission.h
@@ -19,6 +19,10 @@
   /// Tokens or bytes that may be reserved at once.
   std::uint64_t UnitCount = 0;
   Duration GrantLifetime = std::chrono::seconds(1);
+  /// Grants of freed slots are used at once or not at all. At 1 s, unused ones
+  /// held back slots: 96.6% instead of 99.99% of the requests of a plain
+  /// service were in time while a domain left (bench_domain).
+  Duration FreedGrantLifetime = std::chrono::milliseconds(50);
   /// Without a load report for this long, the cold limit applies.
   Duration LoadStaleAfter = std::chrono::seconds(5);
   /// Part of the capacity in use from which priorities and shares count. At
@@ -85,6 +89,20 @@
   /// Issues grants to the known entries. Call it at each heartbeat.
   std::vector<EntryGrant> issueGrants(TimePoint now);
 
+  /// Issues grants for slots that have just become free, if requests wait at
+  /// any entry. Call it after setCompleted: without it, a freed slot goes to
+  /// whoever sends first, which is mostly the entry whose request ended.
+  std::vector<EntryGrant> issueFreed(TimePoint now);
+
+  /// Says whether requests wait at any entry.
+  bool isContended() const { return Grants.hasWaiting(); }
+
+  /// Sets how many requests wait at an entry for this target: what the entry's
+  /// heartbeat reports, divided by the targets that can take them.
+  void setWaiting(const VmId &entry, double count) {
+    Grants.setWaiting(entry, count);
+  }
+
   void addEntry(const VmId &entry) { Grants.addEntry(entry); }
   void removeEntry(const VmId &entry) { Grants.removeEntry(entry); }
   void setDraining(bool draining) { Draining = draining; }
@@ -112,6 +130,7 @@
     std::uint64_t Epoch = 0;
     Incarnation BackEnd;
     TimePoint Since;
+    TimePoint UnknownSince;
     bool Busy = false;
     bool OutcomeUnknown = false;
   };
@@ -127,6 +146,8 @@
   void reserve(const AdmissionRequest &request, TimePoint now);
   void release(std::unordered_map<AttemptKey, Reservation>::iterator it,
                TimePoint now);
+  std::vector<EntryGrant> issue(TimePoint now, Duration lifetime);
+  void releaseUnknown(TimePoint now);
   void addLevel(TimePoint now);
   /// Makes an attempt that may run in a new incarnation foreign work, which
   /// the reports of that incarnation count.
--- a/src/libbergamotrouting/targetselector.cpp
+++ b/src/libbergamotrouting/targetselector.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// Free part assumed while the load is unknown or stale. It is low, so that
-// targets with a known load go first.
-constexpr double UnknownFreePart = 0.1;
 // Factor on the score of targets that an earlier attempt went to. Any other
 // target with room goes first, but with few targets all may have been tried.
 constexpr double TriedFactor = 1e-6;
@@ -28,6 +25,7 @@
   for (const auto &it : targets) {
     const TargetIndex index = indexOf(it.Id);
     Targets[index].Domain = it.Domain;
+    Targets[index].InOwnDomain = it.Domain == Settings.OwnDomain;
     ++Targets[index].SubsetCount;
     entry.Subset.push_back(index);
   }
@@ -48,6 +46,7 @@
 void TargetSelector::setReachable(const TargetId &target, bool reachable) {
   Target &entry = Targets[indexOf(target)];
   entry.Reachable = reachable;
+  entry.HasLoad = entry.HasLoad && reachable;
   setEligible(entry);
 }
 
@@ -182,11 +181,19 @@
          request.Tried.end();
 }
 
+bool TargetSelector::hasFreeSlot(const Target &target) {
+  return !target.Load.Contended &&
+         std::int64_t{target.Load.SlotsUsed} + target.SentSinceLoad <
+             std::int64_t{target.Load.SlotLimit};
+}
+
 double TargetSelector::freePart(const Target &target, bool granted,
                                 TimePoint now) const {
   if (!target.HasLoad || now - target.Load.Time > Settings.LoadStaleAfter)
-    return UnknownFreePart;
-  if (target.Load.SlotLimit == 0 || (!granted && now < target.RefusedUntil))
+    return 0; // A new target reports its load within a heartbeat.
+  if (target.Load.SlotLimit == 0)
+    return 0;
+  if (!granted && (target.Load.Contended || now < target.RefusedUntil))
     return 0;
   // The entry's own grants are counted as used in the report, but free here.
   std::int64_t free = std::int64_t{target.Load.SlotLimit} -
@@ -201,6 +208,9 @@
 
 double TargetSelector::score(Target &target, double match, std::uint64_t units,
                              TimePoint now) const {
+  // Most targets of a scan over full ones end here.
+  if (target.Grants.empty() && target.HasLoad && !hasFreeSlot(target))
+    return 0;
   std::erase_if(target.Grants, [now](const Grant &grant) {
     return grant.Expiry <= now || grant.Slots == 0;
   });
@@ -213,7 +223,7 @@
     return 0;
   double value = freePart(target, granted, now);
   value *= 1 + Settings.AffinityWeight * match;
-  if (target.Domain != Settings.OwnDomain)
+  if (!target.InOwnDomain)
     value *= Settings.OtherDomainFactor;
   return granted ? value : value * Settings.NoGrantFactor;
 }
@@ -224,7 +234,7 @@
   Target &target = Targets[index];
   const double match = holder.Target == index ? holder.Match : 0;
   double value = score(target, match, request.Units, now);
-  if (isTried(target, request))
+  if (value > 0 && isTried(target, request))
     value *= TriedFactor;
   if (value > best.Score)
     best = {index, value, match};
