bench: Start a deployment for the path benchmark

Both paths run at the same time, because turns of one second made the demand on the entry's quota unsteady. Requests per core come from the rate runs; a closed loop was refused so often that its figure counted refusals.

--- a/bench/path/loadrun.cpp
+++ b/bench/path/loadrun.cpp
@@ -34,13 +34,13 @@
     while (!stream->read(ReadBytes, deadline).empty())
       continue;
     if (stream->status() >= 300) {
-      ++result.Failures;
+      ++result.Failures["status " + std::to_string(stream->status())];
       return;
     }
     result.FirstByte.push_back(milliseconds(first - begin));
     result.Whole.push_back(milliseconds(TimePoint::clock::now() - begin));
-  } catch (const base::Error &) {
-    ++result.Failures;
+  } catch (const base::Error &e) {
+    ++result.Failures[e.what()];
   }
 }
 
@@ -70,7 +70,8 @@
   FirstByte.insert(FirstByte.end(), other.FirstByte.begin(),
                    other.FirstByte.end());
   Whole.insert(Whole.end(), other.Whole.begin(), other.Whole.end());
-  Failures += other.Failures;
+  for (const auto &[kind, count] : other.Failures)
+    Failures[kind] += count;
   Seconds += other.Seconds;
 }
 
@@ -92,16 +93,6 @@
   });
 }
 
-LoadResult runSaturated(const LoadRequest &request,
-                        std::chrono::milliseconds time, int threads) {
-  HttpClient client(request.Endpoint);
-  auto end = TimePoint::clock::now() + time;
-  return onThreads(threads, [&](LoadResult &result) {
-    while (TimePoint::clock::now() < end)
-      measure(client, request, TimePoint::clock::now(), result);
-  });
-}
-
 double quantile(std::vector<double> values, double part) {
   if (values.empty())
     return 0;
--- a/bench/path/loadrun.h
+++ b/bench/path/loadrun.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -24,7 +25,8 @@
 struct LoadResult {
   std::vector<double> FirstByte;
   std::vector<double> Whole;
-  std::uint64_t Failures = 0;
+  /// Failed requests by their status or error.
+  std::map<std::string, std::uint64_t> Failures;
   double Seconds = 0;
 
   /// Adds the figures of another run.
@@ -37,10 +39,6 @@
 LoadResult runAtRate(const LoadRequest &request, double perSecond,
                      std::chrono::milliseconds time, int threads);
 
-/// Sends one request after the other on each thread for the given time.
-LoadResult runSaturated(const LoadRequest &request,
-                        std::chrono::milliseconds time, int threads);
-
 /// Returns the value below which the given part of the values lies, or 0 if
 /// there are none.
 double quantile(std::vector<double> values, double part);
--- a/bench/path/main.cpp
+++ b/bench/path/main.cpp
@@ -1,16 +1,19 @@
+#include "deployment.h"
 #include "libbergamotbase/error.h"
 #include "libbergamotbase/settings.h"
 #include "loadrun.h"
-#include "standin/servicestandin.h"
 
 #include <gflags/gflags.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <iostream>
+#include <memory>
 #include <sstream>
+#include <thread>
 
-DEFINE_string(direct, "", "endpoint of the back end; empty: one of its own");
+DEFINE_string(direct, "", "endpoint of the back end; empty: starts all parts");
 DEFINE_string(through, "", "endpoint of an entry in front of the back end");
 DEFINE_string(direct_target, "/stock/pillow", "path at the back end");
 DEFINE_string(through_target, "/services/stock/stock/pillow",
@@ -31,11 +34,11 @@
 /// Bound of the design page on what the entry adds to the p99 latency.
 constexpr double AddedP99BoundMs = 2;
 
-/// Both paths are measured in turns of this length, so that noise of the
-/// machine hits both.
-constexpr std::chrono::milliseconds Turn{1000};
+constexpr std::chrono::milliseconds WarmUp{3000};
 
-constexpr std::chrono::milliseconds Saturated{2000};
+/// A higher rate, at which the fixed cost of the daemons weighs less.
+constexpr double HighRate = 2000;
+constexpr std::chrono::milliseconds HighRateTime{4000};
 constexpr int ConnectionTrials = 2000;
 
 void print(const std::string &name, double value, const char *unit,
@@ -102,44 +105,83 @@
   }
 }
 
-void printPerCore(const LoadRequest &request) {
-  std::vector<int> pids = parsePids();
+void printFailures(const std::string &path, const LoadResult &result) {
+  std::uint64_t sum = 0;
+  for (const auto &[kind, count] : result.Failures) {
+    std::cerr << path << ": " << count << " x " << kind << std::endl;
+    sum += count;
+  }
+  print(path + "_failures", static_cast<double>(sum), "requests", 0, nullptr);
+}
+
+/// Runs the path through the entry at a rate and prints how many requests the
+/// daemons serve per second of processor time.
+LoadResult runPerCore(const LoadRequest &request, const std::vector<int> &pids,
+                      double rate, std::chrono::milliseconds time) {
   double before = processorSeconds(pids);
-  LoadResult result = runSaturated(request, Saturated, FLAGS_threads);
+  LoadResult result = runAtRate(request, rate, time, FLAGS_threads);
   double used = processorSeconds(pids) - before;
-  auto count = static_cast<double>(result.Whole.size());
-  print("saturated_rate", count / result.Seconds, "1/s", nullptr, nullptr);
   if (!pids.empty() && used > 0)
-    print("requests_per_core", count / used, "1/s", nullptr, nullptr);
+    print("requests_per_core_at_" + std::to_string(std::lround(rate)),
+          static_cast<double>(result.Whole.size()) / used, "1/s", nullptr,
+          nullptr);
+  return result;
 }
 
-void run() {
-  standin::ServiceStandin own({});
-  LoadRequest direct;
-  direct.Endpoint = FLAGS_direct.empty()
-                        ? "127.0.0.1:" + std::to_string(own.port())
-                        : FLAGS_direct;
-  direct.Target = FLAGS_direct_target;
-  direct.Method = FLAGS_method;
-  direct.Body = FLAGS_body;
-  LoadRequest through = direct;
-  through.Endpoint = FLAGS_through;
-  through.Target = FLAGS_through_target;
-  if (!FLAGS_api_key.empty())
-    through.Headers.push_back({"Authorization", "Bearer " + FLAGS_api_key});
-  bool hasThrough = !FLAGS_through.empty();
-  LoadResult directResult;
+/// Measures both paths at the same time, so that noise of the machine hits
+/// both and the demand on the entry is steady.
+void runBoth(const LoadRequest &direct, const LoadRequest &through,
+             const std::vector<int> &pids) {
+  std::chrono::seconds time(FLAGS_seconds);
+  bool hasThrough = !through.Endpoint.empty();
+  // The account's quota and the target's grants follow the demand.
+  if (hasThrough)
+    runAtRate(through, FLAGS_rate, WarmUp, FLAGS_threads);
   LoadResult throughResult;
-  for (int i = 0; i < FLAGS_seconds; ++i) {
-    directResult.add(runAtRate(direct, FLAGS_rate, Turn, FLAGS_threads));
+  std::thread other([&] {
     if (hasThrough)
-      throughResult.add(runAtRate(through, FLAGS_rate, Turn, FLAGS_threads));
-  }
+      throughResult = runPerCore(through, pids, FLAGS_rate, time);
+  });
+  LoadResult directResult = runAtRate(direct, FLAGS_rate, time, FLAGS_threads);
+  other.join();
   printLatencies(directResult, throughResult);
-  print("failures",
-        static_cast<double>(directResult.Failures + throughResult.Failures),
-        "requests", 0, nullptr);
-  printPerCore(hasThrough ? through : direct);
+  printFailures("direct", directResult);
+  if (!hasThrough)
+    return;
+  printFailures("through", throughResult);
+  runAtRate(through, HighRate, WarmUp, FLAGS_threads);
+  printFailures("high_rate", runPerCore(through, pids, HighRate, HighRateTime));
+}
+
+/// What to measure, and the daemons whose processor time counts.
+struct Paths {
+  LoadRequest Direct;
+  LoadRequest Through;
+  std::vector<int> Pids;
+};
+
+Paths pathsOf(const Deployment *own) {
+  Paths paths;
+  paths.Direct.Endpoint = own ? own->direct() : FLAGS_direct;
+  paths.Direct.Target = FLAGS_direct_target;
+  paths.Direct.Method = FLAGS_method;
+  paths.Direct.Body = FLAGS_body;
+  paths.Through = paths.Direct;
+  paths.Through.Endpoint = own ? own->through() : FLAGS_through;
+  paths.Through.Target = FLAGS_through_target;
+  std::string key = own ? own->apiKey() : FLAGS_api_key;
+  if (!key.empty())
+    paths.Through.Headers.push_back({"Authorization", "Bearer " + key});
+  paths.Pids = own ? own->daemonPids() : parsePids();
+  return paths;
+}
+
+void run() {
+  std::unique_ptr<Deployment> own;
+  if (FLAGS_direct.empty())
+    own = std::make_unique<Deployment>();
+  auto [direct, through, pids] = pathsOf(own.get());
+  runBoth(direct, through, pids);
   printClientCost(direct);
 }
 
