--- a/bench/path/loadrun.cpp
+++ b/bench/path/loadrun.cpp
@@ -50,6 +50,7 @@
   LoadResult all;
   std::mutex mutex;
   std::vector<std::thread> running;
+  running.reserve(static_cast<std::size_t>(threads));
   auto begin = TimePoint::clock::now();
   for (int i = 0; i < threads; ++i)
     running.emplace_back([&] {
