--- a/bench/path/loadrun.cpp
+++ b/bench/path/loadrun.cpp
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 namespace bergamot::benchpath {
 
@@ -25,7 +26,7 @@
 }
 
 void measure(HttpClient &client, const LoadRequest &request, TimePoint begin,
-             LoadResult &result) {
+             std::size_t second, LoadResult &result) {
   try {
     auto deadline = TimePoint::clock::now() + RequestTimeout;
     auto stream = client.open(request.Method, request.Target, request.Headers,
@@ -37,8 +38,8 @@
       ++result.Failures["status " + std::to_string(stream->status())];
       return;
     }
-    result.FirstByte.push_back(milliseconds(first - begin));
-    result.Whole.push_back(milliseconds(TimePoint::clock::now() - begin));
+    result.Samples.push_back({second, milliseconds(first - begin),
+                              milliseconds(TimePoint::clock::now() - begin)});
   } catch (const base::Error &e) {
     ++result.Failures[e.what()];
   }
@@ -51,7 +52,6 @@
   std::mutex mutex;
   std::vector<std::thread> running;
   running.reserve(static_cast<std::size_t>(threads));
-  auto begin = TimePoint::clock::now();
   for (int i = 0; i < threads; ++i)
     running.emplace_back([&] {
       LoadResult own;
@@ -61,19 +61,15 @@
     });
   for (std::thread &it : running)
     it.join();
-  all.Seconds = milliseconds(TimePoint::clock::now() - begin) / 1000;
   return all;
 }
 
 } // namespace
 
 void LoadResult::add(const LoadResult &other) {
-  FirstByte.insert(FirstByte.end(), other.FirstByte.begin(),
-                   other.FirstByte.end());
-  Whole.insert(Whole.end(), other.Whole.begin(), other.Whole.end());
+  Samples.insert(Samples.end(), other.Samples.begin(), other.Samples.end());
   for (const auto &[kind, count] : other.Failures)
     Failures[kind] += count;
-  Seconds += other.Seconds;
 }
 
 LoadResult runAtRate(const LoadRequest &request, double perSecond,
@@ -89,7 +85,9 @@
       auto planned = begin + std::chrono::duration_cast<base::Duration>(
                                  interval * static_cast<double>(i));
       std::this_thread::sleep_until(planned);
-      measure(client, request, planned, result);
+      auto second =
+          static_cast<std::size_t>(static_cast<double>(i) / perSecond);
+      measure(client, request, planned, second, result);
     }
   });
 }
@@ -105,6 +103,27 @@
   return values[index];
 }
 
+double quantileOf(const LoadResult &result, double LoadSample::*latency,
+                  double part) {
+  std::vector<double> values;
+  values.reserve(result.Samples.size());
+  for (const LoadSample &it : result.Samples)
+    values.push_back(it.*latency);
+  return quantile(std::move(values), part);
+}
+
+double medianOfSeconds(const LoadResult &result, double LoadSample::*latency,
+                       double part) {
+  std::map<std::size_t, std::vector<double>> seconds;
+  for (const LoadSample &it : result.Samples)
+    seconds[it.Second].push_back(it.*latency);
+  std::vector<double> quantiles;
+  quantiles.reserve(seconds.size());
+  for (const auto &[second, values] : seconds)
+    quantiles.push_back(quantile(values, part));
+  return quantile(std::move(quantiles), 0.5);
+}
+
 double processorSeconds(const std::vector<int> &pids) {
   // Fields 14 and 15 of the line, counted after the name in parentheses.
   constexpr int FieldsBeforeUserTime = 11;
--- a/bench/path/loadrun.h
+++ b/bench/path/loadrun.h
@@ -21,13 +21,19 @@
   std::string Body;
 };
 
-/// Latencies of the successful requests of a load run, in milliseconds.
+/// Latencies of one successful request in milliseconds, with the second of the
+/// run in which it was due.
+struct LoadSample {
+  std::size_t Second = 0;
+  double FirstByte = 0;
+  double Whole = 0;
+};
+
+/// Outcome of a load run.
 struct LoadResult {
-  std::vector<double> FirstByte;
-  std::vector<double> Whole;
+  std::vector<LoadSample> Samples;
   /// Failed requests by their status or error.
   std::map<std::string, std::uint64_t> Failures;
-  double Seconds = 0;
 
   /// Adds the figures of another run.
   void add(const LoadResult &other);
@@ -43,6 +49,15 @@
 /// there are none.
 double quantile(std::vector<double> values, double part);
 
+/// Returns the quantile of one of the latencies over all samples.
+double quantileOf(const LoadResult &result, double LoadSample::*latency,
+                  double part);
+
+/// Returns the median over the seconds of the run of the quantile within each
+/// second. Bursts of other work on a shared machine change it little.
+double medianOfSeconds(const LoadResult &result, double LoadSample::*latency,
+                       double part);
+
 /// Returns the processor time that the processes have used, in seconds.
 double processorSeconds(const std::vector<int> &pids);
 
--- a/bench/path/main.cpp
+++ b/bench/path/main.cpp
@@ -84,24 +84,32 @@
         quantile(fresh, 0.5));
 }
 
+/// Prints one figure of both paths and what the entry adds to it.
+void printAdded(const std::string &name, double direct, double through,
+                const nlohmann::json &bound) {
+  print("through_" + name, through, "ms", nullptr, direct);
+  print("added_" + name, through - direct, "ms", bound, 0);
+}
+
 void printLatencies(const LoadResult &direct, const LoadResult &through) {
-  for (double part : {0.5, 0.99}) {
-    std::string suffix = part == 0.5 ? "_p50" : "_p99";
-    double first = quantile(direct.FirstByte, part);
-    double whole = quantile(direct.Whole, part);
-    print("direct_first_byte" + suffix, first, "ms", nullptr, nullptr);
-    print("direct_whole" + suffix, whole, "ms", nullptr, nullptr);
-    if (through.Whole.empty())
-      continue;
-    double firstThrough = quantile(through.FirstByte, part);
-    double wholeThrough = quantile(through.Whole, part);
-    print("through_first_byte" + suffix, firstThrough, "ms", nullptr, first);
-    print("through_whole" + suffix, wholeThrough, "ms", nullptr, whole);
-    nlohmann::json bound = nullptr;
-    if (part == 0.99)
-      bound = AddedP99BoundMs;
-    print("added_first_byte" + suffix, firstThrough - first, "ms", bound, 0);
-    print("added_whole" + suffix, wholeThrough - whole, "ms", bound, 0);
+  for (bool isFirst : {true, false}) {
+    auto latency = isFirst ? &LoadSample::FirstByte : &LoadSample::Whole;
+    std::string name = isFirst ? "first_byte" : "whole";
+    for (double part : {0.5, 0.99}) {
+      std::string suffix = part == 0.5 ? "_p50" : "_p99";
+      nlohmann::json bound = nullptr;
+      if (part != 0.5)
+        bound = AddedP99BoundMs;
+      double value = quantileOf(direct, latency, part);
+      double median = medianOfSeconds(direct, latency, part);
+      print("direct_" + name + suffix, value, "ms", nullptr, nullptr);
+      if (through.Samples.empty())
+        continue;
+      printAdded(name + suffix, value, quantileOf(through, latency, part),
+                 bound);
+      printAdded(name + suffix + "_median_second", median,
+                 medianOfSeconds(through, latency, part), bound);
+    }
   }
 }
 
@@ -123,7 +131,7 @@
   double used = processorSeconds(pids) - before;
   if (!pids.empty() && used > 0)
     print("requests_per_core_at_" + std::to_string(std::lround(rate)),
-          static_cast<double>(result.Whole.size()) / used, "1/s", nullptr,
+          static_cast<double>(result.Samples.size()) / used, "1/s", nullptr,
           nullptr);
   return result;
 }
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -48,6 +48,7 @@
 /// Returns the pointers that execve() takes. The texts must outlive them.
 std::vector<char *> pointersTo(std::vector<std::string> &texts) {
   std::vector<char *> pointers;
+  pointers.reserve(texts.size() + 1);
   for (std::string &it : texts)
     pointers.push_back(it.data());
   pointers.push_back(nullptr);
