--- a/src/bergamotctl/publishcommand.cpp
+++ b/src/bergamotctl/publishcommand.cpp
@@ -88,12 +88,33 @@
                      });
 }
 
+/// Reads the log before anything is appended to it. Throws base::Error.
+void readBase(LogReplay &replay, base::TimePoint deadline) {
+  try {
+    replay.readToEnd(deadline);
+  } catch (const base::Error &e) {
+    throw base::Error(e.step(), e.peer(),
+                      std::string(e.what()) + "; nothing was appended");
+  }
+}
+
+/// Names the change that made the version in force, as far as it is kept.
+std::string inForceText(const config::ConfigLedger &ledger) {
+  std::string text =
+      "version " + std::to_string(ledger.version().Value) + " is in force";
+  for (const Verdict &verdict : ledger.verdicts())
+    if (verdict.Kind == VerdictKind::Accepted &&
+        verdict.Version == ledger.version())
+      text += " (change " + verdict.ChangeId + " by " + verdict.Author + ")";
+  return text;
+}
+
 int publishTo(CommandContext &context, ConfigLog &log,
               const Configuration &document, const config::Signer &signer,
               base::TimePoint deadline) {
   const Options &flags = context.Flags;
   LogReplay replay(log);
-  replay.readToEnd(deadline);
+  readBase(replay, deadline);
   const config::ConfigLedger &ledger = replay.ledger();
   Publisher publisher(log, replay);
   if (!flags.ChangeId.empty()) {
@@ -105,8 +126,7 @@
     throw base::Error(base::Step::Log, ConfigStream,
                       "records are missing; wait for the next snapshot");
   if (ledger.version().Value != static_cast<std::uint64_t>(flags.Base)) {
-    context.Err << "version " << ledger.version().Value
-                << " is in force, not the base " << flags.Base
+    context.Err << inForceText(ledger) << ", not the base " << flags.Base
                 << "; nothing was appended\n";
     return LostRace;
   }
--- a/tests/config/test_ctl.cpp
+++ b/tests/config/test_ctl.cpp
@@ -202,6 +202,7 @@
   CHECK_THAT(op.Err, Catch::Contains("change faster made version 2"));
   const int appends = op.State.Appends;
   CHECK(op.publish(withWeight(2), 1) == LostRace);
+  CHECK_THAT(op.Err, Catch::Contains("version 2 is in force (change faster"));
   CHECK(op.State.Appends == appends);
 }
 
