--- a/tests/config/test_ledger.cpp
+++ b/tests/config/test_ledger.cpp
@@ -280,3 +280,72 @@
   ledger.apply(recordAt(1, ledger.snapshotText()));
   CHECK(*ledger.snapshotDueAt({"vm-0"}) > before);
 }
+
+// Guards against readers that disagree once the list of accepted changes is
+// full: the list is bounded and a snapshot carries it.
+TEST_CASE("old change ids are forgotten by all readers alike", "[ledger]") {
+  Configuration c = testConfiguration();
+  std::vector<LogRecord> log;
+  ConfigLedger full;
+  const auto append = [&](const std::string &text) {
+    log.push_back(recordAt(log.size(), text));
+    return full.apply(log.back());
+  };
+  append(recordText(wholeChange("c0", 0, c)));
+  for (std::size_t i = 1; i <= RecentChanges + 20; ++i) {
+    Configuration next = c;
+    next.Accounts[0].Concurrency = static_cast<std::uint32_t>(i + 1);
+    REQUIRE(append(recordText(deltaChange("c" + std::to_string(i),
+                                          full.version().Value,
+                                          difference(c, next))))
+                .Kind == VerdictKind::Accepted);
+    c = next;
+  }
+  append(full.snapshotText());
+  CHECK(append(log[0].Text).Kind == VerdictKind::Conflict);
+  CHECK(append(log[100].Text).Kind == VerdictKind::Duplicate);
+  ConfigLedger late;
+  for (std::size_t i = RecentChanges + 21; i < log.size(); ++i)
+    CHECK(late.apply(log[i]) ==
+          full.verdicts()[full.verdicts().size() - (log.size() - i)]);
+  CHECK(late.snapshotText() == full.snapshotText());
+  CHECK(full.verdicts().size() == KeptVerdicts);
+}
+
+// Guards against unbounded memory while no snapshot comes, and against a
+// snapshot that is taken although records after it were dropped.
+TEST_CASE("held records are bounded", "[ledger]") {
+  ConfigLedger source;
+  source.apply(
+      recordAt(0, recordText(wholeChange("one", 0, testConfiguration()))));
+  ConfigLedger late;
+  const std::string early = [&] {
+    source.apply(recordAt(1, "x"));
+    return source.snapshotText();
+  }();
+  for (std::size_t i = 2; i < MaximumHeldRecords + 10; ++i) {
+    source.apply(recordAt(i, "x"));
+    late.apply(recordAt(i, "x"));
+  }
+  const std::uint64_t end = source.nextOffset().Value;
+  CHECK(late.apply(recordAt(end, early)).Kind == VerdictKind::Undecided);
+  CHECK_FALSE(late.configuration());
+  CHECK(late.apply(recordAt(end + 1, source.snapshotText())).Kind ==
+        VerdictKind::Snapshot);
+  CHECK(late.version().Value == 1);
+}
+
+// Guards against a version gap made by a read that delivers out of order.
+TEST_CASE("a page is applied in offset order up to a hole", "[ledger]") {
+  const Configuration c = testConfiguration();
+  const LogRecord first = recordAt(0, recordText(wholeChange("one", 0, c)));
+  const LogRecord second = recordAt(1, recordText(wholeChange("two", 1, c)));
+  const LogRecord fourth = recordAt(3, recordText(wholeChange("four", 2, c)));
+  ConfigLedger ledger;
+  CHECK(ledger.applyPage({fourth, second, first, second}, {0}).size() == 2);
+  CHECK(ledger.nextOffset().Value == 2);
+  CHECK(ledger.isComplete());
+  CHECK(ledger.applyPage({fourth}, {3}).size() == 1);
+  CHECK_FALSE(ledger.isComplete());
+  CHECK(ledger.version().Value == 2);
+}
