--- a/src/libbergamotrouting/targetselector.cpp
+++ b/src/libbergamotrouting/targetselector.cpp
@@ -9,6 +9,9 @@
 // Free part assumed while the load is unknown or stale. It is low, so that
 // targets with a known load go first.
 constexpr double UnknownFreePart = 0.1;
+// Factor on the score of targets that an earlier attempt went to. Any other
+// target with room goes first, but with few targets all may have been tried.
+constexpr double TriedFactor = 1e-6;
 
 } // namespace
 
@@ -54,6 +57,10 @@
   setEligible(entry);
 }
 
+void TargetSelector::setRefused(const TargetId &target, TimePoint retryAt) {
+  Targets[indexOf(target)].RefusedUntil = retryAt;
+}
+
 void TargetSelector::setLoad(const TargetId &target, const TargetLoad &load) {
   Target &entry = Targets[indexOf(target)];
   if (entry.HasLoad && (load.Daemon < entry.Load.Daemon ||
@@ -67,6 +74,7 @@
   entry.Load = load;
   entry.HasLoad = true;
   entry.SentSinceLoad = 0;
+  entry.RefusedUntil = {};
   setEligible(entry);
 }
 
@@ -115,15 +123,21 @@
     consider(best, eligible[(first + 1 + Generator() % (n - 1)) % n], holder,
              request, now);
   // All candidates are full or were tried: the rest of the subset follows.
-  if (best.Score <= 0)
+  if (best.Score <= 0 || isTried(Targets[best.Index], request))
     for (std::size_t i = 0; i < n; ++i)
       consider(best, eligible[(first + i) % n], holder, request, now);
   if (best.Score <= 0)
     return {Refusal::NoSlots, {}, {}, 0, 0, Settings.RetryAfter};
   Target &target = Targets[best.Index];
-  ++target.SentSinceLoad;
-  return {Refusal::None, target.Id,  takeGrant(target, request.Units),
-          best.Score,    best.Match, {}};
+  const auto permit = takeGrant(target, request.Units);
+  // The report already counts granted slots as used.
+  if (!permit)
+    ++target.SentSinceLoad;
+  return {Refusal::None, target.Id, permit, best.Score, best.Match, {}};
+}
+
+void TargetSelector::setFinished(const TargetId &target) {
+  --Targets[indexOf(target)].SentSinceLoad;
 }
 
 std::size_t TargetSelector::eligibleCount(const ServiceId &service) const {
@@ -172,15 +186,17 @@
                                 TimePoint now) const {
   if (!target.HasLoad || now - target.Load.Time > Settings.LoadStaleAfter)
     return UnknownFreePart;
-  if (target.Load.SlotLimit == 0)
+  if (target.Load.SlotLimit == 0 || (!granted && now < target.RefusedUntil))
     return 0;
-  const std::uint32_t used = target.Load.SlotsUsed + target.SentSinceLoad;
+  // The entry's own grants are counted as used in the report, but free here.
+  std::int64_t free = std::int64_t{target.Load.SlotLimit} -
+                      target.Load.SlotsUsed - target.SentSinceLoad;
+  if (granted)
+    for (const auto &grant : target.Grants)
+      free += grant.Slots;
   // A grant is a promise of the target and goes before the lagging report.
-  const double least = granted ? 1.0 / target.Load.SlotLimit : 0;
-  if (used >= target.Load.SlotLimit)
-    return least;
-  return static_cast<double>(target.Load.SlotLimit - used) /
-         target.Load.SlotLimit;
+  free = std::max<std::int64_t>(free, granted ? 1 : 0);
+  return std::min(1.0, static_cast<double>(free) / target.Load.SlotLimit);
 }
 
 double TargetSelector::score(Target &target, double match, std::uint64_t units,
@@ -206,10 +222,10 @@
                               const PrefixMatch &holder,
                               const SelectionRequest &request, TimePoint now) {
   Target &target = Targets[index];
-  if (isTried(target, request))
-    return;
   const double match = holder.Target == index ? holder.Match : 0;
-  const double value = score(target, match, request.Units, now);
+  double value = score(target, match, request.Units, now);
+  if (isTried(target, request))
+    value *= TriedFactor;
   if (value > best.Score)
     best = {index, value, match};
 }
--- a/src/libbergamotrouting/targetselector.h
+++ b/src/libbergamotrouting/targetselector.h
@@ -37,8 +37,9 @@
   FailureDomainId Domain;
 };
 
-/// Load of a target as its daemon reported it at Time. SlotLimit is the limit
-/// of the warm-up ramp; Warm says that the full limit has been reached.
+/// Load of a target as its daemon reported it at Time. SlotsUsed includes the
+/// slots granted to entries, which others can't use. SlotLimit is the limit of
+/// the warm-up ramp; Warm says that the full limit has been reached.
 struct TargetLoad {
   Incarnation Daemon;
   std::uint64_t Sequence = 0;
@@ -50,7 +51,8 @@
 };
 
 /// What a request needs. Blocks are its prefix hashes, shortest first; Tried
-/// are the targets that earlier attempts went to.
+/// are the targets that earlier attempts went to; they are chosen only if no
+/// other target has room.
 struct SelectionRequest {
   std::uint64_t Units = 0;
   std::span<const std::uint64_t> Blocks;
@@ -84,6 +86,10 @@
   void setReachable(const TargetId &target, bool reachable);
   void setEjected(const TargetId &target, bool ejected);
 
+  /// Records that the target refused a request for lack of capacity. Without a
+  /// grant it is not chosen until then, or until its next load report.
+  void setRefused(const TargetId &target, TimePoint retryAt);
+
   /// Takes a load report; repeated and older ones are ignored. A new
   /// incarnation of the daemon voids the grants held from it.
   void setLoad(const TargetId &target, const TargetLoad &load);
@@ -98,6 +104,10 @@
   Selection choose(const ServiceId &service, const SelectionRequest &request,
                    TimePoint now);
 
+  /// Records that a request sent to the target has ended, so that its slot
+  /// counts as free before the next load report.
+  void setFinished(const TargetId &target);
+
   /// Returns the targets of a service that may receive new work.
   std::size_t eligibleCount(const ServiceId &service) const;
 
@@ -108,7 +118,9 @@
     TargetLoad Load;
     std::vector<Grant> Grants;
     GrantId LastGrant;
-    std::uint32_t SentSinceLoad = 0;
+    /// Requests sent less those ended since the last load report.
+    std::int32_t SentSinceLoad = 0;
+    TimePoint RefusedUntil;
     std::uint32_t SubsetCount = 0;
     bool HasLoad = false;
     bool Leaving = false;
