--- /dev/null
+++ b/tests/state/test_membership.cpp
@@ -0,0 +1,257 @@
+#include "fakelog.h"
+#include "libbergamotstate/membergossip.h"
+#include "libbergamotstate/membership.h"
+
+#include <catch2/catch.hpp>
+
+#include <limits>
+#include <memory>
+
+using namespace bergamot;
+using namespace bergamot::state;
+
+namespace {
+
+const base::VmId A{"a"};
+const base::VmId B{"b"};
+
+std::vector<ListedVm> listOf(bool leaving = false) {
+  return {{A, "10.0.0.1:1", {"d1"}, leaving}, {B, "10.0.0.2:1", {"d2"}, false}};
+}
+
+/// Keeps all events and looks through them for each question.
+class NaiveView {
+public:
+  struct Event {
+    std::int64_t Ms;
+    std::optional<MemberStatement> Statement;
+    std::uint64_t Sequence = 0; // 0 for a forwarded statement
+    std::vector<ListedVm> List;
+    std::int64_t ListTime = 0;
+  };
+  std::vector<Event> Events;
+
+  MemberState state(const base::VmId &vm, std::int64_t now) const {
+    std::optional<ListedVm> listed;
+    std::int64_t newest = std::numeric_limits<std::int64_t>::min();
+    MemberStatement stated;
+    bool heard = false;
+    std::uint64_t lastSequence = 0;
+    for (const auto &it : Events) {
+      if (!it.List.empty() && it.ListTime >= newest) {
+        newest = it.ListTime;
+        listed.reset();
+        for (const auto &entry : it.List)
+          if (entry.Vm == vm)
+            listed = entry;
+      }
+      if (!it.Statement || it.Statement->Vm != vm ||
+          it.Statement->Life < stated.Life)
+        continue;
+      if (it.Statement->Life > stated.Life) {
+        stated = *it.Statement;
+        heard = false;
+        lastSequence = 0;
+      }
+      if (it.Statement->Change > stated.Change)
+        stated = *it.Statement;
+      if (it.Sequence > lastSequence) {
+        lastSequence = it.Sequence;
+        heard = now < it.Ms + 1000;
+      }
+    }
+    if (!listed)
+      return MemberState::Unlisted;
+    if (listed->Leaving)
+      return MemberState::Leaving;
+    if (stated.Draining)
+      return MemberState::Draining;
+    return heard ? MemberState::Usable : MemberState::Unreachable;
+  }
+};
+
+/// A group of daemons that exchange digests over a network that loses some.
+struct Network {
+  struct Daemon {
+    Membership View;
+    MemberGossip Gossip;
+    explicit Daemon(const base::VmId &vm) : Gossip(vm, View) {}
+  };
+
+  explicit Network(std::size_t n) {
+    for (std::size_t i = 0; i < n; ++i) {
+      Ids.push_back({"vm-" + std::to_string(i)});
+      Daemons.emplace(Ids[i], std::make_unique<Daemon>(Ids[i]));
+    }
+    for (auto &[vm, daemon] : Daemons)
+      daemon->Gossip.setDaemons(Ids);
+  }
+
+  void state(std::size_t i, std::uint64_t life, std::uint32_t change) {
+    auto &daemon = *Daemons.at(Ids[i]);
+    daemon.View.addStatement({Ids[i], {life}, change, change > 1});
+    daemon.Gossip.setChanged(Ids[i]);
+  }
+
+  /// Runs until all agree and returns the time in milliseconds, at most limit.
+  std::int64_t converge(std::int64_t limit, unsigned lossPercent, bool split) {
+    Dice dice(1);
+    const auto start = Now;
+    for (; Now < start + limit; Now += 500) {
+      std::vector<std::pair<base::VmId, DigestSend>> sends;
+      for (auto &[vm, daemon] : Daemons)
+        for (auto &it : daemon->Gossip.takeDigests(at(Now)))
+          sends.emplace_back(vm, std::move(it));
+      for (const auto &[from, send] : sends) {
+        Bytes += wireSize(send.Digest);
+        const bool crosses =
+            (from.Value.back() % 2) != (send.To.Value.back() % 2);
+        if (!(split && crosses) && !dice.percent(lossPercent))
+          Daemons.at(send.To)->Gossip.apply(from, send.Digest);
+      }
+      if (agree())
+        return Now + 500 - start;
+    }
+    return limit;
+  }
+
+  bool agree() const {
+    const auto first = Daemons.begin()->second->Gossip.stateHashes();
+    return std::all_of(Daemons.begin(), Daemons.end(), [&](const auto &it) {
+      return it.second->Gossip.stateHashes() == first;
+    });
+  }
+
+  std::vector<base::VmId> Ids;
+  std::map<base::VmId, std::unique_ptr<Daemon>> Daemons;
+  std::int64_t Now = 0;
+  std::uint64_t Bytes = 0;
+};
+
+} // namespace
+
+// Guards against new work for a VM that any authority has excluded.
+TEST_CASE("the most conservative view wins", "[membership]") {
+  Membership view;
+  CHECK(view.addHeartbeat({A, {1}, 1, false}, 1, at(0)));
+  CHECK(view.state(A, at(0)) == MemberState::Unlisted);
+  CHECK(view.setVmList(listOf(), wallAt(5), at(0)));
+  CHECK(view.state(A, at(999)) == MemberState::Usable);
+  CHECK(view.state(A, at(1000)) == MemberState::Unreachable);
+  CHECK(view.state(B, at(0)) == MemberState::Unreachable);
+  CHECK(view.usable(at(1)) == std::vector{A});
+  // What others forward says nothing about reachability.
+  CHECK(view.addStatement({B, {1}, 1, false}));
+  CHECK(view.state(B, at(1)) == MemberState::Unreachable);
+  // The daemon itself says that it drains; nobody else can take it back.
+  CHECK(view.addStatement({A, {1}, 2, true}));
+  CHECK(view.addHeartbeat({A, {1}, 1, false}, 2, at(1)));
+  CHECK(view.state(A, at(1)) == MemberState::Draining);
+  CHECK(view.addHeartbeat({A, {2}, 1, false}, 1, at(1)));
+  CHECK(view.state(A, at(1)) == MemberState::Usable);
+  view.setRemovedDomains({{"d1"}});
+  CHECK(view.state(A, at(1)) == MemberState::DomainRemoved);
+  view.setRemovedDomains({});
+  view.setUnreachable(A);
+  CHECK(view.state(A, at(1)) == MemberState::Unreachable);
+}
+
+// Guards against lists that revive or remove VMs wrongly.
+TEST_CASE("older and empty lists change nothing", "[membership]") {
+  Membership view;
+  view.setVmList(listOf(true), wallAt(5), at(0));
+  view.addHeartbeat({A, {1}, 1, false}, 1, at(0));
+  view.addHeartbeat({B, {1}, 1, false}, 1, at(0));
+  CHECK_FALSE(view.setVmList(listOf(false), wallAt(4), at(0)));
+  CHECK_FALSE(view.setVmList({}, wallAt(6), at(0)));
+  CHECK(view.state(A, at(0)) == MemberState::Leaving);
+  CHECK(view.state(B, at(0)) == MemberState::Usable);
+}
+
+// Guards against work for the former user of an address, and against a paused
+// process whose successor already runs.
+TEST_CASE("reused addresses and returning processes", "[membership]") {
+  Membership view;
+  view.setVmList({{A, "x:1", {"d"}, false}}, wallAt(1), at(0));
+  view.addHeartbeat({A, {5}, 1, false}, 9, at(0));
+  view.setAnswer(A, B);
+  CHECK(view.state(A, at(0)) == MemberState::Displaced);
+  view.setVmList({{A, "x:1", {"d"}, true}, {B, "x:1", {"d"}, false}}, wallAt(2),
+                 at(0));
+  CHECK(view.vmAt("x:1") == B);
+  view.setVmList({{B, "x:1", {"d"}, false}}, wallAt(3), at(0));
+  CHECK(view.state(A, at(0)) == MemberState::Unlisted);
+  REQUIRE(view.takeGone().size() == 1);
+  view.addHeartbeat({B, {2}, 1, false}, 1, at(0));
+  CHECK_FALSE(view.addHeartbeat({B, {1}, 7, false}, 50, at(0)));
+  CHECK_FALSE(view.isCurrent(B, {1}));
+  CHECK(view.isCurrent(B, {2}));
+  // A late heartbeat must not make a silent VM look reachable.
+  CHECK_FALSE(view.addHeartbeat({B, {2}, 1, false}, 1, at(900)));
+  CHECK(view.state(B, at(1000)) == MemberState::Unreachable);
+  CHECK(view.addHeartbeat({B, {3}, 1, false}, 1, at(2000)));
+  REQUIRE(view.takeGone().size() == 1);
+}
+
+// Guards against differences to a scan over all events.
+TEST_CASE("the view equals a scan of all events",
+          "[membership][differential]") {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    INFO("seed " << seed);
+    Dice dice(seed);
+    Membership view;
+    NaiveView naive;
+    std::int64_t now = 0;
+    for (int step = 0; step < 200; ++step) {
+      now += std::int64_t(dice.below(300));
+      const base::VmId vm = dice.percent(50) ? A : B;
+      NaiveView::Event event{now, {}, 0, {}, 0};
+      if (dice.percent(20)) {
+        event.List = listOf(dice.percent(20));
+        event.List.resize(dice.below(3));
+        event.ListTime = now - std::int64_t(dice.below(600));
+        view.setVmList(event.List, wallAt(event.ListTime), at(now));
+      } else {
+        const auto life = 1 + std::uint64_t(step) / 40 + dice.below(2);
+        event.Statement = {
+            vm, {life}, std::uint32_t(1 + dice.below(4)), dice.percent(30)};
+        if (dice.percent(80)) {
+          event.Sequence = std::uint64_t(step) + 1 - dice.below(3) % (step + 1);
+          view.addHeartbeat(*event.Statement, event.Sequence, at(now));
+        } else {
+          view.addStatement(*event.Statement);
+        }
+      }
+      naive.Events.push_back(event);
+      for (const auto &it : {A, B})
+        REQUIRE(view.state(it, at(now)) == naive.state(it, now));
+    }
+  }
+}
+
+// Guards against views that never agree, and against traffic past the bound.
+TEST_CASE("gossip converges within its bytes", "[membership][property]") {
+  constexpr std::size_t Count = 128;
+  Network network(Count);
+  for (std::size_t i = 0; i < Count; ++i)
+    network.state(i, 1, 1);
+  const auto all = network.converge(120000, 10, false);
+  CHECK(all <= 60000);
+  network.Bytes = 0;
+  network.state(5, 1, 2);
+  const auto change = network.converge(60000, 10, false);
+  CHECK(change <= 15000);
+  // Two regions apart, with changes on both sides, then together. Both sides
+  // are at rest after a few minutes, so an hour would show nothing else.
+  for (std::size_t i = 0; i < 20; ++i)
+    network.state(i, 2, 1);
+  CHECK(network.converge(300000, 0, true) == 300000);
+  const auto rejoin = network.converge(120000, 10, false);
+  CHECK(rejoin <= 60000);
+  const double perDaemon =
+      double(network.Bytes) / (double(network.Now) / 1000) / Count;
+  WARN("all new " << all << " ms, one change " << change << " ms, rejoin "
+                  << rejoin << " ms, " << perDaemon
+                  << " bytes/s sent per daemon");
+  CHECK(perDaemon <= 1500);
+}
--- /dev/null
+++ b/tests/state/test_snapshotpolicy.cpp
@@ -0,0 +1,74 @@
+#include "fakelog.h"
+#include "libbergamotstate/snapshotpolicy.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+
+using namespace bergamot;
+using namespace bergamot::state;
+
+// Guards against expiry of the last snapshot when daemons fail, against many
+// daemons appending at once, and against one daemon doing all the work.
+TEST_CASE("usually one daemon re-appends a snapshot", "[snapshot]") {
+  constexpr std::size_t Count = 330;
+  const SnapshotLimits limits;
+  std::vector<base::VmId> ids;
+  std::vector<SnapshotPolicy> all;
+  for (std::size_t i = 0; i < Count; ++i) {
+    ids.push_back({"vm-" + std::to_string(i)});
+    all.emplace_back(ids.back(), limits);
+  }
+  std::set<std::size_t> writers;
+  Dice dice(1);
+  std::uint64_t appends = 0;
+  auto stored = wallAt(0);
+  for (std::uint64_t round = 1; round <= 50; ++round) {
+    const bool late = round % 5 == 0;
+    // Every tenth daemon is down; every fifth snapshot is seen overdue.
+    const auto seen = stored + limits.Retention * (late ? 80 : 0) / 100;
+    for (auto &it : all)
+      it.setSnapshot({round}, stored, seen);
+    std::multimap<base::WallTime, std::size_t> turns;
+    for (std::size_t i = 0; i < Count; ++i)
+      turns.emplace(*all[i].dueAt(ids), i);
+    // An append is seen by the others within the seconds after it.
+    std::optional<base::WallTime> end;
+    for (const auto &[now, i] : turns) {
+      REQUIRE(now < stored + limits.Retention);
+      if (end && now > *end + std::chrono::seconds(5))
+        break;
+      if (dice.percent(10))
+        continue;
+      CHECK(all[i].takeDue(ids, now));
+      CHECK_FALSE(all[i].takeDue(ids, now));
+      ++appends;
+      writers.insert(i);
+      end = end.value_or(now);
+    }
+    REQUIRE(end);
+    stored = *end;
+  }
+  WARN("seed 1: " << appends << " appends for 50 snapshots");
+  CHECK(appends <= 60);
+  CHECK(writers.size() > 30);
+}
+
+// Guards against a lost append that nobody repeats.
+TEST_CASE("the next daemon follows after a lost append", "[snapshot]") {
+  const std::vector<base::VmId> ids{{"a"}, {"b"}};
+  SnapshotPolicy a({"a"});
+  SnapshotPolicy b({"b"});
+  CHECK_FALSE(a.dueAt(ids));
+  a.setSnapshot({1}, wallAt(0), wallAt(0));
+  b.setSnapshot({1}, wallAt(0), wallAt(0));
+  const auto first = std::min(a.dueAt(ids), b.dueAt(ids)).value();
+  const auto second = std::max(a.dueAt(ids), b.dueAt(ids)).value();
+  CHECK(second - first == SnapshotLimits().Step);
+  CHECK((a.takeDue(ids, first) != b.takeDue(ids, first)));
+  CHECK((a.takeDue(ids, second) != b.takeDue(ids, second)));
+  const auto again = first + 3 * SnapshotLimits().Step;
+  CHECK((a.takeDue(ids, again) || b.takeDue(ids, again)));
+}
