--- a/src/libbergamotstate/claimbatcher.cpp
+++ b/src/libbergamotstate/claimbatcher.cpp
@@ -27,8 +27,18 @@
 }
 
 void ClaimBatcher::addItem(ClaimRecord &&record, base::TimePoint now) {
+  const auto due =
+      now +
+      (record.Kind == ClaimKind::Claim ? Limits.MaxWait : Limits.MaxEndingWait);
+  WaitingDue = std::min(WaitingDue, due);
   Waiting.push_back(
-      {record.Id.Sequence, record.Kind, now, state::toText(record)});
+      {record.Id.Sequence, record.Kind, due, state::toText(record)});
+}
+
+void ClaimBatcher::updateDue() {
+  WaitingDue = base::TimePoint::max();
+  for (const auto &it : Waiting)
+    WaitingDue = std::min(WaitingDue, it.Due);
 }
 
 void ClaimBatcher::setDeadline(std::uint64_t sequence, Own &own,
@@ -180,6 +190,7 @@
   Waiting.insert(Waiting.begin(), std::make_move_iterator(Inflight.begin()),
                  std::make_move_iterator(Inflight.end()));
   Inflight.clear();
+  updateDue();
 }
 
 bool ClaimBatcher::isObsolete(const Item &item) const {
@@ -192,10 +203,10 @@
 }
 
 void ClaimBatcher::startAppend(base::TimePoint now) {
-  if (Waiting.empty() || (Waiting.size() < Limits.MaxBatchRecords &&
-                          now < Waiting.front().Since + Limits.MaxWait))
+  if (Waiting.size() < Limits.MaxBatchRecords && now < WaitingDue)
     return;
   std::erase_if(Waiting, [this](const Item &it) { return isObsolete(it); });
+  updateDue();
   if (Waiting.empty())
     return;
   ClaimAppend batch{Tracker.start(now), {}};
@@ -211,6 +222,7 @@
     Inflight.push_back(std::move(item));
     Waiting.pop_front();
   }
+  updateDue();
   Actions.emplace_back(std::move(batch));
 }
 
@@ -241,8 +253,8 @@
   base::TimePoint wake = Tracker.wakeAt();
   if (!Deadlines.empty())
     wake = std::min(wake, Deadlines.begin()->first);
-  if (Tracker.isIdle() && !Waiting.empty())
-    wake = std::min(wake, Waiting.front().Since + Limits.MaxWait);
+  if (Tracker.isIdle())
+    wake = std::min(wake, WaitingDue);
   return Actions.empty() ? wake : base::TimePoint::min();
 }
 
--- a/src/libbergamotstate/claimbatcher.h
+++ b/src/libbergamotstate/claimbatcher.h
@@ -22,8 +22,11 @@
   std::size_t MaxClaims = 2048;
   std::size_t MaxBatchRecords = 512;
   std::size_t MaxBatchBytes = 256 * 1024;
-  /// Longest time that a record waits for others before its append.
+  /// Longest time that a claim waits for others before its append.
   base::Duration MaxWait = std::chrono::milliseconds(20);
+  /// The same for withdrawals and outcomes, for which no caller waits. They go
+  /// along with the next claims.
+  base::Duration MaxEndingWait = std::chrono::milliseconds(250);
   base::Duration AppendTimeout = std::chrono::seconds(1);
   base::Duration ReadBackInterval = std::chrono::milliseconds(200);
   /// New claims are refused when the log has not answered for this long.
@@ -129,7 +132,7 @@
   struct Item {
     std::uint64_t Sequence;
     ClaimKind Kind;
-    base::TimePoint Since;
+    base::TimePoint Due;
     std::string Text;
   };
 
@@ -138,6 +141,7 @@
   Own *find(const ClaimId &id);
   base::WallTime logTime(base::TimePoint now) const;
   void addItem(ClaimRecord &&record, base::TimePoint now);
+  void updateDue();
   void setDeadline(std::uint64_t sequence, Own &own, base::TimePoint deadline);
   void withdraw(std::uint64_t sequence, Own &own, base::TimePoint now);
   void complete(std::uint64_t sequence, Own &own, const Outcome &result,
@@ -162,6 +166,7 @@
   std::unordered_map<Hash128, std::uint64_t> ByKey;
   std::set<std::pair<base::TimePoint, std::uint64_t>> Deadlines;
   std::deque<Item> Waiting;
+  base::TimePoint WaitingDue = base::TimePoint::max();
   std::deque<Item> Inflight;
   std::vector<ClaimAction> Actions;
 };
--- a/src/libbergamotstate/claimrecord.cpp
+++ b/src/libbergamotstate/claimrecord.cpp
@@ -45,9 +45,10 @@
 void addOutcome(json &out, const Outcome &result) {
   out["status"] = result.Status;
   out["type"] = result.ContentType;
-  out["hash"] = result.BodyHash;
-  if (!result.BodyKept)
+  if (!result.BodyKept) {
+    out["hash"] = result.BodyHash;
     return;
+  }
   // JSON strings are UTF-8; a body in another encoding is kept as digits.
   try {
     (void)json(result.Body).dump();
@@ -61,7 +62,7 @@
   Outcome result;
   result.Status = in.at("status").get<int>();
   result.ContentType = in.at("type").get<std::string>();
-  result.BodyHash = in.at("hash").get<std::string>();
+  result.BodyHash = in.value("hash", "");
   if (in.contains("body"))
     result.Body = in.at("body").get<std::string>();
   else if (in.contains("body_hex"))
@@ -113,7 +114,7 @@
                     std::string_view body) {
   const bool kept = body.size() <= MaxKeptBody;
   return {status, std::string(contentType), std::string(kept ? body : ""), kept,
-          base::sha256Hex(body)};
+          kept ? "" : base::sha256Hex(body)};
 }
 
 std::string recordId(ClaimKind kind, const ClaimId &id) {
--- a/src/libbergamotstate/claimrecord.h
+++ b/src/libbergamotstate/claimrecord.h
@@ -40,7 +40,7 @@
   /// Empty unless BodyKept.
   std::string Body;
   bool BodyKept = false;
-  /// SHA-256 of the full body in hexadecimal digits.
+  /// SHA-256 of the body in hexadecimal digits, if it isn't kept.
   std::string BodyHash;
 
   bool operator==(const Outcome &) const = default;
