--- a/bench/readers/bench_readers.cpp
+++ b/bench/readers/bench_readers.cpp
@@ -84,7 +84,8 @@
       stream.Window = *end;
     while (!stream.Buffer->isParked() &&
            stream.Sent + ChunkBytes <= std::min(made, stream.Window)) {
-      stream.Buffer->addChunk(stream.Sent, Chunk);
+      stream.Buffer->addChunk(stream.Sent, Chunk,
+                              chunkHash(0, stream.Sent, Chunk));
       stream.Sent += ChunkBytes;
     }
     const std::uint64_t before = stream.Buffer->deliveredTo();
