--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -121,7 +121,15 @@
 
 void ChildProcess::kill() { send(SIGKILL); }
 
-void ChildProcess::pause() { send(SIGSTOP); }
+void ChildProcess::pause() {
+  send(SIGSTOP);
+  // The signal takes effect when each thread is scheduled, so the process
+  // could still answer a request made at once.
+  if (ExitStatus || Pid <= 0)
+    return;
+  siginfo_t info{};
+  waitid(P_PID, static_cast<id_t>(Pid), &info, WSTOPPED | WEXITED | WNOWAIT);
+}
 
 void ChildProcess::resume() { send(SIGCONT); }
 
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -38,7 +38,8 @@
   /// base::Error, with the last output, if none comes by the deadline.
   nlohmann::json readyLine(base::TimePoint deadline);
 
-  /// Sends SIGTERM, SIGKILL, SIGSTOP or SIGCONT.
+  /// Sends SIGTERM, SIGKILL, SIGSTOP or SIGCONT. pause() returns once the
+  /// process has stopped.
   void terminate();
   void kill();
   void pause();
