daemon: Resume streams at another engine and over a reconnect

Causes: an engine that does not hold the stream answers 404; resumes drew on the 10% retry budget, which a dead engine exhausts at once; and a call gave up during the 100 ms in which the connection is replaced. Now the target daemon computes the response again and continues it if the hash of the delivered bytes matches; a resume takes no budget, as only the missing work is done; a further attempt waits for a target.

--- a/src/bergamotd/answerstream.cpp
+++ b/src/bergamotd/answerstream.cpp
@@ -1,7 +1,5 @@
 #include "bergamotd/answerstream.h"
 
-#include "libbergamotbase/digest.h"
-
 #include <algorithm>
 #include <cstdlib>
 
@@ -65,6 +63,7 @@
   Buffer = std::make_unique<routing::StreamBuffer>(
       Id, IsResumable, Memory.Budget, steady_clock::now());
   Buffer->setHashSeed(HashSeed);
+  Delivered.reset();
 }
 
 std::uint64_t AnswerStream::startAttempt() {
@@ -176,7 +175,7 @@
   if (Head)
     return std::exchange(Head, std::nullopt);
   if (isBytesReady(whole)) {
-    std::string bytes = Buffer->take(TakeBytes, steady_clock::now());
+    std::string bytes = take(TakeBytes);
     if (!bytes.empty())
       return AnswerBytes{std::move(bytes)};
   }
@@ -196,7 +195,18 @@
 
 std::string AnswerStream::takeRest() {
   const std::lock_guard lock(Memory.Mutex);
-  return Buffer->take(routing::StreamWindowBytes, steady_clock::now());
+  return take(routing::StreamWindowBytes);
+}
+
+std::string AnswerStream::take(std::size_t most) {
+  std::string bytes = Buffer->take(most, steady_clock::now());
+  Delivered.add(bytes);
+  return bytes;
+}
+
+std::uint64_t AnswerStream::deliveredHash() const {
+  const std::lock_guard lock(Memory.Mutex);
+  return Delivered.value();
 }
 
 std::uint64_t AnswerStream::deliveredTo() const {
--- a/src/bergamotd/answerstream.h
+++ b/src/bergamotd/answerstream.h
@@ -3,6 +3,7 @@
 
 #include "bergamotd/answermemory.h"
 #include "bergamotd/problem.h"
+#include "libbergamotbase/digest.h"
 #include "libbergamotbase/ids.h"
 #include "libbergamotrouting/streambuffer.h"
 #include "libbergamotwire/framecodec.h"
@@ -85,6 +86,9 @@
 
   std::uint64_t deliveredTo() const;
 
+  /// Returns the xxHash64 of all bytes taken so far.
+  std::uint64_t deliveredHash() const;
+
 private:
   using Lock = std::unique_lock<std::mutex>;
 
@@ -97,6 +101,7 @@
   std::optional<AnswerEvent> takeEvent(bool whole);
   void park();
   void resetBuffer();
+  std::string take(std::size_t most);
 
   AnswerMemory &Memory;
   const std::uint64_t HashSeed;
@@ -104,6 +109,7 @@
   std::condition_variable Changed;
   routing::StreamId Id;
   std::unique_ptr<routing::StreamBuffer> Buffer;
+  base::StreamHash Delivered;
   std::optional<AnswerHead> Head;
   std::optional<AnswerEvent> Final;
   bool HasHead = false;
--- a/src/bergamotd/callrunner.cpp
+++ b/src/bergamotd/callrunner.cpp
@@ -23,6 +23,9 @@
 
 constexpr std::chrono::milliseconds DefaultRetryAfter{1000};
 
+/// How long a further attempt waits for any target to be reachable again.
+constexpr std::chrono::milliseconds ReconnectTime{5000};
+
 const std::string *findHeader(const AnswerHead &head, std::string_view name) {
   for (const auto &[key, value] : head.Headers)
     if (std::equal(key.begin(), key.end(), name.begin(), name.end(),
@@ -75,6 +78,7 @@
 }
 
 void CallRunner::chooseTarget() {
+  const auto waitUntil = steady_clock::now() + ReconnectTime;
   if (Attempt == 1 && Context.Room.hasWaiters(Call.Service))
     Context.Room.waitForTurn(Call);
   for (;;) {
@@ -87,8 +91,11 @@
       Context.Room.setCapacityFree(Call.Service);
       return;
     }
-    if (Choice.Selection.Reason != Refusal::NoSlots &&
-        (Choice.Selection.Reason != Refusal::NoTarget || Tried.empty())) {
+    // A first attempt without any target is refused at once. A later one
+    // waits a while: lost connections are replaced within the backoff.
+    const bool canWait = Choice.Selection.Reason == Refusal::NoSlots ||
+                         (Attempt > 1 && steady_clock::now() < waitUntil);
+    if (!canWait) {
       RetryAfter = std::chrono::ceil<std::chrono::milliseconds>(
           Choice.Selection.RetryAfter);
       giveUp(503, Step::Route,
@@ -159,6 +166,7 @@
   dispatch.resumable = isResumable();
   dispatch.streaming = Call.IsStreaming;
   dispatch.resume_offset = offset;
+  dispatch.resume_hash = Stream->deliveredHash();
   dispatch.window = Stream->takeWindow().value_or(offset);
   if (!Choice.Session->send(addressed(wire::makeEnvelope(std::move(dispatch)))))
     Stream->addFailure({Executed::No, "connect", "the session is closed"});
@@ -304,6 +312,7 @@
   failed.RefusedBefore = RefusedAttempts;
   failed.Outcome = toRouting(outcome);
   failed.BytesSent = bytesSent;
+  failed.Resumes = Responder.isStarted();
   failed.Deadline = Call.Deadline;
   const auto verdict = Context.Retries.decide(failed, now);
   const bool isLost = Responder.isStarted() && !isResumable();
--- a/src/bergamotd/targetjob.cpp
+++ b/src/bergamotd/targetjob.cpp
@@ -19,6 +19,9 @@
 
 constexpr std::size_t ChunkBytes = 16 * 1024;
 
+/// Status by which an engine says that it doesn't hold a stream.
+constexpr int UnknownStreamStatus = 404;
+
 /// Time for the call that cancels a stream at the engine.
 constexpr std::chrono::milliseconds CancelTimeout{1000};
 
@@ -73,17 +76,10 @@
 }
 
 std::unique_ptr<HttpStream> TargetJob::openBackEnd() {
-  if (Dispatch->resume_offset > 0) {
-    // The request goes along so that an engine that doesn't hold the stream
-    // can compute it again.
-    nlohmann::json body = {{"offset", Dispatch->resume_offset}};
-    body["request"] =
-        nlohmann::json::parse(asText(Dispatch->body), nullptr, false);
-    body["path"] = Dispatch->path;
-    return BackEnd.open("POST", "/v1/streams/" + Message.request + "/resume",
-                        {{"Content-Type", "application/json"}}, body.dump(),
-                        Deadline);
-  }
+  return Dispatch->resume_offset > 0 ? openResumed() : openWhole();
+}
+
+std::unique_ptr<HttpStream> TargetJob::openWhole() {
   std::vector<HttpHeader> headers = {{"X-Request-Id", Message.request}};
   for (const auto &it : Dispatch->headers)
     headers.push_back({it->name, it->value});
@@ -91,6 +87,37 @@
                       asText(Dispatch->body), Deadline);
 }
 
+std::unique_ptr<HttpStream> TargetJob::openResumed() {
+  const nlohmann::json body = {{"offset", Dispatch->resume_offset}};
+  auto stream = BackEnd.open(
+      "POST", "/v1/streams/" + Message.request + "/resume",
+      {{"Content-Type", "application/json"}}, body.dump(), Deadline);
+  if (stream->status() != UnknownStreamStatus)
+    return stream;
+  stream = openWhole();
+  skipDelivered(*stream);
+  return stream;
+}
+
+void TargetJob::skipDelivered(HttpStream &stream) {
+  // Another engine computes the response again. It continues the caller's
+  // only if its beginning is the same, which sampling may prevent.
+  std::uint64_t left = Dispatch->resume_offset;
+  base::StreamHash hash;
+  while (left > 0) {
+    const std::string bytes =
+        stream.read(std::min<std::uint64_t>(left, ChunkBytes), Deadline);
+    if (bytes.empty())
+      break;
+    hash.add(bytes);
+    left -= bytes.size();
+  }
+  if (left > 0 || hash.value() != Dispatch->resume_hash)
+    throw adapterhttp::HttpClientError(
+        base::Step::Answer, BackEnd.endpoint(),
+        "the response computed again differs from the first", true);
+}
+
 void TargetJob::relay(HttpStream &stream, JobResult &result) {
   std::uint64_t offset = Dispatch->resume_offset;
   base::StreamHash hash;
--- a/src/bergamotd/targetjob.h
+++ b/src/bergamotd/targetjob.h
@@ -62,6 +62,9 @@
   enum class WindowState { Open, Cancelled, Full, Expired };
 
   std::unique_ptr<adapterhttp::HttpStream> openBackEnd();
+  std::unique_ptr<adapterhttp::HttpStream> openResumed();
+  std::unique_ptr<adapterhttp::HttpStream> openWhole();
+  void skipDelivered(adapterhttp::HttpStream &stream);
   void relay(adapterhttp::HttpStream &stream, JobResult &result);
   void sendHead(const adapterhttp::HttpStream &stream);
   void sendEnd(std::uint64_t total, std::uint64_t hash);
--- a/src/bergamotd/targetservice.cpp
+++ b/src/bergamotd/targetservice.cpp
@@ -377,6 +377,10 @@
     Report = report;
     if (Admission)
       change = Admission->addReport(report, steady_clock::now());
+    // An engine reports that it is cold until it has warmed up.
+    if (std::exchange(WasCold, report.Cold) &&
+        change == routing::RampChange::ColdReported)
+      change = routing::RampChange::None;
   }
   logRamp(change);
 }
--- a/src/bergamotd/targetservice.h
+++ b/src/bergamotd/targetservice.h
@@ -91,6 +91,7 @@
   std::uint32_t SlotsLimit = 0;
   std::uint64_t UnitsLimit = 0;
   routing::LoadReport Report;
+  bool WasCold = false;
   bool IsBackEndUp = false;
   bool IsDraining = false;
 
--- a/src/libbergamotrouting/retrypolicy.cpp
+++ b/src/libbergamotrouting/retrypolicy.cpp
@@ -31,7 +31,9 @@
                : giveUp;
   if (failed.Attempt.Value - failed.RefusedBefore >= Settings.MostAttempts)
     return giveUp;
-  if (!take(failed.Account, failed.Service))
+  // A resumed response asks an engine only for work that the failed one has
+  // not done, and without it the caller's response would be cut.
+  if (!failed.Resumes && !take(failed.Account, failed.Service))
     return giveUp;
   return {RetryVerdict::Action::SendAgain, outcome};
 }
--- a/src/libbergamotrouting/retrypolicy.h
+++ b/src/libbergamotrouting/retrypolicy.h
@@ -35,6 +35,8 @@
   std::uint32_t RefusedBefore = 0;
   Executed Outcome = Executed::Unknown;
   bool BytesSent = true;
+  /// The next attempt continues a response that the caller has in part.
+  bool Resumes = false;
   TimePoint Deadline;
   /// When the target said that it may be tried again; unset for other targets.
   TimePoint NotBefore;
