--- a/bench/path/main.cpp
+++ b/bench/path/main.cpp
@@ -94,20 +94,19 @@
 void printLatencies(const LoadResult &direct, const LoadResult &through) {
   for (bool isFirst : {true, false}) {
     auto latency = isFirst ? &LoadSample::FirstByte : &LoadSample::Whole;
-    std::string name = isFirst ? "first_byte" : "whole";
     for (double part : {0.5, 0.99}) {
-      std::string suffix = part == 0.5 ? "_p50" : "_p99";
+      std::string name = isFirst ? "first_byte" : "whole";
+      name += part == 0.5 ? "_p50" : "_p99";
       nlohmann::json bound = nullptr;
       if (part != 0.5)
         bound = AddedP99BoundMs;
       double value = quantileOf(direct, latency, part);
       double median = medianOfSeconds(direct, latency, part);
-      print("direct_" + name + suffix, value, "ms", nullptr, nullptr);
+      print("direct_" + name, value, "ms", nullptr, nullptr);
       if (through.Samples.empty())
         continue;
-      printAdded(name + suffix, value, quantileOf(through, latency, part),
-                 bound);
-      printAdded(name + suffix + "_median_second", median,
+      printAdded(name, value, quantileOf(through, latency, part), bound);
+      printAdded(name + "_median_second", median,
                  medianOfSeconds(through, latency, part), bound);
     }
   }
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -305,6 +305,38 @@
   CHECK(answer.get() == "whole");
 }
 
+TEST_CASE("idle connections don't starve further clients", "[http]") {
+  HttpServerOptions options = smallLimits();
+  options.WorkerThreads = 4;
+  HttpServer server(options, echo);
+  // Each client keeps its connection if the server allows it; a kept one
+  // holds a worker for seconds.
+  std::vector<std::unique_ptr<HttpClient>> clients;
+  auto begin = base::TimePoint::clock::now();
+  for (int i = 0; i < 12; ++i) {
+    clients.push_back(std::make_unique<HttpClient>(endpointOf(server)));
+    CHECK(clients.back()->request("GET", "/", {}, {}, in(2s)).Status == 200);
+  }
+  CHECK(base::TimePoint::clock::now() - begin < 2s);
+}
+
+TEST_CASE("responses without a body keep the connection usable", "[http]") {
+  HttpServer server(smallLimits(), [](const HttpRequest &q, HttpResponder &r) {
+    if (q.Path == "/none")
+      r.respond(204, {}, {}, in(1s));
+    else
+      r.respond(200, {{"X-Bad", "a\r\nX-Added: b"}}, "hidden", in(1s));
+  });
+  HttpClient client(endpointOf(server));
+  auto head = client.request("HEAD", "/", {}, {}, in(2s));
+  CHECK(head.Body.empty());
+  CHECK(*head.header("Content-Length") == "6");
+  // A line break in a value would let a back end add headers.
+  CHECK_FALSE(head.header("X-Added"));
+  CHECK(client.request("GET", "/none", {}, {}, in(2s)).Status == 204);
+  CHECK(client.request("GET", "/", {}, {}, in(2s)).Body == "hidden");
+}
+
 TEST_CASE("a bad or taken address is reported", "[http]") {
   HttpServerOptions options = smallLimits();
   HttpServer server(options, echo);
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -121,7 +121,12 @@
 
 void ChildProcess::kill() { send(SIGKILL); }
 
-void ChildProcess::pause() { send(SIGSTOP); }
+void ChildProcess::pause() {
+  send(SIGSTOP);
+  int status = 0;
+  if (!ExitStatus && waitpid(Pid, &status, WUNTRACED) == Pid)
+    takeStatus(status);
+}
 
 void ChildProcess::resume() { send(SIGCONT); }
 
@@ -138,11 +143,16 @@
 
 bool ChildProcess::isRunning() {
   int status = 0;
-  if (ExitStatus || waitpid(Pid, &status, WNOHANG) != Pid)
-    return !ExitStatus;
-  ExitStatus =
-      WIFEXITED(status) ? WEXITSTATUS(status) : SignalStatus + WTERMSIG(status);
-  return false;
+  if (!ExitStatus && waitpid(Pid, &status, WNOHANG) == Pid)
+    takeStatus(status);
+  return !ExitStatus;
+}
+
+void ChildProcess::takeStatus(int status) {
+  if (WIFEXITED(status))
+    ExitStatus = WEXITSTATUS(status);
+  else if (WIFSIGNALED(status))
+    ExitStatus = SignalStatus + WTERMSIG(status);
 }
 
 std::vector<nlohmann::json> ChildProcess::logLines() const {
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -38,10 +38,16 @@
   /// base::Error, with the last output, if none comes by the deadline.
   nlohmann::json readyLine(base::TimePoint deadline);
 
-  /// Sends SIGTERM, SIGKILL, SIGSTOP or SIGCONT.
+  /// Sends SIGTERM.
   void terminate();
+
+  /// Sends SIGKILL.
   void kill();
+
+  /// Sends SIGSTOP and waits until all threads of the process have stopped.
   void pause();
+
+  /// Sends SIGCONT.
   void resume();
 
   /// Waits for the end. Returns the exit status, 128 plus the number of a
@@ -67,6 +73,7 @@
 
   void collect(int pipe, Lines &lines);
   void send(int signal);
+  void takeStatus(int status);
   std::string lastOutput() const;
 
   pid_t Pid = -1;
