--- a/src/libbergamotrouting/granttable.h
+++ b/src/libbergamotrouting/granttable.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace bergamot::routing {
@@ -20,8 +21,6 @@
 /// counts as taken until its expiry.
 class GrantTable {
 public:
-  explicit GrantTable(Duration lifetime);
-
   /// Makes an entry known, which lets it receive grants before its first
   /// request. Demand of an unknown entry also makes it known.
   void addEntry(const VmId &entry);
@@ -32,6 +31,15 @@
   /// Counts one request of an entry, whether or not it was admitted.
   void addDemand(const VmId &entry);
 
+  /// Sets how many requests wait at an entry for this target.
+  void setWaiting(const VmId &entry, double count);
+
+  /// Ends a period of demand. Call it at each heartbeat.
+  void updateDemand();
+
+  /// Says whether any entry has requests waiting.
+  bool hasWaiting() const;
+
   /// Drops the grants that have expired.
   void removeExpired(TimePoint now);
 
@@ -43,9 +51,9 @@
   void removeUsed(GrantId id, std::uint64_t units);
 
   /// Divides slots and units over the known entries by recent demand, less
-  /// what each already holds, and records the grants.
+  /// what each already holds, and records the grants with their expiry.
   std::vector<EntryGrant> issue(std::uint32_t slots, std::uint64_t units,
-                                TimePoint now);
+                                TimePoint expiry);
 
   std::uint32_t unusedSlots() const { return UnusedSlots; }
   std::uint64_t unusedUnits() const { return UnusedUnits; }
@@ -53,6 +61,7 @@
 private:
   struct Holder {
     double Demand = 0;
+    double Waiting = 0;
     std::uint32_t Arrived = 0;
     std::uint32_t HeldSlots = 0;
   };
@@ -61,12 +70,13 @@
     Grant Left;
   };
 
+  static double weightOf(const Holder &holder);
   std::vector<std::pair<VmId, std::uint32_t>> slotsByDemand(std::uint32_t free);
   void remove(std::map<GrantId, Issued>::iterator it);
 
-  Duration Lifetime;
   std::map<VmId, Holder> Holders;
   std::map<GrantId, Issued> Grants;
+  std::set<std::pair<TimePoint, GrantId>> ByExpiry;
   std::uint64_t LastId = 0;
   std::uint32_t UnusedSlots = 0;
   std::uint64_t UnusedUnits = 0;
