--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -123,9 +123,18 @@
 
 void ChildProcess::pause() {
   send(SIGSTOP);
+<<<<<<< HEAD
   int status = 0;
   if (!ExitStatus && waitpid(Pid, &status, WUNTRACED) == Pid)
     takeStatus(status);
+=======
+  // The signal takes effect when each thread is scheduled, so the process
+  // could still answer a request made at once.
+  if (ExitStatus || Pid <= 0)
+    return;
+  siginfo_t info{};
+  waitid(P_PID, static_cast<id_t>(Pid), &info, WSTOPPED | WEXITED | WNOWAIT);
+>>>>>>> main
 }
 
 void ChildProcess::resume() { send(SIGCONT); }
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -38,7 +38,12 @@
   /// base::Error, with the last output, if none comes by the deadline.
   nlohmann::json readyLine(base::TimePoint deadline);
 
+<<<<<<< HEAD
   /// Sends SIGTERM.
+=======
+  /// Sends SIGTERM, SIGKILL, SIGSTOP or SIGCONT. pause() returns once the
+  /// process has stopped.
+>>>>>>> main
   void terminate();
 
   /// Sends SIGKILL.
