--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -123,18 +123,12 @@
 
 void ChildProcess::pause() {
   send(SIGSTOP);
-<<<<<<< HEAD
-  int status = 0;
-  if (!ExitStatus && waitpid(Pid, &status, WUNTRACED) == Pid)
-    takeStatus(status);
-=======
   // The signal takes effect when each thread is scheduled, so the process
   // could still answer a request made at once.
   if (ExitStatus || Pid <= 0)
     return;
   siginfo_t info{};
   waitid(P_PID, static_cast<id_t>(Pid), &info, WSTOPPED | WEXITED | WNOWAIT);
->>>>>>> main
 }
 
 void ChildProcess::resume() { send(SIGCONT); }
@@ -152,16 +146,11 @@
 
 bool ChildProcess::isRunning() {
   int status = 0;
-  if (!ExitStatus && waitpid(Pid, &status, WNOHANG) == Pid)
-    takeStatus(status);
-  return !ExitStatus;
-}
-
-void ChildProcess::takeStatus(int status) {
-  if (WIFEXITED(status))
-    ExitStatus = WEXITSTATUS(status);
-  else if (WIFSIGNALED(status))
-    ExitStatus = SignalStatus + WTERMSIG(status);
+  if (ExitStatus || waitpid(Pid, &status, WNOHANG) != Pid)
+    return !ExitStatus;
+  ExitStatus =
+      WIFEXITED(status) ? WEXITSTATUS(status) : SignalStatus + WTERMSIG(status);
+  return false;
 }
 
 std::vector<nlohmann::json> ChildProcess::logLines() const {
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -38,21 +38,11 @@
   /// base::Error, with the last output, if none comes by the deadline.
   nlohmann::json readyLine(base::TimePoint deadline);
 
-<<<<<<< HEAD
-  /// Sends SIGTERM.
-=======
   /// Sends SIGTERM, SIGKILL, SIGSTOP or SIGCONT. pause() returns once the
   /// process has stopped.
->>>>>>> main
   void terminate();
-
-  /// Sends SIGKILL.
   void kill();
-
-  /// Sends SIGSTOP and waits until all threads of the process have stopped.
   void pause();
-
-  /// Sends SIGCONT.
   void resume();
 
   /// Waits for the end. Returns the exit status, 128 plus the number of a
@@ -78,7 +68,6 @@
 
   void collect(int pipe, Lines &lines);
   void send(int signal);
-  void takeStatus(int status);
   std::string lastOutput() const;
 
   pid_t Pid = -1;
