--- a/src/libbergamotconfig/configuration.cpp
+++ b/src/libbergamotconfig/configuration.cpp
@@ -3,6 +3,7 @@
 #include "libbergamotbase/digest.h"
 #include "libbergamotbase/error.h"
 #include "libbergamotconfig/configurationfields.h"
+#include "libbergamotconfig/textwriter.h"
 
 #include <algorithm>
 
@@ -44,7 +45,7 @@
 }
 
 std::string canonicalText(const Configuration &configuration) {
-  return detail::TextWriter::valueText(configuration);
+  return TextWriter::valueText(configuration);
 }
 
 std::string readableText(const Configuration &configuration) {
--- a/src/libbergamotconfig/jsonfields.cpp
+++ b/src/libbergamotconfig/jsonfields.cpp
@@ -59,24 +59,6 @@
   }
 }
 
-std::string detail::TextWriter::takeText() {
-  std::size_t size = 2;
-  for (const auto &[name, member] : Members)
-    size += name.size() + member.size() + 4;
-  std::string text = "{";
-  text.reserve(size);
-  for (auto &[name, member] : Members) {
-    if (text.size() > 1)
-      text += ',';
-    text += Json(name).dump();
-    text += ':';
-    text += member;
-    member = {};
-  }
-  text += '}';
-  return text;
-}
-
 std::string pointerToken(std::string_view name) {
   std::string token;
   for (const char c : name) {
--- a/src/libbergamotconfig/jsonfields.h
+++ b/src/libbergamotconfig/jsonfields.h
@@ -12,7 +12,6 @@
 #include <concepts>
 #include <cstdint>
 #include <limits>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -131,59 +130,6 @@
   }
 };
 
-/// Visits the fields of an object and keeps the text of each member. Lists
-/// of objects with a strong id are written in the order of the ids, element by
-/// element: a tree of the whole document takes several times its text.
-struct TextWriter {
-  std::map<std::string, std::string> Members;
-
-  template <typename T> void operator()(const char *name, const T &value) {
-    Members[name] = valueText(value);
-  }
-  template <typename T> void optional(const char *name, const T &value) {
-    if (isEmpty(value))
-      return;
-    (*this)(name, value);
-  }
-  template <typename T> static std::string valueText(const T &value);
-  template <typename T> static std::string listText(const std::vector<T> &list);
-  /// Returns the text of the object and drops the members.
-  std::string takeText();
-};
-
-template <typename T> std::string TextWriter::valueText(const T &value) {
-  if constexpr (IsVector<T>::value) {
-    return listText(value);
-  } else if constexpr (IsOptional<T>::value) {
-    return valueText(*value);
-  } else if constexpr (requires(TextWriter w) { visitFields(w, value); }) {
-    TextWriter writer;
-    visitFields(writer, value);
-    return writer.takeText();
-  } else {
-    return dumpJson(toJson(value));
-  }
-}
-
-template <typename T>
-std::string TextWriter::listText(const std::vector<T> &list) {
-  std::vector<const T *> order;
-  order.reserve(list.size());
-  for (const T &element : list)
-    order.push_back(&element);
-  if constexpr (requires(T element) { element.Id.Value; })
-    std::stable_sort(order.begin(), order.end(),
-                     [](auto *a, auto *b) { return a->Id < b->Id; });
-  std::string text = "[";
-  for (const T *element : order) {
-    if (text.size() > 1)
-      text += ',';
-    text += dumpJson(toJson(*element));
-  }
-  text += ']';
-  return text;
-}
-
 } // namespace detail
 
 template <typename T>
--- a/src/libbergamotconfig/record.cpp
+++ b/src/libbergamotconfig/record.cpp
@@ -1,5 +1,6 @@
 #include "libbergamotbase/error.h"
 #include "libbergamotconfig/recordfields.h"
+#include "libbergamotconfig/textwriter.h"
 
 namespace bergamot::config {
 
@@ -27,11 +28,11 @@
 }
 
 std::string recordText(const Change &change) {
-  return detail::TextWriter::valueText(change);
+  return TextWriter::valueText(change);
 }
 
 std::string recordText(const Snapshot &snapshot) {
-  return detail::TextWriter::valueText(snapshot);
+  return TextWriter::valueText(snapshot);
 }
 
 RecordContent parseRecord(std::string_view text) {
--- a/tests/config/test_config.cpp
+++ b/tests/config/test_config.cpp
@@ -35,6 +35,10 @@
   CHECK(canonicalText(parseConfiguration(readableText(a))) == text);
   CHECK(configurationHash(a) == base::sha256Hex(text));
   CHECK(parseConfiguration(text) == testConfiguration());
+  a.FailureDomains[0].Region = "quote \" slash \\ tab \t \u00e9 \x7f";
+  CHECK(parseJson(canonicalText(a)).dump() == canonicalText(a));
+  a.FailureDomains[0].Region = "\xff";
+  CHECK_THROWS_AS(canonicalText(a), base::Error);
 }
 
 // Guards against a reader that drops a misspelt or repeated member.
