--- a/tests/config/test_ctl.cpp
+++ b/tests/config/test_ctl.cpp
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -29,8 +30,8 @@
 class TemporaryFolder {
 public:
   TemporaryFolder() {
-    char name[] = "/tmp/bergamot-config-XXXXXX";
-    Path = mkdtemp(name);
+    std::string name = std::filesystem::temp_directory_path() / "config-XXXXXX";
+    Path = mkdtemp(name.data());
   }
   ~TemporaryFolder() {
     for (const std::string &file : Files)
