--- a/bench/routingmodel.h
+++ b/bench/routingmodel.h
@@ -165,6 +165,4 @@
 
 } // namespace bergamot::bench
 
-#include "routingmodel.inc"
-
 #endif
--- a/tests/routing/test_admission.cpp
+++ b/tests/routing/test_admission.cpp
@@ -36,6 +36,43 @@
           atMs(ms)};
 }
 
+// Admission with sets of attempts, without pressure, grants and warm-up.
+class NaiveAdmission {
+public:
+  bool admit(const AdmissionRequest &request) {
+    const auto known = Seen.lower_bound(request.Key);
+    const bool isKnown =
+        known != Seen.end() && known->Request == request.Key.Request;
+    std::uint64_t units = request.Units;
+    for (const auto &[key, value] : Running)
+      units += value;
+    Seen.insert(request.Key);
+    if (isKnown || Running.size() >= 6 || units > 40)
+      return false;
+    Running[request.Key] = request.Units;
+    return true;
+  }
+
+  void complete(const AttemptKey &key, bool unknown) {
+    if (unknown)
+      Stuck.insert(key);
+    else if (!Stuck.contains(key))
+      Running.erase(key);
+  }
+
+  void restart() {
+    for (const auto &key : Stuck)
+      Running.erase(key);
+    Stuck.clear();
+  }
+
+  std::map<AttemptKey, std::uint64_t> Running;
+
+private:
+  std::set<AttemptKey> Seen;
+  std::set<AttemptKey> Stuck;
+};
+
 } // namespace
 
 // Guards against a restarted daemon that overloads a back end still busy with
@@ -194,49 +231,33 @@
     settings.UnitCount = 40;
     settings.PressureFrom = 1;
     TargetAdmission admission(settings);
-    admission.addReport(
-        {bergamot::base::Incarnation{1}, 0, 0, 0, false, atMs(0)}, atMs(0));
-    std::set<AttemptKey> seen;
-    std::map<AttemptKey, std::uint64_t> running;
-    std::set<AttemptKey> stuck;
-    std::uint64_t incarnation = 1;
+    LoadReport report{Incarnation{1}, 0, 0, 0, false, atMs(0)};
+    admission.addReport(report, atMs(0));
+    NaiveAdmission naive;
     for (int step = 1; step < 120; ++step) {
       auto request =
           requestOf("r" + std::to_string(below(random, 30)), below(random, 15));
       request.Key.Attempt.Value = 1 + below(random, 3);
       const auto action = below(random, 10);
       if (action < 6) {
-        const auto known = seen.lower_bound(request.Key);
-        const bool isKnown =
-            known != seen.end() && known->Request == request.Key.Request;
-        std::uint64_t units = request.Units;
-        for (const auto &[key, value] : running)
-          units += value;
-        const bool expected = !isKnown && running.size() < 6 && units <= 40;
-        seen.insert(request.Key);
-        REQUIRE(admission.admit(request, atMs(step)).isAdmitted() == expected);
-        if (expected)
-          running[request.Key] = request.Units;
-      } else if (action < 9 && !running.empty()) {
-        auto it = running.begin();
-        std::advance(it, below(random, running.size()));
+        REQUIRE(admission.admit(request, atMs(step)).isAdmitted() ==
+                naive.admit(request));
+      } else if (action < 9 && !naive.Running.empty()) {
+        auto it = naive.Running.begin();
+        std::advance(it, below(random, naive.Running.size()));
+        const AttemptKey key = it->first;
         const bool unknown = below(random, 4) == 0;
         admission.setCompleted(
-            it->first, {unknown ? Executed::Unknown : Executed::Yes, true, {}},
+            key, {unknown ? Executed::Unknown : Executed::Yes, true, {}},
             atMs(step));
-        if (unknown)
-          stuck.insert(it->first);
-        else if (!stuck.contains(it->first))
-          running.erase(it);
+        naive.complete(key, unknown);
       } else if (below(random, 4) == 0) {
-        admission.addReport({bergamot::base::Incarnation{++incarnation}, 0, 0,
-                             0, false, atMs(step)},
-                            atMs(step));
-        for (const auto &key : stuck)
-          running.erase(key);
-        stuck.clear();
+        ++report.BackEnd.Value;
+        report.Time = atMs(step);
+        admission.addReport(report, atMs(step));
+        naive.restart();
       }
-      REQUIRE(admission.reservedSlots() == running.size());
+      REQUIRE(admission.reservedSlots() == naive.Running.size());
     }
   });
 }
--- a/tests/routing/test_selector.cpp
+++ b/tests/routing/test_selector.cpp
@@ -41,6 +41,62 @@
   return {Incarnation{1}, sequence, kind, block};
 }
 
+// The targets that may be chosen, found by a full scan.
+struct NaiveSelector {
+  struct State {
+    bool Leaving = false;
+    bool Ejected = false;
+    bool Reachable = true;
+    bool LoadKnown = true;
+    std::uint32_t Used = 0;
+  };
+
+  std::set<TargetId> allowed(const std::vector<TargetId> &tried) const {
+    std::set<TargetId> open;
+    for (std::size_t i = 0; i < States.size(); ++i) {
+      const State &it = States[i];
+      if (!it.Leaving && !it.Ejected && it.Reachable && it.LoadKnown &&
+          it.Used < 4 && !Removed.contains(domainOf(i)))
+        open.insert(targetOf(i));
+    }
+    std::set<TargetId> untried = open;
+    for (const auto &id : tried)
+      untried.erase(id);
+    return untried.empty() ? open : untried;
+  }
+
+  std::vector<State> States;
+  std::set<FailureDomainId> Removed;
+};
+
+// Applies one change of state to both.
+void changeState(TargetSelector &selector, NaiveSelector &naive,
+                 std::uint64_t action, std::uint64_t n, bool flag,
+                 std::uint32_t used, std::uint64_t sequence) {
+  NaiveSelector::State &state = naive.States[n];
+  switch (action) {
+  case 0:
+    selector.setLeaving(targetOf(n), state.Leaving = flag);
+    break;
+  case 1:
+    selector.setEjected(targetOf(n), state.Ejected = flag);
+    break;
+  case 2:
+    selector.setReachable(targetOf(n), state.Reachable = flag);
+    state.LoadKnown = state.LoadKnown && flag;
+    break;
+  case 3:
+    naive.Removed = flag ? std::set{domainOf(n)} : std::set<FailureDomainId>{};
+    selector.setRemovedDomains(naive.Removed);
+    break;
+  default:
+    state.LoadKnown = true;
+    state.Used = used;
+    selector.setLoad(targetOf(n), loadOf(sequence, used, 4, 0));
+    break;
+  }
+}
+
 } // namespace
 
 // Guards against new work for targets that must not receive any.
@@ -152,71 +208,35 @@
 // Guards against an eligible list that drifts from the state it is made from:
 // a naive full scan has to agree on whether there is a target.
 TEST_CASE("selection equals the naive scan", "[selector][differential]") {
-  struct State {
-    bool Leaving = false;
-    bool Ejected = false;
-    bool Reachable = true;
-    bool LoadKnown = true;
-    std::uint32_t Used = 0;
-  };
   forEachSeed([](std::mt19937_64 &random) {
     const std::uint64_t count = 1 + below(random, 8);
     auto selector = selectorOf(count, random());
-    std::vector<State> naive(count);
-    std::set<FailureDomainId> removed;
-    std::vector<std::uint64_t> sequences(count, 1);
+    NaiveSelector naive;
+    naive.States.resize(count);
+    std::uint64_t sequence = 1;
     for (std::uint64_t i = 0; i < count; ++i)
       selector.setLoad(targetOf(i), loadOf(1, 0, 4, 0));
     for (int step = 0; step < 100; ++step) {
       const std::uint64_t n = below(random, count);
       const bool flag = below(random, 2) == 0;
-      switch (below(random, 6)) {
-      case 0:
-        selector.setLeaving(targetOf(n), naive[n].Leaving = flag);
-        break;
-      case 1:
-        selector.setEjected(targetOf(n), naive[n].Ejected = flag);
-        break;
-      case 2:
-        selector.setReachable(targetOf(n), naive[n].Reachable = flag);
-        naive[n].LoadKnown = naive[n].LoadKnown && flag;
-        break;
-      case 3:
-        removed = flag ? std::set{domainOf(n)} : std::set<FailureDomainId>{};
-        selector.setRemovedDomains(removed);
-        break;
-      case 4:
-        naive[n].LoadKnown = true;
-        naive[n].Used = static_cast<std::uint32_t>(below(random, 5));
-        selector.setLoad(targetOf(n),
-                         loadOf(++sequences[n], naive[n].Used, 4, 0));
-        break;
-      default: {
-        std::vector<TargetId> tried;
-        if (flag)
-          tried.push_back(targetOf(n));
-        SelectionRequest request;
-        request.Tried = tried;
-        std::set<TargetId> allowed;
-        const bool triedHasRoom = flag && !naive[n].Leaving &&
-                                  !naive[n].Ejected && naive[n].Reachable &&
-                                  !removed.contains(domainOf(n)) &&
-                                  naive[n].LoadKnown && naive[n].Used < 4;
-        for (std::uint64_t i = 0; i < count; ++i)
-          if (!naive[i].Leaving && !naive[i].Ejected && naive[i].Reachable &&
-              !removed.contains(domainOf(i)) && naive[i].LoadKnown &&
-              naive[i].Used < 4 && !(flag && i == n))
-            allowed.insert(targetOf(i));
-        if (allowed.empty() && triedHasRoom)
-          allowed.insert(targetOf(n));
-        const auto chosen = selector.choose(Chat, request, atMs(1));
-        REQUIRE((chosen.Reason == Refusal::None) == !allowed.empty());
-        if (allowed.empty())
-          break;
-        REQUIRE(allowed.contains(chosen.Target));
-        ++naive[std::stoul(chosen.Target.Value.substr(1))].Used;
-      }
+      const auto action = below(random, 6);
+      if (action < 5) {
+        const auto used = static_cast<std::uint32_t>(below(random, 5));
+        changeState(selector, naive, action, n, flag, used, ++sequence);
+        continue;
       }
+      std::vector<TargetId> tried;
+      if (flag)
+        tried.push_back(targetOf(n));
+      SelectionRequest request;
+      request.Tried = tried;
+      const auto allowed = naive.allowed(tried);
+      const auto chosen = selector.choose(Chat, request, atMs(1));
+      REQUIRE((chosen.Reason == Refusal::None) == !allowed.empty());
+      if (allowed.empty())
+        continue;
+      REQUIRE(allowed.contains(chosen.Target));
+      ++naive.States[std::stoul(chosen.Target.Value.substr(1))].Used;
     }
   });
 }
--- a/tests/routing/test_stream.cpp
+++ b/tests/routing/test_stream.cpp
@@ -18,6 +18,30 @@
   return bytes;
 }
 
+// Damages a chunk on its way, or parks the stream.
+void injectFault(std::mt19937_64 &random, const std::string &whole,
+                 const std::string &other, std::uint64_t &offset,
+                 std::string &chunk, StreamBuffer &buffer) {
+  switch (below(random, 5)) {
+  case 0: // Lost.
+    chunk.clear();
+    break;
+  case 1: // Crossed with another stream.
+    chunk = other.substr(offset, chunk.size());
+    break;
+  case 2: // Repeated from earlier.
+    offset -= std::min<std::uint64_t>(offset, below(random, 5000));
+    chunk = whole.substr(offset, chunk.size());
+    break;
+  case 3: // Cut.
+    chunk.resize(chunk.size() / 2);
+    break;
+  default:
+    buffer.park();
+    break;
+  }
+}
+
 } // namespace
 
 // Guards against every way in which a network or a confused target can corrupt
@@ -44,26 +68,8 @@
                                                      window - sent));
       std::uint64_t offset = sent;
       sent += chunk.size();
-      switch (below(random, 100) < faultRate ? below(random, 5) : 9) {
-      case 0: // Lost.
-        chunk.clear();
-        break;
-      case 1: // Crossed with another stream.
-        chunk = other.substr(offset, chunk.size());
-        break;
-      case 2: // Repeated from earlier.
-        offset -= std::min<std::uint64_t>(offset, below(random, 5000));
-        chunk = whole.substr(offset, chunk.size());
-        break;
-      case 3: // Cut.
-        chunk.resize(chunk.size() / 2);
-        break;
-      case 4:
-        buffer.park();
-        break;
-      default:
-        break;
-      }
+      if (below(random, 100) < faultRate)
+        injectFault(random, whole, other, offset, chunk, buffer);
       if (!chunk.empty())
         buffer.addChunk(offset, chunk);
       if (sent == whole.size())
