--- a/src/libbergamotrouting/granttable.cpp
+++ b/src/libbergamotrouting/granttable.cpp
@@ -36,10 +36,8 @@
                      [](const auto &it) { return it.second.Waiting > 0; });
 }
 
-double GrantTable::weightOf(const Holder &holder, bool contended) const {
-  if (contended)
-    return std::min(holder.Waiting, WaitingCap) + IdleDemand;
-  return holder.Demand + IdleDemand;
+double GrantTable::weightOf(const Holder &holder) {
+  return holder.Demand + holder.Waiting + IdleDemand;
 }
 
 void GrantTable::removeExpired(TimePoint now) {
@@ -92,11 +90,10 @@
 
 std::vector<std::pair<VmId, std::uint32_t>>
 GrantTable::slotsByDemand(std::uint32_t free) {
-  const bool contended = hasWaiting();
   double total = 0;
   std::uint32_t pool = free;
   for (const auto &[entry, holder] : Holders) {
-    total += weightOf(holder, contended);
+    total += weightOf(holder);
     pool += holder.HeldSlots;
   }
   // Each entry's due part of the pool, less what it holds. The largest
@@ -104,7 +101,7 @@
   std::vector<std::pair<double, const VmId *>> wants;
   double missing = 0;
   for (const auto &[entry, holder] : Holders) {
-    const double due = pool * weightOf(holder, contended) / total;
+    const double due = pool * weightOf(holder) / total;
     wants.emplace_back(std::max(0.0, due - holder.HeldSlots), &entry);
     missing += wants.back().first;
   }
--- a/src/libbergamotrouting/granttable.h
+++ b/src/libbergamotrouting/granttable.h
@@ -34,10 +34,6 @@
   /// Sets how many requests wait at an entry for this target.
   void setWaiting(const VmId &entry, double count);
 
-  /// Sets from which count on an entry can use every slot that becomes free
-  /// until its next report. Beyond it, a longer queue earns no larger part.
-  void setWaitingCap(double count) { WaitingCap = count; }
-
   /// Ends a period of demand. Call it at each heartbeat.
   void updateDemand();
 
@@ -74,14 +70,13 @@
     Grant Left;
   };
 
-  double weightOf(const Holder &holder, bool contended) const;
+  static double weightOf(const Holder &holder);
   std::vector<std::pair<VmId, std::uint32_t>> slotsByDemand(std::uint32_t free);
   void remove(std::map<GrantId, Issued>::iterator it);
 
   std::map<VmId, Holder> Holders;
   std::map<GrantId, Issued> Grants;
   std::set<std::pair<TimePoint, GrantId>> ByExpiry;
-  double WaitingCap = 1;
   std::uint64_t LastId = 0;
   std::uint32_t UnusedSlots = 0;
   std::uint64_t UnusedUnits = 0;
--- a/src/libbergamotrouting/targetadmission.cpp
+++ b/src/libbergamotrouting/targetadmission.cpp
@@ -9,8 +9,6 @@
 constexpr double HoldSmoothing = 0.1;
 constexpr double ShortestRetrySeconds = 0.01;
 constexpr double LongestRetrySeconds = 30;
-// Period of the entries' heartbeats, which report how many requests wait.
-constexpr double ReportSeconds = 0.25;
 // One slot in this many stays ungranted for entries that hold no grant.
 constexpr std::uint32_t UngrantedDivisor = 8;
 
@@ -101,8 +99,6 @@
 
 std::vector<EntryGrant> TargetAdmission::issueGrants(TimePoint now) {
   Grants.updateDemand();
-  Grants.setWaitingCap(std::max(1.0, slotLimit(now) * ReportSeconds /
-                                         std::max(1e-3, MeanHoldSeconds)));
   return issue(now, Settings.GrantLifetime);
 }
 
