--- a/bench/cold/bench_cold.cpp
+++ b/bench/cold/bench_cold.cpp
@@ -5,6 +5,7 @@
 
 namespace {
 
+std::uint64_t Seed = 1;
 constexpr std::int64_t RestartMs = 20000;
 constexpr std::int64_t AgainMs = 40000;
 constexpr std::int64_t EndMs = 90000;
@@ -18,6 +19,7 @@
 ModelSettings settingsOf(bool naive) {
   ModelSettings settings;
   settings.IsNaive = naive;
+  settings.Seed = Seed;
   settings.IdempotentPart = 1;
   const double capacity = static_cast<double>(settings.TargetCount) *
                           settings.Slots * 1000 / settings.HoldMs;
@@ -58,8 +60,12 @@
 
 } // namespace
 
-int main() {
-  printResult("cold.seed", 1, "seed", std::nullopt, std::nullopt);
+// The seed may be given as the only argument; it is 1 otherwise.
+int main(int argc, char **argv) {
+  if (argc > 1)
+    Seed = std::stoul(argv[1]);
+  printResult("cold.seed", static_cast<double>(Seed), "seed", std::nullopt,
+              std::nullopt);
   const auto ours = runOne(false);
   const auto naive = runOne(true);
   printResult("cold.started_above", ours.StartedAbove, "requests", 0,
--- a/bench/domain/bench_domain.cpp
+++ b/bench/domain/bench_domain.cpp
@@ -5,6 +5,7 @@
 
 namespace {
 
+std::uint64_t Seed = 1;
 constexpr std::int64_t LeaveMs = 20000;
 constexpr std::int64_t ReturnMs = 50000;
 constexpr std::int64_t EndMs = 90000;
@@ -23,6 +24,7 @@
                          double holdMs, double idempotentPart) {
   ModelSettings settings;
   settings.IsNaive = naive;
+  settings.Seed = Seed;
   settings.TargetCount = targets;
   settings.Slots = slots;
   settings.HoldMs = holdMs;
@@ -115,8 +117,12 @@
 
 } // namespace
 
-int main() {
-  printResult("domain.seed", 1, "seed", std::nullopt, std::nullopt);
+// The seed may be given as the only argument; it is 1 otherwise.
+int main(int argc, char **argv) {
+  if (argc > 1)
+    Seed = std::stoul(argv[1]);
+  printResult("domain.seed", static_cast<double>(Seed), "seed", std::nullopt,
+              std::nullopt);
   for (const bool planned : {true, false}) {
     report("model", 12, 16, 1000, 1.0, planned);
     report("plain", 3, 32, 50, 0.5, planned);
--- a/bench/fairness/bench_fairness.cpp
+++ b/bench/fairness/bench_fairness.cpp
@@ -5,6 +5,7 @@
 
 namespace {
 
+std::uint64_t Seed = 1;
 constexpr std::int64_t FromMs = 15000;
 constexpr std::int64_t UntilMs = 60000;
 
@@ -17,6 +18,7 @@
 FairnessResult runOne(bool naive, double factor) {
   ModelSettings settings;
   settings.IsNaive = naive;
+  settings.Seed = Seed;
   settings.IdempotentPart = 1;
   const double capacity = static_cast<double>(settings.TargetCount) *
                           settings.Slots * 1000 / settings.HoldMs;
@@ -50,8 +52,12 @@
 
 } // namespace
 
-int main() {
-  printResult("fairness.seed", 1, "seed", std::nullopt, std::nullopt);
+// The seed may be given as the only argument; it is 1 otherwise.
+int main(int argc, char **argv) {
+  if (argc > 1)
+    Seed = std::stoul(argv[1]);
+  printResult("fairness.seed", static_cast<double>(Seed), "seed", std::nullopt,
+              std::nullopt);
   const auto calm = runOne(false, 1);
   const auto calmNaive = runOne(true, 1);
   const auto ours = runOne(false, 10);
