--- /dev/null
+++ b/src/libbergamotexperts/transferscheduler.cpp
@@ -0,0 +1,155 @@
+#include "libbergamotexperts/transferscheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bergamot::experts {
+
+namespace {
+
+base::Duration scaled(base::Duration duration, double factor) {
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(duration) * factor);
+}
+
+} // namespace
+
+TransferScheduler::TransferScheduler(TransferSettings settings)
+    : Settings(settings) {}
+
+void TransferScheduler::addTransfer(const TransferRequest &request) {
+  auto [it, isNew] = Transfers.try_emplace(request.Key);
+  it->second.Heat = request.Heat;
+  if (isNew)
+    it->second.Bytes = request.Bytes;
+}
+
+void TransferScheduler::removeOthers(const std::string &group,
+                                     const std::vector<TransferKey> &needed,
+                                     base::TimePoint now) {
+  for (auto it = Transfers.begin(); it != Transfers.end();) {
+    if (it->first.Group != group ||
+        std::ranges::find(needed, it->first) != needed.end()) {
+      ++it;
+      continue;
+    }
+    finishRead(it->first, it->second, now);
+    it = Transfers.erase(it);
+  }
+}
+
+void TransferScheduler::finishRead(const TransferKey &key, Transfer &transfer,
+                                   base::TimePoint now) {
+  if (!transfer.Reading)
+    return;
+  transfer.Reading = false;
+  --Reads;
+  Group &group = Groups[key.Group];
+  group.Reading = false;
+  group.FreeAt = transfer.ReadStarted +
+                 scaled(now - transfer.ReadStarted, 1 / Settings.MaxBusyPart);
+}
+
+void TransferScheduler::countTimeouts(base::TimePoint now) {
+  std::vector<TransferKey> late;
+  for (const auto &[key, transfer] : Transfers)
+    if (transfer.Reading && now >= transfer.ReadDeadline)
+      late.push_back(key);
+  for (const auto &key : late)
+    addFailure(key, now, now);
+}
+
+std::vector<ReadAction> TransferScheduler::startReads(base::TimePoint now) {
+  countTimeouts(now);
+  std::vector<std::pair<const TransferKey, Transfer> *> order;
+  for (auto &entry : Transfers)
+    if (!entry.second.Reading && entry.second.NotBefore <= now)
+      order.push_back(&entry);
+  std::ranges::stable_sort(order, [](const auto *a, const auto *b) {
+    return a->second.Heat > b->second.Heat;
+  });
+  std::vector<ReadAction> reads;
+  for (auto *entry : order) {
+    auto &[key, transfer] = *entry;
+    if (Reads >= Settings.MaxConcurrentReads || StoreFreeAt > now)
+      break;
+    Group &group = Groups[key.Group];
+    if (group.Reading || group.FreeAt > now)
+      continue;
+    const std::uint64_t length =
+        std::min(Settings.ChunkBytes, transfer.Bytes - transfer.Offset);
+    reads.push_back({key, transfer.Offset, length});
+    transfer.Reading = true;
+    transfer.ReadStarted = now;
+    transfer.ReadDeadline = now + Settings.ReadTimeout;
+    group.Reading = true;
+    ++Reads;
+    StoreFreeAt =
+        now + scaled(std::chrono::seconds(1),
+                     static_cast<double>(length) / Settings.BytesPerSecond);
+  }
+  return reads;
+}
+
+void TransferScheduler::addBytes(const TransferKey &key, std::uint64_t offset,
+                                 std::uint64_t bytes, base::TimePoint now) {
+  const auto it = Transfers.find(key);
+  if (it == Transfers.end())
+    return;
+  Transfer &transfer = it->second;
+  if (!transfer.Reading || offset != transfer.Offset || bytes == 0)
+    return;
+  finishRead(key, transfer, now);
+  transfer.Offset = std::min(transfer.Offset + bytes, transfer.Bytes);
+  transfer.Failures = 0;
+  transfer.NotBefore = now;
+  if (transfer.Offset == transfer.Bytes) {
+    Ended.push_back({key, true});
+    Transfers.erase(it);
+  }
+}
+
+void TransferScheduler::addFailure(const TransferKey &key, base::TimePoint now,
+                                   base::TimePoint retryAt) {
+  const auto it = Transfers.find(key);
+  if (it == Transfers.end() || !it->second.Reading)
+    return;
+  Transfer &transfer = it->second;
+  finishRead(key, transfer, now);
+  if (++transfer.Failures >= Settings.MaxFailures) {
+    Ended.push_back({key, false});
+    Transfers.erase(it);
+    return;
+  }
+  const auto delay = Settings.RetryDelay * (1U << (transfer.Failures - 1));
+  transfer.NotBefore = std::max(retryAt, now + delay);
+}
+
+void TransferScheduler::addThrottle(const TransferKey &key, base::TimePoint now,
+                                    base::TimePoint retryAt) {
+  const auto it = Transfers.find(key);
+  if (it != Transfers.end())
+    finishRead(key, it->second, now);
+  StoreFreeAt = std::max(StoreFreeAt, retryAt);
+}
+
+std::vector<TransferEnd> TransferScheduler::takeEnded() {
+  return std::exchange(Ended, {});
+}
+
+base::TimePoint TransferScheduler::nextStart(base::TimePoint now) const {
+  auto next = base::TimePoint::max();
+  for (const auto &[key, transfer] : Transfers) {
+    const auto group = Groups.find(key.Group);
+    if (transfer.Reading)
+      next = std::min(next, transfer.ReadDeadline);
+    else if (group == Groups.end())
+      next = std::min(next, std::max({now, transfer.NotBefore, StoreFreeAt}));
+    else if (Reads < Settings.MaxConcurrentReads && !group->second.Reading)
+      next = std::min(next, std::max({now, transfer.NotBefore, StoreFreeAt,
+                                      group->second.FreeAt}));
+  }
+  return next;
+}
+
+} // namespace bergamot::experts
--- /dev/null
+++ b/tests/experts/test_transfers.cpp
@@ -0,0 +1,190 @@
+#include "libbergamotexperts/emergencymap.h"
+#include "libbergamotexperts/initialplacement.h"
+#include "libbergamotexperts/orderstage.h"
+#include "libbergamotexperts/transferscheduler.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <random>
+
+using namespace bergamot::experts;
+using bergamot::base::Duration;
+using bergamot::base::FencingToken;
+using bergamot::base::TimePoint;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+TransferKey key(const std::string &group, std::uint32_t expert) {
+  return {group, 0, 0, expert};
+}
+
+} // namespace
+
+// Guards against reads that exceed the store's rate, groups that are slowed
+// beyond their share, and transfers that start anew after an interruption.
+TEST_CASE("transfers keep to rate and share and end despite faults",
+          "[transfers]") {
+  constexpr std::uint64_t Size = 10'000'000;
+  TransferSettings settings;
+  settings.BytesPerSecond = 100e6;
+  settings.ChunkBytes = 1'000'000;
+  TransferScheduler scheduler(settings);
+  for (std::uint32_t i = 0; i < 12; ++i)
+    scheduler.addTransfer({key(i % 2 ? "a" : "b", i), Size, 1.0 + i});
+
+  struct Running {
+    ReadAction Read;
+    TimePoint Started;
+    TimePoint Until;
+    bool Fails;
+  };
+  std::mt19937_64 random(4);
+  std::vector<Running> running;
+  std::map<std::string, Duration> busy;
+  std::map<TransferKey, std::uint64_t> offsets;
+  std::uint64_t read = 0;
+  std::size_t ended = 0;
+  TimePoint now{};
+  for (; scheduler.transferCount() > 0 && now < TimePoint(seconds(30));
+       now += milliseconds(1)) {
+    for (const auto &action : scheduler.startReads(now)) {
+      CHECK(action.Offset == offsets[action.Key]);
+      read += action.Length;
+      running.push_back({action, now, now + milliseconds(5 + random() % 20),
+                         random() % 10 == 0});
+    }
+    CHECK(
+        static_cast<double>(read) <=
+        settings.BytesPerSecond *
+                std::chrono::duration<double>(now.time_since_epoch()).count() +
+            static_cast<double>(settings.ChunkBytes));
+    std::erase_if(running, [&](const Running &entry) {
+      if (entry.Until > now)
+        return false;
+      busy[entry.Read.Key.Group] += now - entry.Started;
+      if (entry.Fails) {
+        scheduler.addFailure(entry.Read.Key, now, now);
+      } else {
+        // A repeated answer counts once.
+        scheduler.addBytes(entry.Read.Key, entry.Read.Offset, entry.Read.Length,
+                           now);
+        scheduler.addBytes(entry.Read.Key, entry.Read.Offset, entry.Read.Length,
+                           now);
+        offsets[entry.Read.Key] += entry.Read.Length;
+      }
+      return true;
+    });
+    for (const auto &end : scheduler.takeEnded()) {
+      CHECK(end.Complete);
+      ++ended;
+    }
+  }
+  CHECK(ended == 12);
+  for (const auto &[group, time] : busy)
+    CHECK(time <=
+          (now - TimePoint()) * settings.MaxBusyPart + milliseconds(50));
+}
+
+// Guards against cold transfers before hot ones, retries without end, and
+// reads while the store asks to wait.
+TEST_CASE("hot transfers go first and retries are bounded", "[transfers]") {
+  TransferSettings settings;
+  settings.ReadTimeout = seconds(1);
+  TransferScheduler scheduler(settings);
+  scheduler.addTransfer({key("a", 1), 100, 1});
+  scheduler.addTransfer({key("a", 2), 100, 5});
+  TimePoint now(seconds(1));
+  auto reads = scheduler.startReads(now);
+  REQUIRE(reads.size() == 1);
+  CHECK(reads[0].Key == key("a", 2));
+  scheduler.addThrottle(key("a", 2), now, now + seconds(2));
+  CHECK(scheduler.startReads(now + seconds(1)).empty());
+  CHECK(scheduler.nextStart(now) == now + seconds(2));
+  scheduler.removeOthers("a", {key("a", 1)}, now);
+  // Reads that are never answered end as a failure, not as silence.
+  std::vector<TransferEnd> ended;
+  std::uint32_t started = 0;
+  for (; now < TimePoint(seconds(60)) && ended.empty();
+       now += milliseconds(100)) {
+    started += static_cast<std::uint32_t>(scheduler.startReads(now).size());
+    ended = scheduler.takeEnded();
+  }
+  REQUIRE(ended.size() == 1);
+  CHECK_FALSE(ended[0].Complete);
+  CHECK(started == settings.MaxFailures);
+}
+
+// Guards against a group that keeps its place in the routing while an expert
+// is gone, and against an emergency map that moves bytes.
+TEST_CASE("a lost rank gives an emergency map or ends service", "[emergency]") {
+  std::vector<RankInfo> ranks;
+  for (std::uint32_t r = 0; r < 8; ++r)
+    ranks.push_back({1e6, r / 2, r / 4});
+  std::vector<double> tokens;
+  for (std::uint32_t e = 0; e < 12; ++e)
+    tokens.push_back(1000.0 / (e + 1));
+  const std::vector<std::vector<double>> layerTokens = {tokens, tokens};
+  const std::vector<ExpertMap> spread(2, initialMap(ranks, 4, tokens, 2));
+  const std::vector<ExpertMap> single(2, initialMap(ranks, 2, tokens, 1));
+  for (std::uint32_t lost = 0; lost < 8; ++lost) {
+    auto left = ranks;
+    left[lost].Speed = 0;
+    const auto result = emergencyMaps(spread, left, layerTokens);
+    REQUIRE(std::holds_alternative<EmergencyMaps>(result));
+    for (std::size_t layer = 0; layer < 2; ++layer) {
+      const auto &map = std::get<EmergencyMaps>(result).Layers[layer];
+      CHECK(map.problems().empty());
+      CHECK(transfersBetween(spread[layer], map).empty());
+      for (const Slot &slot : map.slots(lost))
+        CHECK(slot.Weight == 0);
+    }
+  }
+  // A whole failure domain may go, as replicas are in both.
+  auto left = ranks;
+  for (std::uint32_t r = 0; r < 4; ++r)
+    left[r].Speed = 0;
+  CHECK(std::holds_alternative<EmergencyMaps>(
+      emergencyMaps(spread, left, layerTokens)));
+  const auto result = emergencyMaps(single, left, layerTokens);
+  REQUIRE(std::holds_alternative<GroupOutOfService>(result));
+  for (const auto &lost : std::get<GroupOutOfService>(result).Lost)
+    for (const auto rank : single[lost.Layer].replicaRanks(lost.Expert))
+      CHECK(left[rank].Speed == 0);
+}
+
+// Guards against a late order of an old lease holder, and a switch to content
+// that nobody confirmed.
+TEST_CASE("orders are fenced, staged and confirmed before a switch",
+          "[orders]") {
+  OrderStage stage(FencingToken{5});
+  const EngineOrder v1{OrderKind::LoadAdapter, 1, "h1"};
+  const EngineOrder v2{OrderKind::LoadAdapter, 2, "h2"};
+  const EngineOrder forged{OrderKind::LoadAdapter, 2, "other"};
+  CHECK(stage.addOrder({4}, v1) == OrderVerdict::StaleToken);
+  CHECK(stage.addOrder({5}, v2) == OrderVerdict::Stage);
+  CHECK(stage.addOrder({5}, v2) == OrderVerdict::Stage);
+  CHECK(stage.addOrder({5}, forged) == OrderVerdict::Conflict);
+  CHECK(stage.addOrder({5}, v1) == OrderVerdict::StaleVersion);
+  CHECK(stage.setSwitch({5}, v2) == OrderVerdict::NotStaged);
+  CHECK_FALSE(stage.setStaged(forged));
+  CHECK(stage.setStaged(v2));
+  CHECK(stage.setSwitch({6}, v2) == OrderVerdict::Switch);
+  CHECK(stage.setSwitch({5}, v2) == OrderVerdict::StaleToken);
+  CHECK(stage.inForce(OrderKind::LoadAdapter) == std::nullopt);
+  stage.setInForce(v2);
+  CHECK(stage.inForce(OrderKind::LoadAdapter) == v2);
+  CHECK(stage.setSwitch({6}, v2) == OrderVerdict::Done);
+  CHECK(stage.addOrder({7}, v1) == OrderVerdict::StaleVersion);
+  CHECK(stage.addOrder({7}, forged) == OrderVerdict::Conflict);
+  // A new lease holder may replace what the old one staged.
+  const EngineOrder v3{OrderKind::LoadAdapter, 3, "h3"};
+  const EngineOrder v3b{OrderKind::LoadAdapter, 3, "h3b"};
+  CHECK(stage.addOrder({7}, v3) == OrderVerdict::Stage);
+  CHECK(stage.addOrder({8}, v3b) == OrderVerdict::Stage);
+  CHECK(stage.setSwitch({8}, v3) == OrderVerdict::NotStaged);
+}
