daemon: Wire subsets, the VM list, waiting counts and freed grants

Entries connect to their subset of targets only, leave out VMs that the platform's list names as leaving or doesn't name, tell targets how many calls wait, and report ended incarnations to the claims. Claims now last until the call's deadline: with the 3 s of the decision as their deadline, a refused attempt could not be repeated later, and a request of more than 63 s was recorded as unknown. Target load reports carry the time at which they were asked for.

--- a/src/bergamotd/callrunner.cpp
+++ b/src/bergamotd/callrunner.cpp
@@ -277,6 +277,8 @@
 CallRunner::Next CallRunner::takeRefused(const AttemptRefused &refused) {
   RetryAfter = RetryAfter ? std::min(*RetryAfter, refused.RetryAfter)
                           : refused.RetryAfter;
+  Context.Targets.setRefused(Choice.Target,
+                             steady_clock::now() + refused.RetryAfter);
   Context.Metrics.addCount("bergamot_entry_refused_attempts_total", "");
   const Next next = retryOrGiveUp(Executed::No, false, refused.Detail);
   ++RefusedAttempts;
@@ -351,6 +353,7 @@
 
 void CallRunner::endAttempt() {
   Context.Requests.remove(Call.Request);
+  Context.Targets.setFinished(Choice.Target);
   Choice.Session.reset();
 }
 
--- a/src/bergamotd/claimservice.cpp
+++ b/src/bergamotd/claimservice.cpp
@@ -77,7 +77,10 @@
   Lock lock(Mutex);
   if (!Batcher)
     return {{ClaimState::Undecided, {}}, {}};
-  const auto admission = Batcher->addClaim(key, fingerprint, decideBy, now);
+  // The claim itself is good for the call's deadline, so that a refused
+  // attempt can be repeated and a long request's outcome is still recorded.
+  const auto admission =
+      Batcher->addClaim(key, fingerprint, call.Deadline, now);
   if (!admission.Id)
     return {waitForOutcome(lock, key, fingerprint, admission.Answer, decideBy),
             {}};
--- a/src/bergamotd/daemon.h
+++ b/src/bergamotd/daemon.h
@@ -28,7 +28,7 @@
   { role.endpoints() } -> std::convertible_to<std::set<std::string>>;
   { role.activeCount() } -> std::convertible_to<std::size_t>;
   { role.isReady() } -> std::convertible_to<bool>;
-  { role.makeHeartbeat() } -> std::convertible_to<wire::fb::HeartbeatT>;
+  { role.makeHeartbeat(peer) } -> std::convertible_to<wire::fb::HeartbeatT>;
 };
 
 /// What all roles share: the configuration, the connections to other daemons
--- a/src/bergamotd/daemonimpl.h
+++ b/src/bergamotd/daemonimpl.h
@@ -62,8 +62,8 @@
                                   {"reason", reason.what()}});
     Role->sessionLost(session, reason.what());
   };
-  handlers.MakeHeartbeat = [this](const PeerSessionPtr & /*session*/) {
-    wire::fb::HeartbeatT heartbeat = Role->makeHeartbeat();
+  handlers.MakeHeartbeat = [this](const PeerSessionPtr &session) {
+    wire::fb::HeartbeatT heartbeat = Role->makeHeartbeat(session);
     heartbeat.draining = IsShuttingDown;
     heartbeat.sequence = ++HeartbeatSequence;
     return wire::makeEnvelope(std::move(heartbeat));
--- a/src/bergamotd/entryservice.cpp
+++ b/src/bergamotd/entryservice.cpp
@@ -51,13 +51,14 @@
 EntryService::EntryService(EntryOptions options, ConfigStore &store,
                            base::Metrics &metrics)
     : Options(std::move(options)), Store(store), Metrics(metrics),
-      Targets(Options.Domain, Options.Incarnation.Value),
+      Targets(Options.Vm, Options.Domain, Options.Incarnation.Value),
       Memory(Options.AnswerBytes, Options.StallTime),
       Claims(Options.Vm, Options.Incarnation, Options.PlatformEndpoint),
-      Quota(Options.Vm, Options.Incarnation) {
+      Quota(Options.Vm, Options.Incarnation), Vms(Options.PlatformEndpoint) {
   Store.addListener([this](const ActiveConfigPtr &active) {
     Targets.applyConfig(active);
     Quota.applyConfig(active);
+    Vms.start();
     Claims.start(active->config().Deployment.IdempotencyWindow);
   });
 }
@@ -180,6 +181,7 @@
   else
     Targets.addMessage(session, message);
   Quota.addMessage(session, message);
+  Vms.addMessage(session, message);
 }
 
 std::set<std::string> EntryService::endpoints() const {
@@ -200,6 +202,32 @@
   Requests.sessionLost(session, detail);
 }
 
+wire::fb::HeartbeatT
+EntryService::makeHeartbeat(const adapterpeer::PeerSessionPtr &session) const {
+  wire::fb::HeartbeatT heartbeat;
+  const auto service = Targets.serviceOf(session);
+  if (!service)
+    return heartbeat;
+  const auto count = std::max<std::size_t>(1, Targets.eligibleCount(*service));
+  heartbeat.waiting = static_cast<float>(Room.waitingCount(*service)) /
+                      static_cast<float>(count);
+  return heartbeat;
+}
+
+void EntryService::tick() {
+  Targets.tick();
+  const auto active = Store.active();
+  if (!active)
+    return;
+  std::vector<base::TargetId> unusable;
+  for (const auto &target : active->config().Targets)
+    if (!Vms.isUsable(target.Vm))
+      unusable.push_back(target.Id);
+  Targets.setLeavingVms(unusable);
+  for (const auto &gone : Vms.takeGone())
+    Claims.setGone(gone.Vm, gone.Life);
+}
+
 bool EntryService::isReady() const {
   return !IsDraining && Store.active() != nullptr &&
          Targets.connectedCount() > 0;
--- a/src/bergamotd/entryservice.h
+++ b/src/bergamotd/entryservice.h
@@ -6,6 +6,7 @@
 #include "bergamotd/claimedcall.h"
 #include "bergamotd/claimservice.h"
 #include "bergamotd/quotaexchange.h"
+#include "bergamotd/vmfollower.h"
 
 #include <atomic>
 
@@ -45,11 +46,12 @@
   /// Returns the endpoints of targets and entries to connect to.
   std::set<std::string> endpoints() const;
 
-  /// Returns an empty heartbeat: an entry has no load to report.
-  wire::fb::HeartbeatT makeHeartbeat() const { return {}; }
+  /// Returns a heartbeat with the calls that wait for the session's target.
+  wire::fb::HeartbeatT
+  makeHeartbeat(const adapterpeer::PeerSessionPtr &session) const;
 
   /// Does periodic work.
-  void tick() { Targets.tick(); }
+  void tick();
 
   /// Refuses new requests from now on.
   void setDraining() { IsDraining = true; }
@@ -83,6 +85,7 @@
   RetryGate Retries;
   ClaimService Claims;
   QuotaExchange Quota;
+  VmFollower Vms;
   std::atomic<std::uint64_t> LastRequest{0};
   std::atomic<std::size_t> Active{0};
   std::atomic<bool> IsDraining{false};
--- a/src/bergamotd/targetservice.cpp
+++ b/src/bergamotd/targetservice.cpp
@@ -114,6 +114,12 @@
     startDispatch(session, std::move(message));
     return;
   }
+  if (const auto *heartbeat = wire::payloadAs<fb::HeartbeatT>(message)) {
+    const std::lock_guard lock(AdmissionMutex);
+    if (Admission)
+      Admission->setWaiting(session->peer().Vm, heartbeat->waiting);
+    return;
+  }
   std::shared_ptr<TargetJob> job;
   {
     const std::lock_guard lock(JobsMutex);
@@ -203,12 +209,15 @@
     completion.Outcome = routing::Executed::No;
   else if (result.Executed == fb::Executed::Unknown)
     completion.Outcome = routing::Executed::Unknown;
+  const auto now = steady_clock::now();
   routing::RampChange change;
+  std::vector<routing::EntryGrant> freed;
   {
     const std::lock_guard lock(AdmissionMutex);
-    change =
-        Admission->setCompleted(keyOf(job), completion, steady_clock::now());
+    change = Admission->setCompleted(keyOf(job), completion, now);
+    freed = Admission->issueFreed(now);
   }
+  sendGrants(freed, now);
   logRamp(change);
   Metrics.addLatency("bergamot_target_first_byte_seconds", "",
                      result.FirstByte);
@@ -254,7 +263,8 @@
                                   "callers use an entry"));
 }
 
-fb::HeartbeatT TargetService::makeHeartbeat() const {
+fb::HeartbeatT TargetService::makeHeartbeat(
+    const adapterpeer::PeerSessionPtr & /*session*/) const {
   fb::HeartbeatT heartbeat;
   heartbeat.load = std::make_unique<fb::TargetLoadT>(load());
   return heartbeat;
@@ -287,7 +297,10 @@
   load.draining = IsDraining;
   if (Admission) {
     load.slots_limit = Admission->slotLimit(steady_clock::now());
-    load.slots_used = Admission->usedSlots();
+    // What is granted may be used at any moment.
+    load.slots_used = Admission->usedSlots() + Admission->grantedSlots();
+    load.warm = Admission->ramp().isWarm();
+    load.contended = Admission->isContended();
     load.units_limit = UnitsLimit;
     load.units_used = Admission->usedUnits();
   }
@@ -300,8 +313,8 @@
     const std::lock_guard lock(JobsMutex);
     sessions = Sessions;
   }
-  std::vector<routing::EntryGrant> grants;
   const auto now = steady_clock::now();
+  std::vector<routing::EntryGrant> grants;
   {
     const std::lock_guard lock(AdmissionMutex);
     if (!Admission)
@@ -310,6 +323,18 @@
       Admission->addEntry(session->peer().Vm);
     grants = Admission->issueGrants(now);
   }
+  sendGrants(grants, now);
+}
+
+void TargetService::sendGrants(const std::vector<routing::EntryGrant> &grants,
+                               base::TimePoint now) {
+  if (grants.empty())
+    return;
+  std::set<adapterpeer::PeerSessionPtr> sessions;
+  {
+    const std::lock_guard lock(JobsMutex);
+    sessions = Sessions;
+  }
   for (const auto &grant : grants) {
     fb::GrantT message;
     message.id = grant.Issued.Id.Value;
@@ -346,7 +371,7 @@
       const auto response =
           BackEnd.request("GET", "/v1/load", {}, "", now + LoadTimeout);
       if (response.Status == 200)
-        takeLoad(response.Body);
+        takeLoad(response.Body, now);
     } catch (const std::exception &e) {
       const std::lock_guard lock(AdmissionMutex);
       if (std::exchange(IsBackEndUp, false))
@@ -359,7 +384,7 @@
   }
 }
 
-void TargetService::takeLoad(const std::string &body) {
+void TargetService::takeLoad(const std::string &body, base::TimePoint sentAt) {
   const auto json = nlohmann::json::parse(body);
   routing::LoadReport report;
   report.BackEnd = base::Incarnation{json.value("incarnation", 0ULL)};
@@ -367,9 +392,9 @@
   report.UnitsUsed = json.value("kv_tokens_used", 0ULL);
   report.UnitsTotal = json.value("kv_tokens_total", 0ULL);
   report.Cold = json.value("cold", false);
-  // The report's age isn't known exactly; the time of arrival is the latest
-  // time it can stand for.
-  report.Time = steady_clock::now();
+  // The state was read after the request was sent, so work admitted since
+  // then may be missing from it.
+  report.Time = sentAt;
   routing::RampChange change = routing::RampChange::None;
   {
     const std::lock_guard lock(AdmissionMutex);
--- a/src/bergamotd/targetservice.h
+++ b/src/bergamotd/targetservice.h
@@ -49,7 +49,8 @@
               adapterhttp::HttpResponder &responder);
 
   /// Returns a heartbeat with the present load.
-  wire::fb::HeartbeatT makeHeartbeat() const;
+  wire::fb::HeartbeatT
+  makeHeartbeat(const adapterpeer::PeerSessionPtr &session) const;
 
   /// Sends grants for the coming period to the entries that are connected.
   void tick();
@@ -77,9 +78,11 @@
   void runJob(const std::shared_ptr<TargetJob> &job);
   void finishJob(const TargetJob &job, const JobResult &result);
   wire::fb::TargetLoadT load() const;
+  void sendGrants(const std::vector<routing::EntryGrant> &grants,
+                  base::TimePoint now);
   void logRamp(routing::RampChange change);
   void pollLoad();
-  void takeLoad(const std::string &body);
+  void takeLoad(const std::string &body, base::TimePoint sentAt);
 
   const TargetOptions Options;
   ConfigStore &Store;
--- a/src/bergamotd/targettable.cpp
+++ b/src/bergamotd/targettable.cpp
@@ -1,6 +1,7 @@
 #include "bergamotd/targettable.h"
 
 #include "libbergamotbase/jsonlog.h"
+#include "libbergamotrouting/subsetplanner.h"
 
 #include <nlohmann/json.hpp>
 
@@ -22,8 +23,10 @@
 
 } // namespace
 
-TargetTable::TargetTable(base::FailureDomainId ownDomain, std::uint64_t seed)
-    : Selector(selectorSettings(std::move(ownDomain)), seed) {}
+TargetTable::TargetTable(base::VmId self, base::FailureDomainId ownDomain,
+                         std::uint64_t seed)
+    : Self(std::move(self)),
+      Selector(selectorSettings(std::move(ownDomain)), seed) {}
 
 void TargetTable::applyConfig(const ActiveConfigPtr &active) {
   const std::lock_guard lock(Mutex);
@@ -31,7 +34,15 @@
   std::map<base::ServiceId, std::vector<routing::SubsetTarget>> subsets;
   Endpoints.clear();
   Services.clear();
+  std::map<base::ServiceId, std::set<base::TargetId>> own;
+  for (const auto &service : active->config().Services)
+    own[service.Id] = subsetOf(service.Id, active->config());
+  LeavingByConfig.clear();
   for (const auto &target : active->config().Targets) {
+    if (own[target.Service].count(target.Id) == 0)
+      continue;
+    if (target.State == config::TargetState::Leaving)
+      LeavingByConfig.insert(target.Id);
     Known known{target.Id, nullptr};
     const auto it = ByEndpoint.find(target.PeerEndpoint);
     if (it != ByEndpoint.end() && it->second.Id == target.Id)
@@ -58,12 +69,81 @@
             .first->second;
     applyEjections(detector.setTargets(ids));
   }
-  for (const auto &target : active->config().Targets) {
-    const auto &session = ByEndpoint.at(target.PeerEndpoint).Session;
-    Selector.setLeaving(target.Id,
-                        target.State == config::TargetState::Leaving);
-    Selector.setReachable(target.Id, session != nullptr);
-  }
+  for (const auto &[endpoint, known] : ByEndpoint)
+    Selector.setReachable(known.Id, known.Session != nullptr);
+  refreshLeaving();
+}
+
+std::set<base::TargetId>
+TargetTable::subsetOf(const base::ServiceId &service,
+                      const config::Configuration &config) {
+  std::vector<base::VmId> entries;
+  for (const auto &entry : config.Entries)
+    entries.push_back(entry.Id);
+  std::vector<base::TargetId> targets;
+  std::vector<routing::WeightedTarget> weighted;
+  for (const auto &target : config.Targets)
+    if (target.Service == service) {
+      targets.push_back(target.Id);
+      weighted.push_back({target.Id, 1});
+    }
+  Subset &subset = Subsets[service];
+  // A plan for hundreds of entries takes about 100 ms, so it is made only when
+  // the sets change.
+  if (subset.Entries == entries && subset.Targets == targets)
+    return subset.Own;
+  subset = {entries, targets, {}};
+  const auto plan =
+      routing::SubsetPlanner(routing::SubsetSettings{}).plan(entries, weighted);
+  const auto it = plan.find(Self);
+  if (it != plan.end())
+    subset.Own.insert(it->second.begin(), it->second.end());
+  return subset.Own;
+}
+
+void TargetTable::refreshLeaving() {
+  for (const auto &[id, service] : Services)
+    Selector.setLeaving(id, LeavingByConfig.count(id) != 0 ||
+                                LeavingByList.count(id) != 0);
+}
+
+void TargetTable::setLeavingVms(const std::vector<base::TargetId> &targets) {
+  const std::lock_guard lock(Mutex);
+  std::set<base::TargetId> next(targets.begin(), targets.end());
+  if (next == LeavingByList)
+    return;
+  for (const auto &id : next)
+    if (LeavingByList.count(id) == 0)
+      base::logDecision("route.leaving",
+                        {{"target", id.Value}, {"source", "vm list"}});
+  LeavingByList = std::move(next);
+  refreshLeaving();
+}
+
+void TargetTable::setFinished(const base::TargetId &target) {
+  const std::lock_guard lock(Mutex);
+  Selector.setFinished(target);
+}
+
+void TargetTable::setRefused(const base::TargetId &target,
+                             base::TimePoint retryAt) {
+  const std::lock_guard lock(Mutex);
+  Selector.setRefused(target, retryAt);
+}
+
+std::optional<base::ServiceId>
+TargetTable::serviceOf(const adapterpeer::PeerSessionPtr &session) const {
+  const std::lock_guard lock(Mutex);
+  const auto known = ByEndpoint.find(session->remoteAddress());
+  if (known == ByEndpoint.end())
+    return std::nullopt;
+  const auto it = Services.find(known->second.Id);
+  return it == Services.end() ? std::nullopt : std::optional(it->second);
+}
+
+std::size_t TargetTable::eligibleCount(const base::ServiceId &service) const {
+  const std::lock_guard lock(Mutex);
+  return Selector.eligibleCount(service);
 }
 
 std::set<std::string> TargetTable::endpoints() const {
@@ -117,7 +197,8 @@
   load.Sequence = heartbeat.sequence;
   load.SlotsUsed = report.slots_used;
   load.SlotLimit = report.slots_limit;
-  load.Warm = !report.cold;
+  load.Warm = report.warm;
+  load.Contended = report.contended;
   load.Draining = heartbeat.draining || report.draining || !report.back_end_up;
   load.Time = steady_clock::now();
   Selector.setLoad(known.Id, load);
--- a/src/bergamotd/targettable.h
+++ b/src/bergamotd/targettable.h
@@ -28,7 +28,8 @@
 /// selector knows about them. Thread-safe.
 class TargetTable {
 public:
-  TargetTable(base::FailureDomainId ownDomain, std::uint64_t seed);
+  TargetTable(base::VmId self, base::FailureDomainId ownDomain,
+              std::uint64_t seed);
 
   /// Takes the targets of a configuration.
   void applyConfig(const ActiveConfigPtr &active);
@@ -55,6 +56,22 @@
   /// Takes back targets whose ejection is over. Call it periodically.
   void tick();
 
+  /// Ends an attempt at a target, however it ended.
+  void setFinished(const base::TargetId &target);
+
+  /// Takes a refusal; the target is left out until the time.
+  void setRefused(const base::TargetId &target, base::TimePoint retryAt);
+
+  /// Replaces the targets whose VMs leave or don't exist by the VM list.
+  void setLeavingVms(const std::vector<base::TargetId> &targets);
+
+  /// Returns the service of the target at the other end of a session.
+  std::optional<base::ServiceId>
+  serviceOf(const adapterpeer::PeerSessionPtr &session) const;
+
+  /// Returns how many targets of a service may get new work.
+  std::size_t eligibleCount(const base::ServiceId &service) const;
+
   /// Returns how many targets have an open session.
   std::size_t connectedCount() const;
 
@@ -64,13 +81,27 @@
     adapterpeer::PeerSessionPtr Session;
   };
 
+  std::set<base::TargetId> subsetOf(const base::ServiceId &service,
+                                    const config::Configuration &config);
+  void refreshLeaving();
   void applyEjections(const std::vector<routing::EjectionChange> &changes);
   void addHeartbeat(const Known &known, const wire::Envelope &message,
                     const wire::fb::HeartbeatT &heartbeat);
   void addGrant(const Known &known, const wire::Envelope &message,
                 const wire::fb::GrantT &grant);
 
+  /// The subsets of this entry and what they were computed from.
+  struct Subset {
+    std::vector<base::VmId> Entries;
+    std::vector<base::TargetId> Targets;
+    std::set<base::TargetId> Own;
+  };
+
+  const base::VmId Self;
   mutable std::mutex Mutex;
+  std::map<base::ServiceId, Subset> Subsets;
+  std::set<base::TargetId> LeavingByConfig;
+  std::set<base::TargetId> LeavingByList;
   std::unordered_map<std::string, Known> ByEndpoint;
   std::unordered_map<base::TargetId, std::string> Endpoints;
   routing::TargetSelector Selector;
--- a/src/bergamotd/waitingroom.cpp
+++ b/src/bergamotd/waitingroom.cpp
@@ -45,10 +45,14 @@
   return Queues.try_emplace(service, routing::QueueSettings{}).first->second;
 }
 
-bool WaitingRoom::hasWaiters(const base::ServiceId &service) const {
+std::size_t WaitingRoom::waitingCount(const base::ServiceId &service) const {
   const std::lock_guard lock(Mutex);
   const auto it = Queues.find(service);
-  return it != Queues.end() && it->second.Requests.size() > 0;
+  return it == Queues.end() ? 0 : it->second.Requests.size();
+}
+
+bool WaitingRoom::hasWaiters(const base::ServiceId &service) const {
+  return waitingCount(service) > 0;
 }
 
 void WaitingRoom::waitForTurn(const CallerRequest &call) {
--- a/src/bergamotd/waitingroom.h
+++ b/src/bergamotd/waitingroom.h
@@ -26,6 +26,9 @@
   /// them.
   bool hasWaiters(const base::ServiceId &service) const;
 
+  /// Returns how many calls to the service wait.
+  std::size_t waitingCount(const base::ServiceId &service) const;
+
   /// Waits for the call's turn to choose a target. Throws ProblemError with
   /// status 503 as soon as it is clear that its turn comes too late.
   void waitForTurn(const CallerRequest &call);
