--- a/src/libbergamotexperts/popularityestimator.cpp
+++ b/src/libbergamotexperts/popularityestimator.cpp
@@ -80,12 +80,11 @@
   for (std::size_t e = 0; e < Settings.Experts; ++e) {
     const double before = state.Level[e];
     const double expected = before + state.Trend[e];
-    const double counted = window.Tokens[e] * scale;
-    // A jump of more than a third is a topic shift or a burst: smoothing would
-    // only delay it, and its slope says nothing about the next window.
-    const bool jump = std::abs(counted - before) > before / 3;
-    const double gain = jump ? 1.0 : Settings.LevelGain;
-    const double level = expected + gain * (counted - expected);
+    const double level =
+        expected + Settings.LevelGain * (window.Tokens[e] * scale - expected);
+    // A jump of more than a third is a topic shift; its slope says nothing
+    // about the next window.
+    const bool jump = std::abs(level - before) > before / 3;
     const double change = jump ? 0.0 : level - before;
     state.Trend[e] += Settings.TrendGain * (change - state.Trend[e]);
     state.Level[e] = std::max(level, 0.0);
