--- a/tests/path/test_change.cpp
+++ b/tests/path/test_change.cpp
@@ -22,6 +22,7 @@
   std::atomic<int> failed{0};
   std::atomic<int> served{0};
   std::vector<std::thread> load;
+  load.reserve(8);
   for (int i = 0; i < 8; ++i)
     load.emplace_back([&, i] {
       while (!stop) {
--- a/tests/path/test_once.cpp
+++ b/tests/path/test_once.cpp
@@ -45,6 +45,7 @@
     const std::string order = "race" + std::to_string(i);
     std::atomic<int> created{0};
     std::vector<std::thread> callers;
+    callers.reserve(6);
     for (int caller = 0; caller < 6; ++caller)
       callers.emplace_back([&, caller] {
         created += reserve(deployment, caller % 2, order) == 201;
--- a/tests/path/test_path.cpp
+++ b/tests/path/test_path.cpp
@@ -42,6 +42,7 @@
   TestDeployment deployment(sizes);
   std::atomic<int> right{0};
   std::vector<std::thread> callers;
+  callers.reserve(200);
   for (int caller = 0; caller < 200; ++caller)
     callers.emplace_back([&, caller] {
       for (int i = 0; i < 10; ++i) {
@@ -74,6 +75,7 @@
   std::atomic<int> whole{0};
   std::atomic<int> started{0};
   std::vector<std::thread> callers;
+  callers.reserve(200);
   for (int caller = 0; caller < 200; ++caller)
     callers.emplace_back([&, caller] {
       const std::string prompt = "stream " + std::to_string(caller);
@@ -142,6 +144,7 @@
   std::atomic<int> whole{0};
   std::atomic<int> started{0};
   std::vector<std::thread> callers;
+  callers.reserve(12);
   for (int caller = 0; caller < 12; ++caller)
     callers.emplace_back([&, caller] {
       const std::string prompt = "resume " + std::to_string(caller);
--- a/tests/path/testdeployment.cpp
+++ b/tests/path/testdeployment.cpp
@@ -56,7 +56,8 @@
     : Counts(sizes), Signer(std::string(32, 's')) {
   PlatformEndpoint = start({"--kind=platform"}, Platform);
   startBackEnds();
-  const auto targets = static_cast<std::size_t>(sizes.Engines + sizes.Services);
+  const int targetCount = sizes.Engines + sizes.Services;
+  const auto targets = static_cast<std::size_t>(targetCount);
   for (std::size_t i = 0; i < targets; ++i) {
     const auto port = freePort();
     TargetPeers.push_back(loopbackEndpoint(port));
