--- a/src/libbergamotstate/membergossip.cpp
+++ b/src/libbergamotstate/membergossip.cpp
@@ -3,17 +3,48 @@
 #include "libbergamotbase/digest.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdio>
 #include <utility>
 
 namespace bergamot::state {
 
 namespace {
 
-/// Frame length, envelope, digest table and hashes.
-constexpr std::size_t FrameBytes = 72 + sizeof(StateHashes);
-/// Incarnation, change, flag, and offsets and padding of the encoding.
+/// Frame length, envelope and the table around the text; an estimate.
+constexpr std::size_t FrameBytes = 72;
+constexpr std::size_t HashDigits = 8;
+constexpr std::size_t HashesLength = HashDigits * StateHashes{}.size();
+/// Longest line of a statement without the VM id, for a change below 10^6.
 constexpr std::size_t StatementBytes = 28;
 
+template <typename T> bool parseNumber(std::string_view text, T &value) {
+  const char *end = text.data() + text.size();
+  const auto [stop, ec] = std::from_chars(text.data(), end, value, 16);
+  return ec == std::errc() && stop == end;
+}
+
+/// Removes and returns the text up to the separator, or all of it.
+std::string_view takeField(std::string_view &text, char separator) {
+  const auto n = text.find(separator);
+  const auto field = text.substr(0, n);
+  text.remove_prefix(n == std::string_view::npos ? text.size() : n + 1);
+  return field;
+}
+
+std::optional<MemberStatement> parseStatement(std::string_view line) {
+  MemberStatement statement;
+  unsigned draining = 0;
+  if (!parseNumber(takeField(line, ' '), statement.Life.Value) ||
+      !parseNumber(takeField(line, ' '), statement.Change) ||
+      !parseNumber(takeField(line, ' '), draining) || draining > 1 ||
+      line.empty())
+    return std::nullopt;
+  statement.Draining = draining == 1;
+  statement.Vm = {std::string(line)};
+  return statement;
+}
+
 std::size_t sizeOf(const MemberStatement &statement) {
   return statement.Vm.Value.size() + StatementBytes;
 }
@@ -26,11 +57,45 @@
 
 } // namespace
 
+std::string toText(const MemberDigest &digest) {
+  std::string text;
+  char buf[48];
+  for (const auto it : digest.Hashes) {
+    std::snprintf(buf, sizeof(buf), "%08x", it);
+    text += buf;
+  }
+  for (const auto &it : digest.Statements) {
+    if (it.Vm.Value.find('\n') != std::string::npos)
+      continue;
+    std::snprintf(buf, sizeof(buf), "\n%llx %x %d ",
+                  static_cast<unsigned long long>(it.Life.Value), it.Change,
+                  it.Draining ? 1 : 0);
+    text.append(buf).append(it.Vm.Value);
+  }
+  return text;
+}
+
+std::optional<MemberDigest> parseMemberDigest(std::string_view text) {
+  MemberDigest digest;
+  std::string_view hashes = takeField(text, '\n');
+  if (hashes.size() != HashesLength)
+    return std::nullopt;
+  for (auto &it : digest.Hashes) {
+    if (!parseNumber(hashes.substr(0, HashDigits), it))
+      return std::nullopt;
+    hashes.remove_prefix(HashDigits);
+  }
+  while (!text.empty()) {
+    auto statement = parseStatement(takeField(text, '\n'));
+    if (!statement)
+      return std::nullopt;
+    digest.Statements.push_back(std::move(*statement));
+  }
+  return digest;
+}
+
 std::size_t wireSize(const MemberDigest &digest) {
-  std::size_t bytes = FrameBytes;
-  for (const auto &it : digest.Statements)
-    bytes += sizeOf(it);
-  return bytes;
+  return FrameBytes + toText(digest).size();
 }
 
 MemberGossip::MemberGossip(base::VmId self, Membership &view,
@@ -101,7 +166,7 @@
 
 MemberDigest MemberGossip::makeDigest(const base::VmId &to) {
   MemberDigest digest{Known, {}};
-  std::size_t bytes = FrameBytes;
+  std::size_t bytes = FrameBytes + HashesLength;
   const auto add = [&](const base::VmId &vm) {
     const auto statement = View.statement(vm);
     if (!statement)
--- a/src/libbergamotstate/membergossip.h
+++ b/src/libbergamotstate/membergossip.h
@@ -6,6 +6,9 @@
 #include <array>
 #include <cstdint>
 #include <deque>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -22,6 +25,14 @@
   std::vector<MemberStatement> Statements;
 };
 
+/// Returns the digest as text for the message of the same name: the hashes as
+/// 64 hexadecimal digits, then a line for each statement. Statements whose VM
+/// id holds a line end are left out.
+std::string toText(const MemberDigest &digest);
+
+/// Returns the digest of a text, or nothing if it is malformed.
+std::optional<MemberDigest> parseMemberDigest(std::string_view text);
+
 /// Returns the size of a digest in a frame, in bytes.
 std::size_t wireSize(const MemberDigest &digest);
 
@@ -37,9 +48,9 @@
   /// Digests sent per interval.
   std::size_t Fanout = 2;
   /// Largest digest, in bytes. With two of them every 500 ms, a daemon sends
-  /// at most 1.4 KB/s and receives as much on average, which stays within the
+  /// at most 1.44 KB/s and receives as much on average, which stays within the
   /// 3 KB/s of control traffic.
-  std::size_t MaxBytes = 350;
+  std::size_t MaxBytes = 360;
   /// How often a daemon forwards a change before it leaves the rest to the
   /// comparison of hashes.
   std::uint32_t Repeats = 6;
--- a/tests/state/test_membership.cpp
+++ b/tests/state/test_membership.cpp
@@ -229,6 +229,24 @@
   }
 }
 
+// Guards against digests that arrive altered or stop the receiver.
+TEST_CASE("digests survive their text form", "[membership]") {
+  const MemberDigest digest{
+      {1, 0xffffffff, 3, 4, 5, 6, 7, 8},
+      {{{"vm 1"}, {0xfedcba9876543210}, 17, true}, {B, {1}, 1, false}}};
+  const std::string text = toText(digest);
+  const auto back = parseMemberDigest(text);
+  REQUIRE(back);
+  CHECK(back->Hashes == digest.Hashes);
+  CHECK(back->Statements == digest.Statements);
+  for (std::size_t n = 0; n < text.size(); ++n) {
+    const auto cut = parseMemberDigest(text.substr(0, n));
+    CHECK((!cut || cut->Statements.size() < 2));
+  }
+  CHECK_FALSE(parseMemberDigest(text + "\n1 1 2 vm"));
+  CHECK_FALSE(parseMemberDigest(text + "\nx 1 1 vm"));
+}
+
 // Guards against views that never agree, and against traffic past the bound.
 TEST_CASE("gossip converges within its bytes", "[membership][property]") {
   constexpr std::size_t Count = 128;
