--- a/src/bergamotctl/auditcommands.cpp
+++ b/src/bergamotctl/auditcommands.cpp
@@ -7,10 +7,6 @@
 
 namespace bergamot::bergamotctl {
 
-std::string auditStream(const base::VmId &daemon) {
-  return "audit." + daemon.Value;
-}
-
 int verifyAudit(std::istream &in, std::string &checkpoint, std::ostream &out) {
   auto verifier = checkpoint.empty() ? state::AuditVerifier()
                                      : state::AuditVerifier(checkpoint);
--- a/src/bergamotctl/auditcommands.h
+++ b/src/bergamotctl/auditcommands.h
@@ -13,9 +13,6 @@
 
 namespace bergamot::bergamotctl {
 
-/// Returns the stream with the audit records of a daemon.
-std::string auditStream(const base::VmId &daemon);
-
 /// How far an export went.
 struct AuditExport {
   /// Offset from which the next export continues.
@@ -38,7 +35,8 @@
   for (;;) {
     const auto wait =
         std::min(deadline, std::chrono::steady_clock::now() + EndWait);
-    const auto page = log.read(auditStream(daemon), to.Next, PageRecords, wait);
+    const auto page =
+        log.read(state::auditStream(daemon), to.Next, PageRecords, wait);
     to.IsCut |= page.Earliest > to.Next;
     for (const auto &it : page.Records) {
       out << it.Text << '\n';
--- a/src/bergamotd/callrunner.cpp
+++ b/src/bergamotd/callrunner.cpp
@@ -73,6 +73,7 @@
       break;
   }
   Result.Attempts = Attempt;
+  Result.Target = Choice.Target;
   Result.Bytes = Stream->deliveredTo();
   return std::move(Result);
 }
--- a/src/bergamotd/callrunner.h
+++ b/src/bergamotd/callrunner.h
@@ -34,6 +34,8 @@
   int Status = 0;
   std::uint64_t Bytes = 0;
   std::uint32_t Attempts = 0;
+  /// Target of the last attempt.
+  base::TargetId Target;
   std::string ContentType;
   /// The body if it was delivered in one piece, else empty.
   std::string Body;
--- a/src/bergamotd/claimedcall.cpp
+++ b/src/bergamotd/claimedcall.cpp
@@ -1,5 +1,6 @@
 #include "bergamotd/claimedcall.h"
 
+#include "bergamotd/auditrecords.h"
 #include "bergamotd/respond.h"
 #include "libbergamotbase/jsonlog.h"
 
@@ -38,8 +39,9 @@
 
 } // namespace
 
-ClaimedCall::ClaimedCall(ClaimService &claims, const CallerRequest &call)
-    : Claims(claims), Call(call) {}
+ClaimedCall::ClaimedCall(ClaimService &claims, const CallerRequest &call,
+                         AuditWriter &audit)
+    : Claims(claims), Call(call), Audit(audit) {}
 
 bool ClaimedCall::start(adapterhttp::HttpResponder &responder) {
   const ClaimTicket ticket = Claims.claim(Call);
@@ -50,6 +52,7 @@
                      {"service", Call.Service.Value},
                      {"claim", state::toText(Id)},
                      {"state", claimStateName(ticket.Answer.State)}});
+  Audit.add(claimRecord(Call, Id, claimStateName(ticket.Answer.State)));
   switch (ticket.Answer.State) {
   case ClaimState::Won:
     return true;
@@ -98,6 +101,7 @@
 void ClaimedCall::setRefused() { Claims.setRefused(Id); }
 
 void ClaimedCall::setDone(const CallResult &result) {
+  Audit.add(outcomeRecord(Call, Id, result.Status, result.ExecutedState));
   if (result.Status != 0 && result.Bytes == result.Body.size()) {
     Claims.addOutcome(
         Id, state::makeOutcome(result.Status, result.ContentType, result.Body));
@@ -110,6 +114,7 @@
 }
 
 void ClaimedCall::setFailed(const ProblemError &problem) {
+  Audit.add(outcomeRecord(Call, Id, 0, problem.executed()));
   if (problem.executed() == Executed::No)
     Claims.addWithdrawal(Id);
   else
--- a/src/bergamotd/claimedcall.h
+++ b/src/bergamotd/claimedcall.h
@@ -2,6 +2,7 @@
 #define BERGAMOT_BERGAMOTD_CLAIMEDCALL_H
 
 #include "adapterhttp/httpresponder.h"
+#include "bergamotd/auditwriter.h"
 #include "bergamotd/callrunner.h"
 #include "bergamotd/claimservice.h"
 
@@ -11,7 +12,8 @@
 /// the holder of the claim, and its outcome is recorded.
 class ClaimedCall : public DispatchGate {
 public:
-  ClaimedCall(ClaimService &claims, const CallerRequest &call);
+  ClaimedCall(ClaimService &claims, const CallerRequest &call,
+              AuditWriter &audit);
 
   /// Claims the key. Returns true if the call may run. If the key's outcome
   /// is known, sends it and returns false. Throws ProblemError otherwise.
@@ -33,6 +35,7 @@
 
   ClaimService &Claims;
   const CallerRequest &Call;
+  AuditWriter &Audit;
   state::ClaimId Id;
 };
 
--- a/src/bergamotd/configfollower.cpp
+++ b/src/bergamotd/configfollower.cpp
@@ -1,5 +1,6 @@
 #include "bergamotd/configfollower.h"
 
+#include "bergamotd/auditrecords.h"
 #include "libbergamotbase/jsonlog.h"
 
 #include <nlohmann/json.hpp>
@@ -33,8 +34,9 @@
 
 ConfigFollower::ConfigFollower(base::VmId self,
                                const std::string &platformEndpoint,
-                               ConfigStore &store)
-    : Self(std::move(self)), Store(store), Log(platformEndpoint) {}
+                               ConfigStore &store, AuditWriter &audit)
+    : Self(std::move(self)), Store(store), Audit(audit), Log(platformEndpoint) {
+}
 
 ConfigFollower::~ConfigFollower() { stop(); }
 
@@ -114,6 +116,7 @@
                     {{"config_version", active->Version.Value},
                      {"config_hash", active->Hash},
                      {"source", source}});
+  Audit.add(inForceRecord(*active, source));
   Store.setActive(active);
 }
 
@@ -125,6 +128,8 @@
                      {"change", verdict.ChangeId},
                      {"config_version", Ledger.version().Value},
                      {"source", source}});
+  if (auto record = verdictRecord(verdict))
+    Audit.add(std::move(*record));
 }
 
 void ConfigFollower::appendDueSnapshot() {
--- a/src/bergamotd/configfollower.h
+++ b/src/bergamotd/configfollower.h
@@ -4,6 +4,7 @@
 #include "adapterpeer/peersession.h"
 #include "adapterplatform/httplog.h"
 #include "bergamotd/activeconfig.h"
+#include "bergamotd/auditwriter.h"
 #include "libbergamotconfig/configledger.h"
 
 #include <atomic>
@@ -20,7 +21,7 @@
 class ConfigFollower {
 public:
   ConfigFollower(base::VmId self, const std::string &platformEndpoint,
-                 ConfigStore &store);
+                 ConfigStore &store, AuditWriter &audit);
   ~ConfigFollower();
 
   /// Starts the thread that reads the log.
@@ -54,6 +55,7 @@
 
   const base::VmId Self;
   ConfigStore &Store;
+  AuditWriter &Audit;
   adapterplatform::HttpLog Log;
 
   mutable std::mutex Mutex;
--- a/src/bergamotd/daemon.h
+++ b/src/bergamotd/daemon.h
@@ -4,6 +4,7 @@
 #include "adapterhttp/httpserver.h"
 #include "adapterpeer/peernode.h"
 #include "bergamotd/activeconfig.h"
+#include "bergamotd/auditwriter.h"
 #include "bergamotd/configfollower.h"
 #include "bergamotd/daemonsettings.h"
 #include "libbergamotbase/metrics.h"
@@ -69,6 +70,7 @@
   const DaemonSettings Settings;
   const base::Incarnation Incarnation;
   base::Metrics Metrics;
+  AuditWriter Audit;
   ConfigStore Store;
   std::unique_ptr<RoleT> Role;
   std::unique_ptr<ConfigFollower> Follower;
--- a/src/bergamotd/daemonimpl.h
+++ b/src/bergamotd/daemonimpl.h
@@ -13,14 +13,20 @@
 /// Time to send a short response to an operator or a health check.
 inline constexpr std::chrono::seconds AdminResponseTimeout{10};
 
+/// Time in which the audit records that wait are written at shutdown. Enough
+/// for an append whose response is lost, its read-back and one repetition.
+inline constexpr std::chrono::seconds AuditFlushTimeout{5};
+
 template <DaemonRole RoleT>
 template <typename MakeRole>
 Daemon<RoleT>::Daemon(const DaemonSettings &settings,
                       base::Incarnation incarnation, MakeRole makeRole)
     : Settings(settings), Incarnation(incarnation),
-      Role(makeRole(Store, Metrics)) {
-  Follower = std::make_unique<ConfigFollower>(Settings.Vm,
-                                              Settings.PlatformEndpoint, Store);
+      Audit(Settings.Vm, Incarnation, Settings.PlatformEndpoint,
+            {.MaxBytes = Settings.AuditBytes}, Metrics),
+      Role(makeRole(Store, Metrics, Audit)) {
+  Follower = std::make_unique<ConfigFollower>(
+      Settings.Vm, Settings.PlatformEndpoint, Store, Audit);
   adapterpeer::PeerOptions options = Settings.Peer;
   options.Self = {Settings.Vm, Incarnation};
   Peers = std::make_unique<adapterpeer::PeerNode>(options, makeHandlers(),
@@ -39,6 +45,7 @@
                    adapterhttp::HttpResponder &responder) {
         serve(request, responder);
       });
+  Audit.start();
   Follower->start();
 }
 
@@ -154,6 +161,7 @@
   Http->stop();
   Follower->stop();
   Peers->stop();
+  Audit.stop(std::chrono::steady_clock::now() + AuditFlushTimeout);
 }
 
 } // namespace bergamot::bergamotd
--- a/src/bergamotd/daemonsettings.cpp
+++ b/src/bergamotd/daemonsettings.cpp
@@ -26,6 +26,8 @@
 DEFINE_int32(answer_memory_kib, 32 * 1024,
              "memory for the bodies of all responses in progress, in KiB "
              "(entry role)");
+DEFINE_int32(audit_memory_kib, 1024,
+             "memory for audit records that the log doesn't hold yet, in KiB");
 DEFINE_int32(request_timeout_ms, 10000, "time in which a request must arrive");
 DEFINE_int32(default_deadline_ms, 60000,
              "deadline of a request that states none");
@@ -91,6 +93,8 @@
                    MostBodyBytes);
   base::checkRange(problems, "answer_memory_kib", FLAGS_answer_memory_kib, 64,
                    1024 * 1024);
+  base::checkRange(problems, "audit_memory_kib", FLAGS_audit_memory_kib, 1,
+                   1024 * 1024);
   base::checkRange(problems, "request_timeout_ms", FLAGS_request_timeout_ms, 1,
                    MostMilliseconds);
   base::checkRange(problems, "default_deadline_ms", FLAGS_default_deadline_ms,
@@ -127,6 +131,7 @@
   s.WorkerThreads = FLAGS_worker_threads;
   s.MaxBodyBytes = static_cast<std::size_t>(FLAGS_max_body_bytes);
   s.AnswerBytes = static_cast<std::size_t>(FLAGS_answer_memory_kib) * 1024;
+  s.AuditBytes = static_cast<std::size_t>(FLAGS_audit_memory_kib) * 1024;
   s.RequestTimeout = milliseconds(FLAGS_request_timeout_ms);
   s.DrainGrace = milliseconds(FLAGS_drain_grace_ms);
   s.DrainTimeout = milliseconds(FLAGS_drain_timeout_ms);
--- a/src/bergamotd/daemonsettings.h
+++ b/src/bergamotd/daemonsettings.h
@@ -31,6 +31,7 @@
   int WorkerThreads = 0;
   std::size_t MaxBodyBytes = 0;
   std::size_t AnswerBytes = 0;
+  std::size_t AuditBytes = 0;
   std::chrono::milliseconds RequestTimeout{};
   std::chrono::milliseconds DrainGrace{};
   std::chrono::milliseconds DrainTimeout{};
--- a/src/bergamotd/entryservice.cpp
+++ b/src/bergamotd/entryservice.cpp
@@ -1,5 +1,6 @@
 #include "bergamotd/entryservice.h"
 
+#include "bergamotd/auditrecords.h"
 #include "bergamotd/respond.h"
 #include "libbergamotbase/jsonlog.h"
 
@@ -49,8 +50,8 @@
 } // namespace
 
 EntryService::EntryService(EntryOptions options, ConfigStore &store,
-                           base::Metrics &metrics)
-    : Options(std::move(options)), Store(store), Metrics(metrics),
+                           base::Metrics &metrics, AuditWriter &audit)
+    : Options(std::move(options)), Store(store), Metrics(metrics), Audit(audit),
       Targets(Options.Domain, Options.Incarnation.Value),
       Memory(Options.AnswerBytes, Options.StallTime),
       Claims(Options.Vm, Options.Incarnation, Options.PlatformEndpoint),
@@ -119,7 +120,7 @@
     logDone(call, runner.run(), started);
     return;
   }
-  ClaimedCall claimed(Claims, call);
+  ClaimedCall claimed(Claims, call, Audit);
   if (!claimed.start(responder))
     return;
   CallRunner runner(context, call, responder, &claimed);
@@ -140,6 +141,7 @@
 void EntryService::logDone(const CallerRequest &call, const CallResult &result,
                            base::TimePoint started) {
   const auto elapsed = steady_clock::now() - started;
+  Audit.add(routeRecord(call, result, elapsed));
   Metrics.addCount("bergamot_entry_calls_total",
                    "service=\"" + call.Service.Value + "\"");
   Metrics.addLatency("bergamot_entry_call_seconds",
--- a/src/bergamotd/entryservice.h
+++ b/src/bergamotd/entryservice.h
@@ -27,8 +27,8 @@
 /// The entry role: serves callers by sending their requests to targets.
 class EntryService {
 public:
-  EntryService(EntryOptions options, ConfigStore &store,
-               base::Metrics &metrics);
+  EntryService(EntryOptions options, ConfigStore &store, base::Metrics &metrics,
+               AuditWriter &audit);
 
   /// Serves one request of a caller on a worker thread of the HTTP server.
   void handle(const adapterhttp::HttpRequest &http,
@@ -76,6 +76,7 @@
   const EntryOptions Options;
   ConfigStore &Store;
   base::Metrics &Metrics;
+  AuditWriter &Audit;
   TargetTable Targets;
   RequestTable Requests;
   AnswerMemory Memory;
--- a/src/bergamotd/main.cpp
+++ b/src/bergamotd/main.cpp
@@ -55,11 +55,11 @@
   options.AnswerBytes = settings.AnswerBytes;
   options.StallTime = settings.Job.ParkAfter;
   options.PlatformEndpoint = settings.PlatformEndpoint;
-  serve<EntryService>(settings, incarnation, signals,
-                      [&](ConfigStore &store, base::Metrics &metrics) {
-                        return std::make_unique<EntryService>(options, store,
-                                                              metrics);
-                      });
+  serve<EntryService>(
+      settings, incarnation, signals,
+      [&](ConfigStore &store, base::Metrics &metrics, AuditWriter &audit) {
+        return std::make_unique<EntryService>(options, store, metrics, audit);
+      });
 }
 
 void serveTarget(const DaemonSettings &settings, base::Incarnation incarnation,
@@ -69,11 +69,11 @@
   options.BackEndEndpoint = settings.BackEndEndpoint;
   options.WorkerThreads = settings.WorkerThreads;
   options.Job = settings.Job;
-  serve<TargetService>(settings, incarnation, signals,
-                       [&](ConfigStore &store, base::Metrics &metrics) {
-                         return std::make_unique<TargetService>(options, store,
-                                                                metrics);
-                       });
+  serve<TargetService>(
+      settings, incarnation, signals,
+      [&](ConfigStore &store, base::Metrics &metrics, AuditWriter &audit) {
+        return std::make_unique<TargetService>(options, store, metrics, audit);
+      });
 }
 
 } // namespace
--- a/src/bergamotd/targetservice.cpp
+++ b/src/bergamotd/targetservice.cpp
@@ -1,5 +1,6 @@
 #include "bergamotd/targetservice.h"
 
+#include "bergamotd/auditrecords.h"
 #include "bergamotd/respond.h"
 #include "libbergamotbase/jsonlog.h"
 
@@ -61,8 +62,8 @@
 } // namespace
 
 TargetService::TargetService(TargetOptions options, ConfigStore &store,
-                             base::Metrics &metrics)
-    : Options(std::move(options)), Store(store), Metrics(metrics),
+                             base::Metrics &metrics, AuditWriter &audit)
+    : Options(std::move(options)), Store(store), Metrics(metrics), Audit(audit),
       BackEnd(Options.BackEndEndpoint), Workers(Options.WorkerThreads),
       LoadPoller([this] { pollLoad(); }) {
   Store.addListener(
@@ -82,6 +83,7 @@
                             : nullptr;
   const std::lock_guard lock(AdmissionMutex);
   if (service == nullptr) {
+    recordState(active->Version, {LastState.IsDomainRemoved, true});
     if (Admission)
       Admission->setDraining(true);
     return;
@@ -100,6 +102,7 @@
   const bool isRemoved =
       domain == nullptr || domain->State == config::DomainState::Removed;
   const bool isLeaving = target->State == config::TargetState::Leaving;
+  recordState(active->Version, {isRemoved, isLeaving});
   Admission->setDomainRemoved(isRemoved);
   Admission->setDraining(IsDraining || isLeaving);
   base::logDecision("target.state", {{"target", Options.Target.Value},
@@ -108,6 +111,13 @@
                                      {"leaving", isLeaving}});
 }
 
+void TargetService::recordState(base::ConfigVersion version,
+                                const TargetState &now) {
+  if (std::exchange(LastState, now) != now)
+    Audit.add(targetStateRecord(Options.Target, version, now.IsDomainRemoved,
+                                now.IsLeaving));
+}
+
 void TargetService::addMessage(const adapterpeer::PeerSessionPtr &session,
                                wire::Envelope message) {
   if (wire::payloadAs<fb::DispatchT>(message) != nullptr) {
@@ -240,6 +250,7 @@
   }
   base::logDecision("target.cold",
                     {{"target", Options.Target.Value}, {"cause", cause}});
+  Audit.add(creditLimitRecord(Options.Target, cause, load().slots_limit));
 }
 
 void TargetService::sessionOpened(const adapterpeer::PeerSessionPtr &session) {
--- a/src/bergamotd/targetservice.h
+++ b/src/bergamotd/targetservice.h
@@ -3,6 +3,7 @@
 
 #include "adapterhttp/httpresponder.h"
 #include "bergamotd/activeconfig.h"
+#include "bergamotd/auditwriter.h"
 #include "bergamotd/targetjob.h"
 #include "bergamotd/workerpool.h"
 #include "libbergamotbase/metrics.h"
@@ -25,13 +26,22 @@
   JobSettings Job;
 };
 
+/// What the configuration says about the target's service. A target that the
+/// configuration doesn't name is leaving.
+struct TargetState {
+  bool IsDomainRemoved = false;
+  bool IsLeaving = false;
+
+  bool operator==(const TargetState &) const = default;
+};
+
 /// The target role: admits dispatched attempts, runs them at the back end and
 /// reports the back end's load. Lock order: AdmissionMutex, then JobsMutex,
 /// then a job's own lock.
 class TargetService {
 public:
   TargetService(TargetOptions options, ConfigStore &store,
-                base::Metrics &metrics);
+                base::Metrics &metrics, AuditWriter &audit);
   ~TargetService();
 
   /// Takes a message of an entry. Must not block; called by network threads.
@@ -69,6 +79,7 @@
 
 private:
   void applyConfig(const ActiveConfigPtr &active);
+  void recordState(base::ConfigVersion version, const TargetState &now);
   void startDispatch(const adapterpeer::PeerSessionPtr &session,
                      wire::Envelope message);
   routing::AdmissionVerdict admit(const TargetJob &job,
@@ -84,6 +95,7 @@
   const TargetOptions Options;
   ConfigStore &Store;
   base::Metrics &Metrics;
+  AuditWriter &Audit;
   adapterhttp::HttpClient BackEnd;
 
   mutable std::mutex AdmissionMutex;
@@ -94,6 +106,7 @@
   bool WasCold = false;
   bool IsBackEndUp = false;
   bool IsDraining = false;
+  TargetState LastState;
 
   mutable std::mutex JobsMutex;
   std::set<adapterpeer::PeerSessionPtr> Sessions;
--- a/src/libbergamotstate/auditchain.cpp
+++ b/src/libbergamotstate/auditchain.cpp
@@ -12,6 +12,11 @@
   Last.Life = life;
 }
 
+void AuditChain::setEarlier(AuditLink after, base::LogOffset readFrom) {
+  After = std::move(after);
+  ReadFrom = readFrom;
+}
+
 bool AuditChain::add(AuditRecord record, base::TimePoint now) {
   const std::size_t bytes = toText(record).size();
   // Once a record was dropped, the following ones are too until the gap is
--- a/src/libbergamotstate/auditchain.h
+++ b/src/libbergamotstate/auditchain.h
@@ -51,6 +51,10 @@
   AuditChain(base::VmId daemon, base::Incarnation life, AuditLink after = {},
              AuditLimits limits = {});
 
+  /// Sets the last batch of the writer's earlier incarnation and the offset
+  /// behind it, from which read-backs start. Call it before takeActions().
+  void setEarlier(AuditLink after, base::LogOffset readFrom);
+
   /// Adds a record. Returns false if it was dropped for lack of memory.
   bool add(AuditRecord record, base::TimePoint now);
 
--- a/src/libbergamotstate/auditrecord.cpp
+++ b/src/libbergamotstate/auditrecord.cpp
@@ -114,6 +114,10 @@
   return "";
 }
 
+std::string auditStream(const base::VmId &daemon) {
+  return "audit." + daemon.Value;
+}
+
 std::string sealBatch(AuditBatch &batch) {
   const std::string id = batch.Daemon.Value + '/' +
                          std::to_string(batch.Link.Life.Value) + '/' +
--- a/src/libbergamotstate/auditrecord.h
+++ b/src/libbergamotstate/auditrecord.h
@@ -81,6 +81,9 @@
   bool operator==(const AuditBatch &) const = default;
 };
 
+/// Returns the name of a daemon's audit stream.
+std::string auditStream(const base::VmId &daemon);
+
 /// Returns the batch as one line of JSON and sets its hash: the SHA-256 of all
 /// bytes of the line that precede the hash member.
 std::string sealBatch(AuditBatch &batch);
