--- a/src/bergamotctl/auditcommands.h
+++ b/src/bergamotctl/auditcommands.h
@@ -2,10 +2,12 @@
 #define BERGAMOT_BERGAMOTCTL_AUDITCOMMANDS_H
 
 #include "adapterplatform/platformlog.h"
+#include "bergamotctl/command.h"
 #include "libbergamotstate/auditrecord.h"
 
 #include <algorithm>
 #include <chrono>
+#include <concepts>
 #include <cstdint>
 #include <iosfwd>
 #include <ostream>
@@ -13,6 +15,16 @@
 
 namespace bergamot::bergamotctl {
 
+/// What an export needs of the platform's log.
+template <typename T>
+concept AuditSource = requires(T &log, const std::string &stream,
+                               base::LogOffset from, std::size_t limit,
+                               base::TimePoint deadline) {
+  {
+    log.read(stream, from, limit, deadline)
+    } -> std::same_as<adapterplatform::LogPage>;
+};
+
 /// How far an export went.
 struct AuditExport {
   /// Offset from which the next export continues.
@@ -25,7 +37,7 @@
 /// Writes a daemon's audit stream from an offset to its present end, one batch
 /// a line. Throws base::Error if the log can't be read by the deadline; what
 /// was written until then is valid, and `to` says where to continue.
-template <adapterplatform::LogPort Log>
+template <AuditSource Log>
 void exportAudit(Log &log, const base::VmId &daemon, base::LogOffset from,
                  std::ostream &out, base::TimePoint deadline, AuditExport &to) {
   // A read at the end of the stream waits for this long before it is empty.
@@ -60,6 +72,12 @@
 std::uint64_t showAudit(std::istream &in, const state::AuditQuery &query,
                         std::ostream &out, std::ostream &err);
 
+/// The commands `audit export`, `audit verify` and `audit show`. An export's
+/// position is kept beside it in the file `FILE.position`.
+int runAuditExport(CommandContext &context);
+int runAuditVerify(CommandContext &context);
+int runAuditShow(CommandContext &context);
+
 } // namespace bergamot::bergamotctl
 
 #endif
--- a/src/bergamotctl/command.cpp
+++ b/src/bergamotctl/command.cpp
@@ -1,5 +1,6 @@
 #include "bergamotctl/command.h"
 
+#include "bergamotctl/auditcommands.h"
 #include "bergamotctl/configcommands.h"
 #include "bergamotctl/ctlflags.h"
 #include "bergamotctl/exitcode.h"
@@ -17,10 +18,13 @@
 
 namespace {
 
+constexpr std::size_t MostFiles = 10'000;
+
 constexpr const char *ExitCodeHelp = R"(
 Exit codes:
   0  done; the change is accepted
-  1  the document, key or input has problems; nothing was appended
+  1  the document, key or input has problems; nothing was appended. An audit
+     export lacks batches, or one was changed
   2  the command line is wrong
   3  the race was lost to the change named; nothing of this one is in force
   4  not decided: the log can't be read or didn't decide in time
@@ -55,6 +59,12 @@
       {"config history", "", "list the changes and what was decided on each", 0,
        0, showHistory},
       {"config show", "", "print the configuration in force", 0, 0, showConfig},
+      {"audit export", "DAEMON FILE",
+       "append a daemon's new audit batches to a file", 2, 2, runAuditExport},
+      {"audit verify", "FILE...", "check the hash chains of exports", 1,
+       MostFiles, runAuditVerify},
+      {"audit show", "FILE...", "search exports for audit records", 1,
+       MostFiles, runAuditShow},
       {"key new", "", "make a signing key, or an API key with --account", 0, 0,
        newKey},
       {"key hash", "", "print the hash of the API key on standard input", 0, 0,
--- a/src/bergamotctl/command.h
+++ b/src/bergamotctl/command.h
@@ -24,11 +24,19 @@
   std::int64_t Base = -1;
   std::chrono::milliseconds Timeout{10'000};
   std::vector<std::string> Daemons;
+  /// File with the state in which `audit verify` continues.
+  std::string Checkpoint;
+  /// What `audit show` searches for, with Account; -1 and empty: anything.
+  std::string Request;
+  std::string KeyHash;
+  std::int64_t ConfigVersion = -1;
+  std::string FromTime;
+  std::string ToTime;
 };
 
 /// What a command works with. Log returns the platform's log and throws
 /// base::Error if none was given; Status returns the body of a daemon's
-/// `GET /admin/status`.
+/// `GET /admin/status`; ReadStream reads any stream of the log.
 struct CommandContext {
   Options Flags;
   std::vector<std::string> Arguments;
@@ -39,6 +47,10 @@
   std::function<std::string(const std::string &endpoint,
                             base::TimePoint deadline)>
       Status;
+  std::function<adapterplatform::LogPage(
+      const std::string &stream, base::LogOffset from, std::size_t limit,
+      base::TimePoint deadline)>
+      ReadStream = {};
 
   /// Returns the point in time at which the command gives up.
   base::TimePoint deadline() const {
--- a/src/bergamotctl/ctlflags.cpp
+++ b/src/bergamotctl/ctlflags.cpp
@@ -11,10 +11,18 @@
 DEFINE_int64(base, -1, "version that the document was made from; 0: first");
 DEFINE_string(change_id, "",
               "id of an undecided change to publish again; default: a new one");
-DEFINE_string(account, "", "account of a new API key");
+DEFINE_string(account, "", "account of a new API key, or to search for");
 DEFINE_string(daemons, "",
               "IP addresses and ports of daemons' HTTP servers, "
               "separated by commas");
+DEFINE_string(checkpoint, "",
+              "file with the state in which audit verify continues");
+DEFINE_string(request, "", "request id to search for");
+DEFINE_string(key_hash, "", "hash of an idempotency key to search for");
+DEFINE_int64(config_version, -1, "configuration version to search for");
+DEFINE_string(from_time, "",
+              "search from this second on, such as 2026-01-31T23:59:00Z");
+DEFINE_string(to_time, "", "search up to and including this second");
 DEFINE_int64(timeout_ms, 10000, "time after which a command gives up");
 
 namespace bergamot::bergamotctl {
@@ -37,6 +45,12 @@
   options.Account = FLAGS_account;
   options.ChangeId = FLAGS_change_id;
   options.Base = FLAGS_base;
+  options.Checkpoint = FLAGS_checkpoint;
+  options.Request = FLAGS_request;
+  options.KeyHash = FLAGS_key_hash;
+  options.ConfigVersion = FLAGS_config_version;
+  options.FromTime = FLAGS_from_time;
+  options.ToTime = FLAGS_to_time;
   options.Timeout = std::chrono::milliseconds(FLAGS_timeout_ms);
   std::istringstream daemons(FLAGS_daemons);
   for (std::string daemon; std::getline(daemons, daemon, ',');)
--- a/src/bergamotctl/program/main.cpp
+++ b/src/bergamotctl/program/main.cpp
@@ -26,6 +26,15 @@
   return *log;
 }
 
+adapterplatform::HttpLog &
+openStreams(std::unique_ptr<adapterplatform::HttpLog> &log) {
+  if (logEndpoint().empty())
+    throw base::Error(base::Step::Settings, "", "this command needs --log");
+  if (!log)
+    log = std::make_unique<adapterplatform::HttpLog>(logEndpoint());
+  return *log;
+}
+
 std::string readStatus(const std::string &endpoint, base::TimePoint deadline) {
   adapterhttp::HttpClient client(endpoint);
   const auto response =
@@ -44,13 +53,19 @@
   base::checkRange(problems, "timeout_ms", options.Timeout.count(), 1, 600'000);
   base::throwIfAny(problems);
   std::unique_ptr<ConfigLog> log;
+  std::unique_ptr<adapterplatform::HttpLog> streams;
   return runCommand({options,
                      {argv + 1, argv + argc},
                      std::cin,
                      std::cout,
                      std::cerr,
                      [&log]() -> ConfigLog & { return openLog(log); },
-                     readStatus});
+                     readStatus,
+                     [&streams](const std::string &stream, base::LogOffset from,
+                                std::size_t limit, base::TimePoint deadline) {
+                       return openStreams(streams).read(stream, from, limit,
+                                                        deadline);
+                     }});
 }
 
 } // namespace
--- a/tests/state/test_auditcommands.cpp
+++ b/tests/state/test_auditcommands.cpp
@@ -3,7 +3,10 @@
 #include "libbergamotstate/auditchain.h"
 
 #include <catch2/catch.hpp>
+#include <unistd.h>
 
+#include <filesystem>
+#include <fstream>
 #include <sstream>
 
 using namespace bergamot;
@@ -47,8 +50,98 @@
   return port;
 }
 
+/// A new directory that is removed at the end.
+class TemporaryFolder {
+public:
+  TemporaryFolder() {
+    char name[] = "/tmp/bergamot-audit-XXXXXX";
+    Path = mkdtemp(name);
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(Path); }
+  std::string file(const std::string &name) const { return Path + "/" + name; }
+
+private:
+  std::string Path;
+};
+
+/// Runs a command of bergamotctl over a port.
+struct Operator {
+  Port &Log;
+  bergamotctl::Options Flags;
+  std::string Out;
+  std::string Err;
+
+  int run(std::vector<std::string> words) {
+    std::istringstream in;
+    std::ostringstream out;
+    std::ostringstream err;
+    const int code = bergamotctl::runCommand(
+        {Flags, std::move(words), in, out, err, nullptr, nullptr,
+         [this](const std::string &stream, base::LogOffset from,
+                std::size_t limit, base::TimePoint deadline) {
+           return Log.read(stream, from, limit, deadline);
+         }});
+    Out = out.str();
+    Err = err.str();
+    return code;
+  }
+};
+
+std::string textOf(const std::string &path) {
+  std::ifstream in(path);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
 } // namespace
 
+// Guards against an export file that repeats or lacks batches after a second
+// run, or after a run that was interrupted between data and position.
+TEST_CASE("the export command continues a file", "[audit][command]") {
+  const TemporaryFolder folder;
+  const auto file = folder.file("d.audit");
+  Port port = writtenLog(5);
+  const auto all = port.Lines;
+  port.Lines.resize(3);
+  Operator op{port, {}, "", ""};
+  CHECK(op.run({"audit", "export", "d", file}) == 0);
+  CHECK(op.Out == "3 batches exported, next offset 3\n");
+  std::ofstream(file, std::ios::app) << all[3].substr(0, 20);
+  port.Lines = all;
+  CHECK(op.run({"audit", "export", "d", file}) == 0);
+  CHECK(textOf(file) == all[0] + '\n' + all[1] + '\n' + all[2] + '\n' + all[3] +
+                            '\n' + all[4] + '\n');
+  CHECK(op.run({"audit", "export", "other", file}) == 2);
+  std::filesystem::remove(file + ".position");
+  CHECK(op.run({"audit", "export", "d", file}) == 2);
+}
+
+// Guards against a checkpoint that hides a fault from the next run, and
+// against search flags without effect.
+TEST_CASE("the verify and show commands read exports", "[audit][command]") {
+  const TemporaryFolder folder;
+  const auto file = folder.file("d.audit");
+  Port port = writtenLog(3);
+  Operator op{port, {}, "", ""};
+  REQUIRE(op.run({"audit", "export", "d", file}) == 0);
+  op.Flags.Checkpoint = folder.file("checkpoint");
+  CHECK(op.run({"audit", "verify", file}) == 0);
+  const auto checkpoint = textOf(op.Flags.Checkpoint);
+  CHECK_FALSE(checkpoint.empty());
+  auto text = textOf(file);
+  std::ofstream(file) << text.replace(text.find("r1"), 2, "rX");
+  CHECK(op.run({"audit", "verify", file}) == 1);
+  CHECK(textOf(op.Flags.Checkpoint) == checkpoint);
+
+  op.Flags.Request = "r2";
+  CHECK(op.run({"audit", "show", file}) == 0);
+  CHECK(op.Err.find("1 records found") != std::string::npos);
+  op.Flags.FromTime = "2999-01-01T00:00:00Z";
+  CHECK(op.run({"audit", "show", file}) == 0);
+  CHECK(op.Err.find("0 records found") != std::string::npos);
+  op.Flags.FromTime = "yesterday";
+  CHECK(op.run({"audit", "show", file}) == 2);
+}
+
 // Guards against exports that drop or repeat batches between two runs.
 TEST_CASE("exports continue and verify across runs", "[audit][command]") {
   Port port = writtenLog(7);
