--- a/tests/path/testdeployment.h
+++ b/tests/path/testdeployment.h
@@ -80,6 +80,7 @@
   void setPlatformFaults(const nlohmann::json &faults);
   void setBackEndFaults(int target, const nlohmann::json &faults);
 
+  const std::string &platformEndpoint() const { return PlatformEndpoint; }
   const std::string &entryEndpoint(int i) const { return EntryHttp.at(i); }
 
   Process Platform;
