--- /dev/null
+++ b/tests/state/test_auditcommands.cpp
@@ -0,0 +1,190 @@
+#include "bergamotctl/auditcommands.h"
+#include "fakelog.h"
+#include "libbergamotstate/auditchain.h"
+
+#include <catch2/catch.hpp>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace bergamot;
+using namespace bergamot::state;
+
+namespace {
+
+/// A log port with one stream, which returns at most two records per read.
+struct Port {
+  std::vector<std::string> Lines;
+  std::uint64_t Earliest = 0;
+
+  base::LogOffset append(const std::string &, const std::vector<std::string> &,
+                         base::TimePoint) {
+    return {};
+  }
+
+  adapterplatform::LogPage read(const std::string &stream, base::LogOffset from,
+                                std::size_t, base::TimePoint) {
+    CHECK(stream == "audit.d");
+    adapterplatform::LogPage page{{}, from, {Earliest}};
+    for (auto i = std::max(from.Value, Earliest);
+         i < Lines.size() && page.Records.size() < 2; ++i)
+      page.Records.push_back({{i}, wallAt(0), Lines[i]});
+    return page;
+  }
+};
+
+/// Returns a log that a chain has written to, one record per batch.
+Port writtenLog(int batches) {
+  Port port;
+  AuditChain chain({"d"}, {1});
+  chain.setFlush();
+  for (int i = 0; i < batches; ++i) {
+    chain.add({AuditKind::Claim, wallAt(i), {"r" + std::to_string(i)}}, at(i));
+    const auto actions = chain.takeActions(at(i));
+    const auto &append = std::get<AuditAppend>(actions.at(0));
+    port.Lines.push_back(append.Text);
+    chain.setAppended(append.Number, {std::uint64_t(i)});
+  }
+  return port;
+}
+
+/// A new directory that is removed at the end.
+class TemporaryFolder {
+public:
+  TemporaryFolder() {
+    char name[] = "/tmp/bergamot-audit-XXXXXX";
+    Path = mkdtemp(name);
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(Path); }
+  std::string file(const std::string &name) const { return Path + "/" + name; }
+
+private:
+  std::string Path;
+};
+
+/// Runs a command of bergamotctl over a port.
+struct Operator {
+  Port &Log;
+  bergamotctl::Options Flags;
+  std::string Out;
+  std::string Err;
+
+  int run(std::vector<std::string> words) {
+    std::istringstream in;
+    std::ostringstream out;
+    std::ostringstream err;
+    const int code = bergamotctl::runCommand(
+        {Flags, std::move(words), in, out, err, nullptr, nullptr,
+         [this](const std::string &stream, base::LogOffset from,
+                std::size_t limit, base::TimePoint deadline) {
+           return Log.read(stream, from, limit, deadline);
+         }});
+    Out = out.str();
+    Err = err.str();
+    return code;
+  }
+};
+
+std::string textOf(const std::string &path) {
+  std::ifstream in(path);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+} // namespace
+
+// Guards against an export file that repeats or lacks batches after a second
+// run, or after a run that was interrupted between data and position.
+TEST_CASE("the export command continues a file", "[audit][command]") {
+  const TemporaryFolder folder;
+  const auto file = folder.file("d.audit");
+  Port port = writtenLog(5);
+  const auto all = port.Lines;
+  port.Lines.resize(3);
+  Operator op{port, {}, "", ""};
+  CHECK(op.run({"audit", "export", "d", file}) == 0);
+  CHECK(op.Out == "3 batches exported, next offset 3\n");
+  std::ofstream(file, std::ios::app) << all[3].substr(0, 20);
+  port.Lines = all;
+  CHECK(op.run({"audit", "export", "d", file}) == 0);
+  CHECK(textOf(file) == all[0] + '\n' + all[1] + '\n' + all[2] + '\n' + all[3] +
+                            '\n' + all[4] + '\n');
+  CHECK(op.run({"audit", "export", "other", file}) == 2);
+  std::filesystem::remove(file + ".position");
+  CHECK(op.run({"audit", "export", "d", file}) == 2);
+}
+
+// Guards against a checkpoint that hides a fault from the next run, and
+// against search flags without effect.
+TEST_CASE("the verify and show commands read exports", "[audit][command]") {
+  const TemporaryFolder folder;
+  const auto file = folder.file("d.audit");
+  Port port = writtenLog(3);
+  Operator op{port, {}, "", ""};
+  REQUIRE(op.run({"audit", "export", "d", file}) == 0);
+  op.Flags.Checkpoint = folder.file("checkpoint");
+  CHECK(op.run({"audit", "verify", file}) == 0);
+  const auto checkpoint = textOf(op.Flags.Checkpoint);
+  CHECK_FALSE(checkpoint.empty());
+  auto text = textOf(file);
+  std::ofstream(file) << text.replace(text.find("r1"), 2, "rX");
+  CHECK(op.run({"audit", "verify", file}) == 1);
+  CHECK(textOf(op.Flags.Checkpoint) == checkpoint);
+
+  op.Flags.Request = "r2";
+  CHECK(op.run({"audit", "show", file}) == 0);
+  CHECK(op.Err.find("1 records found") != std::string::npos);
+  op.Flags.FromTime = "2999-01-01T00:00:00Z";
+  CHECK(op.run({"audit", "show", file}) == 0);
+  CHECK(op.Err.find("0 records found") != std::string::npos);
+  op.Flags.FromTime = "yesterday";
+  CHECK(op.run({"audit", "show", file}) == 2);
+}
+
+// Guards against exports that drop or repeat batches between two runs.
+TEST_CASE("exports continue and verify across runs", "[audit][command]") {
+  Port port = writtenLog(7);
+  const auto all = port.Lines;
+  port.Lines.resize(5);
+  std::ostringstream first;
+  bergamotctl::AuditExport to;
+  exportAudit(port, {"d"}, {0}, first, at(0), to);
+  CHECK(to.Batches == 5);
+  port.Lines = all;
+  port.Earliest = 3;
+  std::ostringstream second;
+  exportAudit(port, {"d"}, to.Next, second, at(0), to);
+  CHECK(to.Batches == 2);
+  CHECK_FALSE(to.IsCut);
+  std::string checkpoint;
+  std::ostringstream out;
+  std::istringstream firstIn(first.str());
+  CHECK(bergamotctl::verifyAudit(firstIn, checkpoint, out) == 0);
+  std::istringstream secondIn(second.str());
+  CHECK(bergamotctl::verifyAudit(secondIn, checkpoint, out) == 0);
+  // The same export with one batch taken out.
+  std::istringstream cut(second.str().substr(second.str().find('\n') + 1));
+  checkpoint.clear();
+  CHECK(bergamotctl::verifyAudit(cut, checkpoint, out) == 1);
+  CHECK(out.str().find("missing: daemon d incarnation 1 batch 1, count 6") !=
+        std::string::npos);
+  std::ostringstream late;
+  exportAudit(port, {"d"}, {1}, late, at(0), to);
+  CHECK(to.IsCut);
+}
+
+// Guards against a search that misses a record or trusts a changed one.
+TEST_CASE("show prints what the query finds", "[audit][command]") {
+  Port port = writtenLog(3);
+  port.Lines[1].replace(port.Lines[1].find("r1"), 2, "r2");
+  std::istringstream in(port.Lines[0] + '\n' + port.Lines[1] + '\n' +
+                        port.Lines[2]);
+  AuditQuery query;
+  query.Request = base::RequestId{"r2"};
+  std::ostringstream out;
+  std::ostringstream err;
+  CHECK(bergamotctl::showAudit(in, query, out, err) == 2);
+  CHECK(out.str().find(R"("request":"r2")") != std::string::npos);
+  CHECK(err.str() == "line 2 doesn't match its hash\n");
+}
