--- a/src/bergamotd/answerstream.cpp
+++ b/src/bergamotd/answerstream.cpp
@@ -1,6 +1,5 @@
 #include "bergamotd/answerstream.h"
 
-#include <algorithm>
 #include <cstdlib>
 
 namespace bergamot::bergamotd {
@@ -25,17 +24,6 @@
   return Executed::Unknown;
 }
 
-std::optional<std::uint64_t> contentLength(const fb::HeadT &head) {
-  static constexpr std::string_view Name = "content-length";
-  for (const auto &it : head.headers)
-    if (std::equal(it->name.begin(), it->name.end(), Name.begin(), Name.end(),
-                   [](char a, char b) {
-                     return std::tolower(static_cast<unsigned char>(a)) == b;
-                   }))
-      return std::strtoull(it->value.c_str(), nullptr, 10);
-  return std::nullopt;
-}
-
 bool isFault(StreamResult result) {
   return result != StreamResult::Accepted && result != StreamResult::Repeated &&
          result != StreamResult::Ignored;
@@ -120,12 +108,13 @@
     return setCorrupted("a second head");
   AnswerHead result{head.status, {}};
   for (const auto &it : head.headers)
-    result.Headers.emplace_back(it->name, it->value);
-  Head = std::move(result);
+    result.Headers.push_back({it->name, it->value});
   // A resumed stream's own length says nothing about the whole body.
-  if (const auto length = contentLength(head);
-      length && Buffer->deliveredTo() == 0)
-    Buffer->setExpectedLength(*length);
+  const auto *length =
+      adapterhttp::findHeader(result.Headers, "Content-Length");
+  if (length != nullptr && Buffer->deliveredTo() == 0)
+    Buffer->setExpectedLength(std::strtoull(length->c_str(), nullptr, 10));
+  Head = std::move(result);
 }
 
 void AnswerStream::addChunk(const fb::ChunkT &chunk) {
--- a/src/bergamotd/answerstream.h
+++ b/src/bergamotd/answerstream.h
@@ -1,6 +1,7 @@
 #ifndef BERGAMOT_BERGAMOTD_ANSWERSTREAM_H
 #define BERGAMOT_BERGAMOTD_ANSWERSTREAM_H
 
+#include "adapterhttp/httpmessage.h"
 #include "bergamotd/answermemory.h"
 #include "bergamotd/problem.h"
 #include "libbergamotbase/digest.h"
@@ -28,7 +29,7 @@
 /// The back end's status and headers.
 struct AnswerHead {
   int Status;
-  std::vector<std::pair<std::string, std::string>> Headers;
+  std::vector<adapterhttp::HttpHeader> Headers;
 };
 
 /// The next bytes of the body.
--- a/src/bergamotd/callrunner.cpp
+++ b/src/bergamotd/callrunner.cpp
@@ -26,16 +26,6 @@
 /// How long a further attempt waits for any target to be reachable again.
 constexpr std::chrono::milliseconds ReconnectTime{5000};
 
-const std::string *findHeader(const AnswerHead &head, std::string_view name) {
-  for (const auto &[key, value] : head.Headers)
-    if (std::equal(key.begin(), key.end(), name.begin(), name.end(),
-                   [](char a, char b) {
-                     return std::tolower(static_cast<unsigned char>(a)) == b;
-                   }))
-      return &value;
-  return nullptr;
-}
-
 routing::Executed toRouting(Executed executed) {
   switch (executed) {
   case Executed::No:
@@ -234,7 +224,8 @@
 
 CallRunner::Next CallRunner::takeBytes(const std::string &bytes) {
   if (!Responder.isStarted()) {
-    const auto *length = findHeader(*Head, "content-length");
+    const auto *length =
+        adapterhttp::findHeader(Head->Headers, "Content-Length");
     startResponse(length != nullptr ? std::optional<std::size_t>(std::strtoull(
                                           length->c_str(), nullptr, 10))
                                     : std::nullopt);
@@ -254,7 +245,7 @@
 void CallRunner::startResponse(std::optional<std::size_t> length) {
   std::vector<adapterhttp::HttpHeader> headers = {
       {"X-Request-Id", Call.CallerRequestId}};
-  const auto *type = findHeader(*Head, "content-type");
+  const auto *type = adapterhttp::findHeader(Head->Headers, "Content-Type");
   Result.ContentType = type != nullptr ? *type : "";
   if (type != nullptr)
     headers.push_back({"Content-Type", *type});
--- a/src/bergamotd/targetservice.cpp
+++ b/src/bergamotd/targetservice.cpp
@@ -1,6 +1,7 @@
 #include "bergamotd/targetservice.h"
 
 #include "bergamotd/auditrecords.h"
+#include "bergamotd/refusalmessage.h"
 #include "bergamotd/respond.h"
 #include "libbergamotbase/jsonlog.h"
 
@@ -15,64 +16,31 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds LoadTimeout{1000};
-
 routing::AttemptKey keyOf(const TargetJob &job) {
   return {base::RequestId{job.request()}, base::AttemptNumber{job.attempt()}};
 }
 
-fb::RefusalReason toWire(routing::Refusal reason) {
-  switch (reason) {
-  case routing::Refusal::Draining:
-    return fb::RefusalReason::Draining;
-  case routing::Refusal::DomainRemoved:
-    return fb::RefusalReason::DomainRemoved;
-  case routing::Refusal::Duplicate:
-    return fb::RefusalReason::Duplicate;
-  case routing::Refusal::DeadlinePassed:
-    return fb::RefusalReason::DeadlineTooShort;
-  case routing::Refusal::NotReady:
-    return fb::RefusalReason::BackEndDown;
-  default:
-    return fb::RefusalReason::Overloaded;
-  }
-}
-
 std::uint32_t toMilliseconds(base::Duration span) {
   return static_cast<std::uint32_t>(
       std::chrono::ceil<std::chrono::milliseconds>(span).count());
 }
 
-wire::Envelope refusalMessage(const routing::AdmissionVerdict &verdict) {
-  const char *name = routing::refusalName(verdict.Reason);
-  if (verdict.WasExecuted != routing::Executed::No) {
-    fb::FailedT failed;
-    failed.executed = fb::Executed::Unknown;
-    failed.step = base::stepName(base::Step::Admit);
-    failed.detail = name;
-    return wire::makeEnvelope(std::move(failed));
-  }
-  fb::RefusedT refused;
-  refused.reason = toWire(verdict.Reason);
-  refused.retry_after_ms = toMilliseconds(verdict.RetryAfter);
-  refused.detail = name;
-  return wire::makeEnvelope(std::move(refused));
-}
-
 } // namespace
 
 TargetService::TargetService(TargetOptions options, ConfigStore &store,
                              base::Metrics &metrics, AuditWriter &audit)
     : Options(std::move(options)), Store(store), Metrics(metrics), Audit(audit),
       BackEnd(Options.BackEndEndpoint), Workers(Options.WorkerThreads),
-      LoadPoller([this] { pollLoad(); }) {
+      Probe(
+          BackEnd, Options.LoadPollInterval,
+          [this](const routing::LoadReport &report) { addReport(report); },
+          [this](const std::string &detail) { setBackEndDown(detail); }) {
   Store.addListener(
       [this](const ActiveConfigPtr &active) { applyConfig(active); });
 }
 
 TargetService::~TargetService() {
-  IsStopping = true;
-  LoadPoller.join();
+  Probe.stop();
   Workers.stop();
 }
 
@@ -375,37 +343,7 @@
   return Admission.has_value() && IsBackEndUp && !IsDraining;
 }
 
-void TargetService::pollLoad() {
-  while (!IsStopping) {
-    const auto now = steady_clock::now();
-    try {
-      const auto response =
-          BackEnd.request("GET", "/v1/load", {}, "", now + LoadTimeout);
-      if (response.Status == 200)
-        takeLoad(response.Body, now);
-    } catch (const std::exception &e) {
-      const std::lock_guard lock(AdmissionMutex);
-      if (std::exchange(IsBackEndUp, false))
-        base::logWarning("target.back_end_down",
-                         {{"target", Options.Target.Value},
-                          {"peer", Options.BackEndEndpoint},
-                          {"detail", e.what()}});
-    }
-    std::this_thread::sleep_for(Options.LoadPollInterval);
-  }
-}
-
-void TargetService::takeLoad(const std::string &body, base::TimePoint sentAt) {
-  const auto json = nlohmann::json::parse(body);
-  routing::LoadReport report;
-  report.BackEnd = base::Incarnation{json.value("incarnation", 0ULL)};
-  report.Running = json.value("running", 0U);
-  report.UnitsUsed = json.value("kv_tokens_used", 0ULL);
-  report.UnitsTotal = json.value("kv_tokens_total", 0ULL);
-  report.Cold = json.value("cold", false);
-  // The state was read after the request was sent, so work admitted since
-  // then may be missing from it.
-  report.Time = sentAt;
+void TargetService::addReport(const routing::LoadReport &report) {
   routing::RampChange change = routing::RampChange::None;
   {
     const std::lock_guard lock(AdmissionMutex);
@@ -421,4 +359,12 @@
   logRamp(change);
 }
 
+void TargetService::setBackEndDown(const std::string &detail) {
+  const std::lock_guard lock(AdmissionMutex);
+  if (std::exchange(IsBackEndUp, false))
+    base::logWarning("target.back_end_down", {{"target", Options.Target.Value},
+                                              {"peer", Options.BackEndEndpoint},
+                                              {"detail", detail}});
+}
+
 } // namespace bergamot::bergamotd
--- a/src/bergamotd/targetservice.h
+++ b/src/bergamotd/targetservice.h
@@ -4,12 +4,12 @@
 #include "adapterhttp/httpresponder.h"
 #include "bergamotd/activeconfig.h"
 #include "bergamotd/auditwriter.h"
+#include "bergamotd/loadprobe.h"
 #include "bergamotd/targetjob.h"
 #include "bergamotd/workerpool.h"
 #include "libbergamotbase/metrics.h"
 #include "libbergamotrouting/targetadmission.h"
 
-#include <atomic>
 #include <map>
 #include <memory>
 #include <optional>
@@ -92,8 +92,8 @@
   void sendGrants(const std::vector<routing::EntryGrant> &grants,
                   base::TimePoint now);
   void logRamp(routing::RampChange change);
-  void pollLoad();
-  void takeLoad(const std::string &body, base::TimePoint sentAt);
+  void addReport(const routing::LoadReport &report);
+  void setBackEndDown(const std::string &detail);
 
   const TargetOptions Options;
   ConfigStore &Store;
@@ -116,8 +116,7 @@
   std::map<routing::AttemptKey, std::shared_ptr<TargetJob>> Jobs;
 
   WorkerPool Workers;
-  std::atomic<bool> IsStopping{false};
-  std::thread LoadPoller;
+  LoadProbe Probe;
 };
 
 } // namespace bergamot::bergamotd
--- a/tests/path/test_settings.cpp
+++ b/tests/path/test_settings.cpp
@@ -2,6 +2,7 @@
 #include "support/waiting.h"
 
 #include <catch2/catch.hpp>
+
 #include <fstream>
 #include <sstream>
 
@@ -54,17 +55,17 @@
 // Guards against a daemon that starts with bad settings, or that names only
 // the first of them.
 TEST_CASE("bad settings are all named and end the daemon", "[settings]") {
-  ChildProcess daemon(programPath("bergamotd"),
-                      {"--role=entri", "--http_listen=localhost:1",
-                       "--http_threads=0"},
-                      {"BERGAMOT_NO_SUCH=1", "BERGAMOT_SECRETS=short"});
+  ChildProcess daemon(
+      programPath("bergamotd"),
+      {"--role=entri", "--http_listen=localhost:1", "--http_threads=0"},
+      {"BERGAMOT_NO_SUCH=1", "BERGAMOT_SECRETS=short"});
   CHECK(daemon.waitForExit(in(10s)) == 2);
   std::string text;
   for (const auto &line : daemon.logLines())
     text += line.dump() + "\n";
-  for (const char *part : {"--role='entri'", "--http_listen='localhost:1'",
-                           "--http_threads='0'", "BERGAMOT_NO_SUCH='1'",
-                           "--secrets="}) {
+  for (const char *part :
+       {"--role='entri'", "--http_listen='localhost:1'", "--http_threads='0'",
+        "BERGAMOT_NO_SUCH='1'", "--secrets="}) {
     INFO(part);
     CHECK(text.find(part) != std::string::npos);
   }
--- a/tests/peer/test_peer.cpp
+++ b/tests/peer/test_peer.cpp
@@ -95,7 +95,8 @@
   for (int i = 0; i < 1000; ++i) {
     auto message = wire::makeEnvelope(wire::fb::CancelT());
     message.request = std::to_string(i);
-    REQUIRE(a.last()->send(std::move(message)));
+    const bool isSent = a.last()->send(std::move(message));
+    REQUIRE(isSent);
   }
   REQUIRE(b.waitFor([&] { return b.Requests.size() == 1000; }));
   for (int i = 0; i < 1000; ++i)
