--- a/cmake/bergamot.cmake
+++ b/cmake/bergamot.cmake
@@ -20,6 +20,11 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
 endfunction()
 
+# What the sanitizer runs need: all tests without the label nosanitize, and
+# those with the label concurrent.
+add_custom_target(sanitized_tests)
+add_custom_target(concurrent_tests)
+
 # Adds the Catch2 test program test_<subject> and one CTest test for it.
 function(bergamot_test subject)
   cmake_parse_arguments(arg "" "TIMEOUT" "LIBS;LABELS" ${ARGN})
@@ -32,6 +37,12 @@
   if(NOT arg_TIMEOUT)
     set(arg_TIMEOUT 120)
   endif()
+  if(NOT "nosanitize" IN_LIST arg_LABELS)
+    add_dependencies(sanitized_tests test_${subject})
+  endif()
+  if("concurrent" IN_LIST arg_LABELS)
+    add_dependencies(concurrent_tests test_${subject})
+  endif()
   set_tests_properties(${subject} PROPERTIES TIMEOUT ${arg_TIMEOUT} LABELS "${arg_LABELS}")
 endfunction()
 
