peer: Keep the network context alive as long as its sessions

ThreadSanitizer found a use after free in the peer test: a session that the daemon still holds when its node ends destroys socket, strand and timer of a context that is gone. The daemon's roles hold sessions and end after the node, so a shutdown could crash. Sessions now share the context. The node waits until its sessions have closed and runs their last handlers before it ends.

--- a/src/adapterpeer/peernode.cpp
+++ b/src/adapterpeer/peernode.cpp
@@ -16,17 +16,20 @@
 
 constexpr std::chrono::milliseconds FirstBackoff{50};
 constexpr std::chrono::milliseconds LongestBackoff{1000};
+constexpr std::chrono::milliseconds CloseTimeout{1000};
 
 } // namespace
 
 PeerNode::PeerNode(PeerOptions options, PeerHandlers handlers, int threadCount)
     : Options(std::move(options)), UserHandlers(std::move(handlers)),
-      Handlers(UserHandlers), Guard(Context.get_executor()), Acceptor(Context) {
+      Handlers(UserHandlers),
+      Context(std::make_shared<boost::asio::io_context>()),
+      Guard(Context->get_executor()), Acceptor(*Context) {
   Handlers.Closed = [this](const PeerSessionPtr &session, const Error &reason) {
     sessionClosed(session, reason);
   };
   for (int i = 0; i < threadCount; ++i)
-    Threads.emplace_back([this] { Context.run(); });
+    Threads.emplace_back([context = Context] { context->run(); });
 }
 
 PeerNode::~PeerNode() { stop(); }
@@ -71,7 +74,7 @@
     const auto remote = socket.remote_endpoint(addressError);
     if (!addressError) {
       auto session = std::make_shared<PeerSession>(
-          std::move(socket), wire::ConnectionEnd::Acceptor,
+          Context, std::move(socket), wire::ConnectionEnd::Acceptor,
           remote.address().to_string() + ":" + std::to_string(remote.port()),
           Options, Handlers);
       {
@@ -120,8 +123,8 @@
       return;
     it->second.IsConnecting = true;
   }
-  auto socket = std::make_shared<Tcp::socket>(Context);
-  auto timer = std::make_shared<boost::asio::steady_timer>(Context);
+  auto socket = std::make_shared<Tcp::socket>(*Context);
+  auto timer = std::make_shared<boost::asio::steady_timer>(*Context);
   timer->expires_after(Options.HandshakeTimeout);
   timer->async_wait([socket](const error_code &ec) {
     error_code ignored;
@@ -139,7 +142,7 @@
 }
 
 void PeerNode::connected(const std::string &endpoint, Tcp::socket socket) {
-  auto session = std::make_shared<PeerSession>(std::move(socket),
+  auto session = std::make_shared<PeerSession>(Context, std::move(socket),
                                                wire::ConnectionEnd::Initiator,
                                                endpoint, Options, Handlers);
   {
@@ -176,7 +179,7 @@
     backoff = std::clamp(backoff * 2, FirstBackoff, LongestBackoff);
     wait = backoff;
   }
-  auto timer = std::make_shared<boost::asio::steady_timer>(Context);
+  auto timer = std::make_shared<boost::asio::steady_timer>(*Context);
   timer->expires_after(wait);
   timer->async_wait([this, timer, endpoint](const error_code &ec) {
     if (!ec)
@@ -190,6 +193,7 @@
   {
     const std::lock_guard lock(Mutex);
     Sessions.erase(session);
+    SessionsChanged.notify_all();
     const auto it = WantedByEndpoint.find(session->remoteAddress());
     if (it != WantedByEndpoint.end() && it->second.Session == session) {
       it->second.Session.reset();
@@ -207,10 +211,21 @@
     if (std::exchange(IsStopping, true))
       return;
   }
-  boost::asio::post(Context, [this] {
+  boost::asio::post(*Context, [this] {
     error_code ec;
     Acceptor.close(ec);
   });
+  closeSessions();
+  Guard.reset();
+  Context->stop();
+  for (auto &thread : Threads)
+    thread.join();
+  // Runs the handlers of closed sockets, which hold their sessions.
+  Context->restart();
+  Context->poll();
+}
+
+void PeerNode::closeSessions() {
   std::set<PeerSessionPtr> open;
   {
     const std::lock_guard lock(Mutex);
@@ -219,10 +234,9 @@
   for (const auto &session : open)
     session->close(Error(Step::Connect, session->remoteAddress(),
                          "this daemon is shutting down"));
-  Guard.reset();
-  Context.stop();
-  for (auto &thread : Threads)
-    thread.join();
+  std::unique_lock lock(Mutex);
+  SessionsChanged.wait_for(lock, CloseTimeout,
+                           [this] { return Sessions.empty(); });
 }
 
 } // namespace bergamot::adapterpeer
--- a/src/adapterpeer/peernode.h
+++ b/src/adapterpeer/peernode.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 
+#include <condition_variable>
 #include <map>
 #include <set>
 #include <thread>
@@ -48,12 +49,14 @@
   void connectFailed(const std::string &endpoint);
   void reconnectLater(const std::string &endpoint);
   void sessionClosed(const PeerSessionPtr &session, const base::Error &reason);
+  void closeSessions();
   static Tcp::endpoint parseEndpoint(const std::string &text);
 
   const PeerOptions Options;
   const PeerHandlers UserHandlers;
   PeerHandlers Handlers;
-  boost::asio::io_context Context;
+  /// Shared with the sessions, which may outlive the node.
+  std::shared_ptr<boost::asio::io_context> Context;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       Guard;
   Tcp::acceptor Acceptor;
@@ -62,6 +65,7 @@
   std::mutex Mutex;
   std::map<std::string, Wanted> WantedByEndpoint;
   std::set<PeerSessionPtr> Sessions;
+  std::condition_variable SessionsChanged;
   bool IsStopping = false;
 };
 
--- a/src/adapterpeer/peersession.cpp
+++ b/src/adapterpeer/peersession.cpp
@@ -21,10 +21,11 @@
 
 } // namespace
 
-PeerSession::PeerSession(Tcp::socket socket, wire::ConnectionEnd end,
+PeerSession::PeerSession(std::shared_ptr<boost::asio::io_context> context,
+                         Tcp::socket socket, wire::ConnectionEnd end,
                          std::string remoteAddress, const PeerOptions &options,
                          const PeerHandlers &handlers)
-    : Socket(std::move(socket)),
+    : Context(std::move(context)), Socket(std::move(socket)),
       Strand(boost::asio::make_strand(Socket.get_executor())), Timer(Strand),
       Options(options), Handlers(handlers),
       RemoteAddress(std::move(remoteAddress)),
--- a/src/adapterpeer/peersession.h
+++ b/src/adapterpeer/peersession.h
@@ -54,7 +54,10 @@
 public:
   using Tcp = boost::asio::ip::tcp;
 
-  PeerSession(Tcp::socket socket, wire::ConnectionEnd end,
+  /// The session keeps the context alive, as its socket and timer use it until
+  /// they are destroyed.
+  PeerSession(std::shared_ptr<boost::asio::io_context> context,
+              Tcp::socket socket, wire::ConnectionEnd end,
               std::string remoteAddress, const PeerOptions &options,
               const PeerHandlers &handlers);
 
@@ -88,6 +91,7 @@
   void onTimer();
   void closeOnStrand(const base::Error &reason);
 
+  std::shared_ptr<boost::asio::io_context> Context;
   Tcp::socket Socket;
   boost::asio::strand<boost::asio::any_io_executor> Strand;
   boost::asio::steady_timer Timer;
