daemon: Use routing's Executed instead of a second enumeration

The daemon had an enumeration of the same name and values, and a switch that converted one into the other.

--- a/src/bergamotd/callrunner.cpp
+++ b/src/bergamotd/callrunner.cpp
@@ -26,18 +26,6 @@
 /// How long a further attempt waits for any target to be reachable again.
 constexpr std::chrono::milliseconds ReconnectTime{5000};
 
-routing::Executed toRouting(Executed executed) {
-  switch (executed) {
-  case Executed::No:
-    return routing::Executed::No;
-  case Executed::Yes:
-    return routing::Executed::Yes;
-  case Executed::Unknown:
-    break;
-  }
-  return routing::Executed::Unknown;
-}
-
 std::uint32_t millisecondsUntil(base::TimePoint deadline) {
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       deadline - steady_clock::now());
@@ -304,7 +292,7 @@
                                   : routing::RepeatRule::NonIdempotent;
   failed.Attempt = {Attempt};
   failed.RefusedBefore = RefusedAttempts;
-  failed.Outcome = toRouting(outcome);
+  failed.Outcome = outcome;
   failed.BytesSent = bytesSent;
   failed.Resumes = Responder.isStarted();
   failed.Deadline = Call.Deadline;
--- a/src/bergamotd/problem.h
+++ b/src/bergamotd/problem.h
@@ -2,6 +2,7 @@
 #define BERGAMOT_BERGAMOTD_PROBLEM_H
 
 #include "libbergamotbase/error.h"
+#include "libbergamotrouting/routingtypes.h"
 
 #include <chrono>
 #include <optional>
@@ -9,8 +10,7 @@
 
 namespace bergamot::bergamotd {
 
-/// What is known about whether the back end executed a request.
-enum class Executed { No, Yes, Unknown };
+using routing::Executed;
 
 /// Returns "no", "yes" or "unknown".
 const char *executedName(Executed executed);
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -33,8 +33,8 @@
   }
 };
 
-/// Returns the environment of a program under test. Variables such as
-/// BERGAMOT_JOBS of the scripts would be refused as unknown settings.
+/// Returns the environment of a program under test. Settings of the shell that
+/// runs the tests must not reach it.
 std::vector<std::string>
 environmentWith(const std::vector<std::string> &variables) {
   constexpr std::string_view Prefix = "BERGAMOT_";
