platform: Serve callers on the users' platform through an event-driven entry

The present daemon holds a thread per connection, which doesn't fit entry VMs with a fifth of a core. The new entry path is one event loop: adaptertcp has the connections and the parser, libbergamotgateway the decisions, entrypath one request's way, and platform/ the names and formats of the platform.

--- /dev/null
+++ b/src/adaptertcp/messageparser.cpp
@@ -0,0 +1,169 @@
+#include "adaptertcp/messageparser.h"
+
+#include <limits>
+
+namespace bergamot::adaptertcp {
+
+MessageParser::MessageParser(Kind kind) : MessageKind(kind) { restart(); }
+
+void MessageParser::restart(bool bodiless) {
+  http_parser_init(&Parser, MessageKind == Kind::Request ? HTTP_REQUEST
+                                                         : HTTP_RESPONSE);
+  Parser.data = this;
+  Request = {};
+  Response = {};
+  Body.clear();
+  StatedLength.reset();
+  HeadBytes = 0;
+  LastHeadByte = 0;
+  InValue = false;
+  Bodiless = bodiless;
+  HeadComplete = false;
+  Complete = false;
+  Failed = false;
+}
+
+MessageParser &MessageParser::self(http_parser *parser) {
+  return *static_cast<MessageParser *>(parser->data);
+}
+
+HeaderFields &MessageParser::headers() {
+  return MessageKind == Kind::Request ? Request.Headers : Response.Headers;
+}
+
+const http_parser_settings &MessageParser::callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings it;
+    http_parser_settings_init(&it);
+    it.on_url = onTarget;
+    it.on_header_field = onName;
+    it.on_header_value = onValue;
+    it.on_headers_complete = onHeadComplete;
+    it.on_body = onBody;
+    it.on_message_complete = onComplete;
+    return it;
+  }();
+  return settings;
+}
+
+std::size_t MessageParser::push(std::string_view bytes) {
+  if (Failed || Complete || bytes.empty())
+    return 0;
+  const bool inHead = !HeadComplete;
+  if (inHead && !checkLineEnds(bytes)) {
+    Failed = true;
+    return 0;
+  }
+  const std::size_t n =
+      http_parser_execute(&Parser, &callbacks(), bytes.data(), bytes.size());
+  if (inHead)
+    HeadBytes += HeadComplete ? 0 : n;
+  const http_errno error = HTTP_PARSER_ERRNO(&Parser);
+  if (error != HPE_OK && error != HPE_PAUSED)
+    Failed = true;
+  // A request for another protocol leaves the parser behind its head.
+  if (Parser.upgrade != 0 && MessageKind == Kind::Request)
+    Failed = true;
+  return n;
+}
+
+bool MessageParser::checkLineEnds(std::string_view bytes) {
+  char last = LastHeadByte;
+  for (const char c : bytes) {
+    if (c == '\n' && last != '\r')
+      return false;
+    // The end of the head is an empty line; what follows may be the body.
+    if (c == '\r' && last == '\n') {
+      LastHeadByte = c;
+      return true;
+    }
+    last = c;
+  }
+  LastHeadByte = last;
+  return true;
+}
+
+void MessageParser::finish() {
+  if (Failed || Complete)
+    return;
+  (void)http_parser_execute(&Parser, &callbacks(), nullptr, 0);
+  const http_errno error = HTTP_PARSER_ERRNO(&Parser);
+  if (error != HPE_OK && error != HPE_PAUSED)
+    Failed = true;
+}
+
+int MessageParser::onTarget(http_parser *parser, const char *at,
+                            std::size_t n) {
+  self(parser).Request.Target.append(at, n);
+  return 0;
+}
+
+int MessageParser::onName(http_parser *parser, const char *at, std::size_t n) {
+  MessageParser &it = self(parser);
+  if (it.HeadComplete)
+    return 0; // Trailers carry nothing that is used.
+  auto &fields = it.headers().fields();
+  if (it.InValue || fields.empty()) {
+    fields.emplace_back();
+    it.InValue = false;
+  }
+  fields.back().Name.append(at, n);
+  return 0;
+}
+
+int MessageParser::onValue(http_parser *parser, const char *at,
+                           std::size_t n) {
+  MessageParser &it = self(parser);
+  if (it.HeadComplete)
+    return 0;
+  it.InValue = true;
+  it.headers().fields().back().Value.append(at, n);
+  return 0;
+}
+
+bool MessageParser::isFramingSound() const {
+  const HeaderFields &fields =
+      MessageKind == Kind::Request ? Request.Headers : Response.Headers;
+  const std::size_t lengths = fields.count("Content-Length");
+  const std::size_t codings = fields.count("Transfer-Encoding");
+  if (lengths + codings > 1)
+    return false;
+  return codings == 0 ||
+         equalNames(*fields.value("Transfer-Encoding"), "chunked");
+}
+
+int MessageParser::onHeadComplete(http_parser *parser) {
+  MessageParser &it = self(parser);
+  it.HeadComplete = true;
+  if (!it.isFramingSound())
+    return -1;
+  const bool hasLength =
+      parser->content_length != std::numeric_limits<std::uint64_t>::max() &&
+      (parser->flags & F_CHUNKED) == 0;
+  if (hasLength)
+    it.StatedLength = parser->content_length;
+  const bool keepAlive = http_should_keep_alive(parser) != 0;
+  if (it.MessageKind == Kind::Request) {
+    it.Request.Method =
+        http_method_str(static_cast<http_method>(parser->method));
+    it.Request.KeepAlive = keepAlive;
+    return 0;
+  }
+  it.Response.Status = static_cast<int>(parser->status_code);
+  it.Response.KeepAlive = keepAlive;
+  it.Response.Length = it.StatedLength;
+  return it.Bodiless ? 1 : 0;
+}
+
+int MessageParser::onBody(http_parser *parser, const char *at, std::size_t n) {
+  self(parser).Body.append(at, n);
+  return 0;
+}
+
+int MessageParser::onComplete(http_parser *parser) {
+  self(parser).Complete = true;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+} // namespace bergamot::adaptertcp
--- /dev/null
+++ b/src/adaptertcp/smallserver.cpp
@@ -0,0 +1,94 @@
+#include "adaptertcp/smallserver.h"
+
+#include "libbergamotbase/error.h"
+#include "libbergamotbase/jsonlog.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamot::adaptertcp {
+
+namespace {
+
+/// Requests to these servers are short; more is an error of the peer.
+constexpr std::size_t MaxRequestBytes = 262144;
+
+/// One connection of a SmallServer.
+class SmallConnection : public std::enable_shared_from_this<SmallConnection> {
+public:
+  SmallConnection(TcpConnection::Socket socket,
+                  const SmallServer::Handler &handler)
+      : Connection(std::make_shared<TcpConnection>(std::move(socket))),
+        OnRequest(handler) {}
+
+  void start() {
+    Connection->start(
+        {[self = shared_from_this()](std::string_view it) { self->onData(it); },
+         {},
+         {}});
+  }
+
+private:
+  void onData(std::string_view bytes) {
+    const auto self = shared_from_this();
+    while (!bytes.empty() && Connection->isOpen()) {
+      bytes.remove_prefix(Parser.push(bytes));
+      if (Parser.hasFailed() || Parser.body().size() > MaxRequestBytes) {
+        Connection->close();
+        return;
+      }
+      if (!Parser.isComplete())
+        return;
+      respond();
+      Parser.restart();
+    }
+  }
+
+  void respond() {
+    const SmallServer::Answer answer =
+        OnRequest(Parser.requestHead(), Parser.body());
+    ResponseHead head;
+    head.Status = answer.Status;
+    if (!answer.ContentType.empty())
+      head.Headers.add("Content-Type", answer.ContentType);
+    const bool keepAlive = Parser.requestHead().KeepAlive;
+    std::string text = responseText(head, Framing::Length, answer.Body.size(),
+                                    keepAlive);
+    Connection->send(text.append(answer.Body));
+    if (!keepAlive)
+      Connection->closeAfterSending();
+  }
+
+  std::shared_ptr<TcpConnection> Connection;
+  MessageParser Parser{MessageParser::Kind::Request};
+  SmallServer::Handler OnRequest;
+};
+
+} // namespace
+
+void SmallServer::listen(const boost::asio::ip::tcp::endpoint &address) {
+  try {
+    Acceptor.open(address.protocol());
+    Acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    Acceptor.bind(address);
+    Acceptor.listen();
+  } catch (const std::exception &e) {
+    throw base::Error(base::Step::Settings, address.address().to_string(),
+                      e.what());
+  }
+  accept();
+}
+
+void SmallServer::accept() {
+  Acceptor.async_accept([this](const boost::system::error_code &ec,
+                               boost::asio::ip::tcp::socket socket) {
+    if (ec == boost::asio::error::operation_aborted)
+      return;
+    if (!ec)
+      std::make_shared<SmallConnection>(std::move(socket), OnRequest)->start();
+    else
+      base::logWarning("accept.failed", {{"error", ec.message()}});
+    accept();
+  });
+}
+
+} // namespace bergamot::adaptertcp
--- /dev/null
+++ b/src/adaptertcp/smallserver.h
@@ -0,0 +1,42 @@
+#ifndef BERGAMOT_ADAPTERTCP_SMALLSERVER_H
+#define BERGAMOT_ADAPTERTCP_SMALLSERVER_H
+
+#include "adaptertcp/messageparser.h"
+#include "adaptertcp/tcpconnection.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace bergamot::adaptertcp {
+
+/// Serves short requests that are answered at once: readiness, metrics and
+/// calls of other daemons.
+class SmallServer {
+public:
+  struct Answer {
+    int Status = 200;
+    std::string ContentType;
+    std::string Body;
+  };
+  using Handler =
+      std::function<Answer(const RequestHead &head, const std::string &body)>;
+
+  SmallServer(boost::asio::io_context &loop, Handler handler)
+      : Acceptor(loop), OnRequest(std::move(handler)) {}
+
+  /// Starts serving at an address. Throws base::Error if it can't be had.
+  void listen(const boost::asio::ip::tcp::endpoint &address);
+
+private:
+  void accept();
+
+  boost::asio::ip::tcp::acceptor Acceptor;
+  Handler OnRequest;
+};
+
+} // namespace bergamot::adaptertcp
+
+#endif
--- /dev/null
+++ b/src/entrypath/callerconnection.cpp
@@ -0,0 +1,216 @@
+#include "entrypath/callerconnection.h"
+
+#include "entrypath/entry.h"
+#include "entrypath/exchange.h"
+
+namespace bergamot::entrypath {
+
+using adaptertcp::Framing;
+using adaptertcp::ResponseHead;
+using base::TimePoint;
+
+namespace {
+
+/// Bytes of further requests kept while one is in progress. More is left to
+/// the kernel's buffer.
+constexpr std::size_t MaxPipelinedBytes = 65536;
+
+} // namespace
+
+CallerConnection::CallerConnection(Entry &entry,
+                                   adaptertcp::TcpConnection::Socket socket)
+    : Owner(entry), Connection(std::make_shared<adaptertcp::TcpConnection>(
+                        std::move(socket))),
+      LastActiveAt(entry.now()) {}
+
+CallerConnection::~CallerConnection() = default;
+
+void CallerConnection::start() {
+  Connection->start(
+      {[self = shared_from_this()](std::string_view it) { self->onData(it); },
+       [self = shared_from_this()](adaptertcp::CloseReason) {
+         self->onClose();
+       },
+       [self = shared_from_this()] {
+         if (self->Current)
+           self->Current->callerDrained();
+       }});
+}
+
+void CallerConnection::onData(std::string_view bytes) {
+  LastActiveAt = Owner.now();
+  Input.append(bytes);
+  if (Current) {
+    if (Input.size() > MaxPipelinedBytes)
+      Connection->setReading(false);
+    return;
+  }
+  parse();
+}
+
+void CallerConnection::parse() {
+  if (Input.empty() || Closed)
+    return;
+  if (!Parser.hasStarted())
+    RequestStartedAt = Owner.now();
+  const std::size_t n = Parser.push(Input);
+  Input.erase(0, n);
+  const auto &limits = Owner.callerLimits();
+  if (Parser.headBytes() > limits.HeaderBytes) {
+    reject(431);
+    return;
+  }
+  if (Parser.hasFailed()) {
+    reject(400);
+    return;
+  }
+  if (!Parser.isHeadComplete())
+    return;
+  if (Parser.statedLength().value_or(0) > limits.BodyBytes ||
+      Parser.body().size() > limits.BodyBytes) {
+    reject(413);
+    return;
+  }
+  if (Parser.isComplete()) {
+    onRequestComplete();
+    return;
+  }
+  if (!ContinueSent && Parser.requestHead().Headers.value("Expect")) {
+    ContinueSent = true;
+    Connection->send("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void CallerConnection::onRequestComplete() {
+  KeepAlive = Parser.requestHead().KeepAlive;
+  Current = std::make_shared<Exchange>(
+      Owner, *this, std::move(Parser.requestHead()), std::move(Parser.body()),
+      RequestStartedAt);
+  Parser.restart();
+  ContinueSent = false;
+  // The exchange may end within the call, which clears Current.
+  const auto exchange = Current;
+  exchange->start();
+}
+
+void CallerConnection::reject(int status) {
+  Owner.countRejectedBytes(status);
+  ResponseHead head;
+  head.Status = status;
+  Connection->send(
+      adaptertcp::responseText(head, Framing::Length, 0, false));
+  Closed = true;
+  Owner.removeCaller(*this);
+  Connection->closeAfterSending();
+}
+
+void CallerConnection::respond(const ResponseHead &head,
+                               std::string_view body) {
+  if (Closed)
+    return;
+  KeepAlive = KeepAlive && !Owner.isShuttingDown();
+  std::string text = adaptertcp::responseText(head, Framing::Length,
+                                              body.size(), KeepAlive);
+  text.append(body);
+  Connection->send(text);
+  finishExchange();
+}
+
+void CallerConnection::beginResponse(const ResponseHead &head) {
+  if (Closed)
+    return;
+  KeepAlive = KeepAlive && !Owner.isShuttingDown();
+  Chunked = !head.Length;
+  Connection->send(adaptertcp::responseText(
+      head, Chunked ? Framing::Chunks : Framing::Length,
+      head.Length.value_or(0), KeepAlive));
+}
+
+void CallerConnection::sendBody(std::string_view bytes) {
+  if (Closed || bytes.empty())
+    return;
+  if (!Chunked) {
+    Connection->send(bytes);
+    return;
+  }
+  std::string chunk;
+  chunk.reserve(bytes.size() + 24);
+  adaptertcp::appendChunk(chunk, bytes);
+  Connection->send(chunk);
+}
+
+void CallerConnection::endResponse() {
+  if (Closed)
+    return;
+  if (Chunked)
+    Connection->send(adaptertcp::LastChunk);
+  finishExchange();
+}
+
+void CallerConnection::cutResponse() {
+  if (Closed)
+    return;
+  Closed = true;
+  Current.reset();
+  Owner.removeCaller(*this);
+  Connection->closeAfterSending();
+}
+
+void CallerConnection::finishExchange() {
+  Current.reset();
+  LastActiveAt = Owner.now();
+  if (!KeepAlive) {
+    Closed = true;
+    Owner.removeCaller(*this);
+    Connection->closeAfterSending();
+    return;
+  }
+  Connection->setReading(true);
+  if (Input.empty())
+    return;
+  Owner.post([self = shared_from_this()] {
+    if (!self->Current)
+      self->parse();
+  });
+}
+
+void CallerConnection::onClose() {
+  Closed = true;
+  if (const auto exchange = std::move(Current))
+    exchange->callerLeft();
+  Current.reset();
+  Owner.removeCaller(*this);
+}
+
+bool CallerConnection::isIdle() const {
+  return !Current && !Parser.hasStarted() && Input.empty();
+}
+
+void CallerConnection::checkTimeouts(TimePoint now) {
+  if (Current || Closed)
+    return;
+  const auto &limits = Owner.callerLimits();
+  const bool readingHead = Parser.hasStarted() && !Parser.isHeadComplete();
+  const bool headLate =
+      readingHead && now > RequestStartedAt + limits.HeaderTimeout;
+  const bool idleTooLong = now > LastActiveAt + limits.IdleTimeout;
+  if (headLate) {
+    reject(408);
+    return;
+  }
+  if (!idleTooLong)
+    return;
+  Closed = true;
+  Owner.removeCaller(*this);
+  Connection->closeAfterSending();
+}
+
+void CallerConnection::closeIfIdle() {
+  if (!isIdle() || Closed)
+    return;
+  Closed = true;
+  Owner.removeCaller(*this);
+  Connection->closeAfterSending();
+}
+
+} // namespace bergamot::entrypath
--- /dev/null
+++ b/src/entrypath/entry.cpp
@@ -0,0 +1,380 @@
+#include "entrypath/entry.h"
+
+#include "entrypath/callerconnection.h"
+#include "entrypath/exchange.h"
+#include "libbergamotbase/error.h"
+#include "libbergamotbase/jsonlog.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace bergamot::entrypath {
+
+using base::Duration;
+using base::TimePoint;
+using boost::system::error_code;
+using gateway::AttemptFailure;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// How often waiting requests and connections are checked for their limits.
+constexpr milliseconds TickPeriod{25};
+constexpr milliseconds SweepPeriod{250};
+/// A peer's report of its work is used for this long; several reports may be
+/// lost before its work is forgotten.
+constexpr milliseconds ReportLife{1500};
+/// Part of the latency objective that a request may wait for a target. The
+/// rest is needed for reading the prompt and the first pass.
+constexpr double WaitPart = 0.6;
+/// How long a stream that broke off may wait for another target: callers give
+/// up after a gap of two seconds.
+constexpr milliseconds ResumeWait{1500};
+/// Parts of the time left after which a rejected caller is told to come back.
+/// Callers follow it up to a third of that time; the range spreads them.
+constexpr double RetryAfterLowest = 0.08;
+constexpr double RetryAfterHighest = 0.30;
+/// Part of the allowance of a cold target that is used, since arrivals of
+/// several entries bunch on the way.
+constexpr double ColdPart = 0.9;
+/// Idle time after which a kept connection is closed if its target states
+/// none, and the margin before a stated one.
+constexpr milliseconds DefaultKeepAlive{4000};
+constexpr milliseconds KeepAliveMargin{900};
+constexpr int ListenBacklog = 1024;
+
+} // namespace
+
+Entry::Entry(boost::asio::io_context &loop, const EntrySettings &settings,
+             const Dialect &dialect, base::Metrics &metrics)
+    : Loop(loop), Settings(settings), Names(dialect), Metrics(metrics),
+      Decisions(settings.LogLinesPerSecond), Acceptor(loop), Ticker(loop),
+      Pool(loop), Directory(settings.LapseGrace), Loads(ReportLife),
+      Health(gateway::HealthSettings{}), Random(settings.Seed) {}
+
+Entry::~Entry() = default;
+
+void Entry::listen() {
+  try {
+    Acceptor.open(Settings.Listen.protocol());
+    Acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    Acceptor.bind(Settings.Listen);
+    Acceptor.listen(ListenBacklog);
+  } catch (const std::exception &e) {
+    throw base::Error(base::Step::Settings,
+                      Settings.Listen.address().to_string(), e.what());
+  }
+  accept();
+  tick();
+}
+
+void Entry::accept() {
+  Acceptor.async_accept([this](const error_code &ec,
+                               boost::asio::ip::tcp::socket socket) {
+    if (ec == boost::asio::error::operation_aborted || !Acceptor.is_open())
+      return;
+    if (ec) {
+      // Out of descriptors: wait for connections to end before the next try.
+      base::logWarning("accept.failed", {{"error", ec.message()}});
+      auto pause = std::make_shared<boost::asio::steady_timer>(Loop, TickPeriod);
+      pause->async_wait([this, pause](const error_code &) { accept(); });
+      return;
+    }
+    auto caller = std::make_shared<CallerConnection>(*this, std::move(socket));
+    Callers.insert(caller);
+    caller->start();
+    accept();
+  });
+}
+
+void Entry::tick() {
+  Ticker.expires_after(TickPeriod);
+  Ticker.async_wait([this](const error_code &ec) {
+    if (ec)
+      return;
+    const TimePoint at = now();
+    for (auto &[name, state] : Services)
+      if (!state.Queue.isEmpty())
+        pump(name);
+    if (at >= NextSweepAt) {
+      NextSweepAt = at + SweepPeriod;
+      Directory.removeLapsed(at);
+      Pool.removeStale(at, [this](const std::string &id) {
+        return Directory.target(id) != nullptr;
+      });
+      const auto callers = Callers;
+      for (const auto &it : callers)
+        it->checkTimeouts(at);
+    }
+    tick();
+  });
+}
+
+void Entry::shutDown() { ShuttingDown = true; }
+
+bool Entry::isDrained() const {
+  return std::all_of(Callers.begin(), Callers.end(),
+                     [](const auto &it) { return it->isIdle(); });
+}
+
+void Entry::closeListener() {
+  error_code ec;
+  Acceptor.close(ec);
+  const auto callers = Callers;
+  for (const auto &it : callers)
+    it->closeIfIdle();
+}
+
+void Entry::setRouteTable(std::shared_ptr<const gateway::RouteTable> table) {
+  if (Table && table->version() <= Table->version())
+    return;
+  base::logDecision("config.applied",
+                    {{"version", table->version()},
+                     {"previous", Table ? Table->version() : 0},
+                     {"routes", table->routeCount()}});
+  Table = std::move(table);
+  Metrics.setGauge("bergamot_config_version", "",
+                   static_cast<double>(Table->version()));
+}
+
+void Entry::targetsChanged() {
+  for (const auto &[name, state] : Services)
+    schedulePump(name);
+}
+
+void Entry::setPeerWork(const std::string &entry, gateway::WorkByTarget work) {
+  Loads.setReport(entry, std::move(work), now());
+  for (auto &[name, state] : Services)
+    if (!state.Queue.isEmpty())
+      schedulePump(name);
+}
+
+const gateway::CallerLimits &Entry::callerLimits() const {
+  static const gateway::CallerLimits defaults;
+  return Table ? Table->limits() : defaults;
+}
+
+void Entry::removeCaller(CallerConnection &caller) {
+  Callers.erase(caller.shared_from_this());
+}
+
+void Entry::countRejectedBytes(int status) {
+  Metrics.addCount("bergamot_rejected_input_total",
+                   "status=\"" + std::to_string(status) + "\"");
+}
+
+Entry::ServiceState &Entry::service(const std::string &name) {
+  return Services.try_emplace(name, Settings.Retries).first->second;
+}
+
+double Entry::predictedWork(const Exchange &exchange) const {
+  const auto &size = exchange.request().Generation;
+  if (!size)
+    return 1;
+  const std::uint32_t output =
+      size->ExpectedOutputTokens.value_or(size->MaxOutputTokens);
+  return static_cast<double>(output) + 0.1 * size->PromptTokens;
+}
+
+TimePoint Entry::rejectAt(const Exchange &exchange) const {
+  if (exchange.isResuming())
+    return std::min(exchange.deadline(), now() + ResumeWait);
+  const auto objective = exchange.route().LatencyObjective;
+  const TimePoint byObjective =
+      exchange.arrivedAt() +
+      duration_cast<Duration>(WaitPart * std::chrono::duration<double, std::milli>(objective));
+  return std::min(exchange.deadline(), std::max(byObjective, now()));
+}
+
+void Entry::enqueue(const std::shared_ptr<Exchange> &exchange) {
+  const std::string name = exchange->service();
+  ServiceState &state = service(name);
+  if (exchange->tried().empty())
+    state.Budget.addRequest(now());
+  state.Waiting.emplace(exchange->number(), exchange);
+  state.Queue.add({exchange->number(),
+                   exchange->isResuming() ? 0 : exchange->priority(),
+                   exchange->arrivedAt(), rejectAt(*exchange)});
+  pump(name);
+}
+
+void Entry::schedulePump(const std::string &name) {
+  ServiceState &state = service(name);
+  if (state.PumpPosted || state.Queue.isEmpty())
+    return;
+  state.PumpPosted = true;
+  post([this, name] {
+    service(name).PumpPosted = false;
+    pump(name);
+  });
+}
+
+void Entry::pump(const std::string &name) {
+  ServiceState &state = service(name);
+  while (dispatchNext(name, state)) {
+  }
+  rejectExpired(state);
+}
+
+void Entry::rejectExpired(ServiceState &state) {
+  for (const auto &it : state.Queue.takeExpired(now())) {
+    const auto waiting = state.Waiting.extract(it.Number);
+    if (!waiting.empty())
+      waiting.mapped()->rejectWaiting("no_capacity");
+  }
+}
+
+bool Entry::dispatchNext(const std::string &name, ServiceState &state) {
+  const gateway::WaitingRequest *next = state.Queue.next();
+  if (!next)
+    return false;
+  const auto exchange = state.Waiting.at(next->Number);
+  const auto choices = candidates(name, *exchange);
+  const int chosen = gateway::chooseTarget(choices, draw());
+  if (chosen < 0)
+    return false;
+  const auto *target =
+      Directory.target(choices[static_cast<std::size_t>(chosen)].Id);
+  state.Queue.remove(exchange->number());
+  state.Waiting.erase(exchange->number());
+  RecentDispatches[target->Record.Id].add(now());
+  exchange->dispatchTo(*target);
+  return true;
+}
+
+std::vector<gateway::Candidate> Entry::candidates(const std::string &name,
+                                                  const Exchange &exchange) {
+  const TimePoint at = now();
+  std::vector<gateway::Candidate> choices;
+  std::vector<gateway::Candidate> triedBefore;
+  for (const auto &[id, target] : Directory.targets()) {
+    if (target.Record.Service != name || !Directory.isUsable(target) ||
+        !hasColdAllowance(name, id))
+      continue;
+    const gateway::TargetWork work = Loads.total(id, at);
+    gateway::Candidate it{id,
+                          work.Requests,
+                          limitOf(target),
+                          work.Work,
+                          target.Record.Domain == Settings.Domain,
+                          Health.penalty(id, at)};
+    (exchange.tried().contains(id) ? triedBefore : choices)
+        .push_back(std::move(it));
+  }
+  return choices.empty() ? triedBefore : choices;
+}
+
+std::uint32_t Entry::limitOf(const gateway::KnownTarget &target) const {
+  return std::max(1U, target.Record.Slots);
+}
+
+unsigned Entry::entryCount() const {
+  return std::max(1U, Loads.liveEntries(now()));
+}
+
+bool Entry::hasColdAllowance(const std::string &name,
+                             const std::string &target) {
+  const gateway::Service *it = Table ? Table->service(name) : nullptr;
+  if (!it || it->ColdRequestsPerSecond <= 0)
+    return true;
+  // A target may be cold before anyone has heard of it, so the limit applies
+  // to warm ones too; it is far above what a warm one gets.
+  const double most =
+      std::max(1.0, ColdPart * it->ColdRequestsPerSecond / entryCount());
+  return static_cast<double>(RecentDispatches[target].count(now())) + 1 <= most;
+}
+
+void Entry::removeExchange(Exchange &exchange, const char *outcome,
+                           int status) {
+  if (!exchange.service().empty()) {
+    ServiceState &state = service(exchange.service());
+    state.Queue.remove(exchange.number());
+    state.Waiting.erase(exchange.number());
+    schedulePump(exchange.service());
+  }
+  Metrics.addCount("bergamot_requests_total",
+                   std::string("outcome=\"") + outcome + "\",status=\"" +
+                       std::to_string(status) + "\"");
+  Metrics.addLatency("bergamot_request_seconds", "",
+                     now() - exchange.arrivedAt());
+}
+
+void Entry::setRetryAfter(adaptertcp::HeaderFields &headers,
+                          const Exchange &exchange) {
+  const std::chrono::duration<double> left =
+      std::max(Duration::zero(), exchange.deadline() - now());
+  const double part =
+      RetryAfterLowest + (RetryAfterHighest - RetryAfterLowest) * draw();
+  std::array<char, 16> text{};
+  (void)std::snprintf(text.data(), text.size(), "%.2f",
+                      std::max(0.05, part * left.count()));
+  headers.set("Retry-After", text.data());
+}
+
+void Entry::addInFlight(const Exchange &exchange, const std::string &target) {
+  Loads.addOwn(target, exchange.work());
+}
+
+void Entry::removeInFlight(const Exchange &exchange,
+                           const std::string &target) {
+  Loads.removeOwn(target, exchange.work());
+  schedulePump(exchange.service());
+}
+
+void Entry::noteResponse(const std::string &target,
+                         const TargetResponse &response) {
+  if (response.ColdFor && response.ColdFor->count() > 0)
+    Directory.setColdUntil(target, now() + *response.ColdFor);
+}
+
+void Entry::noteEvent(const Exchange &exchange, const std::string &target,
+                      TimePoint now) {
+  (void)exchange;
+  (void)target;
+  (void)now;
+}
+
+void Entry::noteSuccess(const std::string &target) {
+  Health.addResult(target, false, now());
+}
+
+void Entry::noteFailure(const std::string &target, AttemptFailure failure) {
+  if (failure == AttemptFailure::Misdirected) {
+    base::logDecision("target.replaced", {{"target", target}});
+    Directory.removeReplaced(target);
+    return;
+  }
+  if (failure != AttemptFailure::Refused)
+    Health.addResult(target, true, now());
+}
+
+bool Entry::takeRepeat(const std::string &name) {
+  const unsigned entries = std::max(entryCount(), Settings.MaxEntries);
+  return service(name).Budget.takeRepeat(entries, now());
+}
+
+void Entry::keepConnection(const std::string &target,
+                           TargetPool::Connection connection,
+                           const TargetResponse &response, TimePoint now) {
+  Duration keep = DefaultKeepAlive;
+  if (response.KeepAliveFor)
+    keep = *response.KeepAliveFor - KeepAliveMargin;
+  if (keep <= Duration::zero()) {
+    connection->close();
+    return;
+  }
+  Pool.put(target, std::move(connection), now + keep, now);
+}
+
+void Entry::countNewConnection() {
+  Metrics.addCount("bergamot_target_connections_total", "");
+}
+
+void Entry::writeLog(const char *event, const nlohmann::json &fields) {
+  base::logDecision(event, fields);
+}
+
+} // namespace bergamot::entrypath
--- /dev/null
+++ b/src/entrypath/entry.h
@@ -0,0 +1,170 @@
+#ifndef BERGAMOT_ENTRYPATH_ENTRY_H
+#define BERGAMOT_ENTRYPATH_ENTRY_H
+
+#include "entrypath/decisionlog.h"
+#include "entrypath/dialect.h"
+#include "entrypath/targetpool.h"
+#include "libbergamotbase/metrics.h"
+#include "libbergamotgateway/attemptpolicy.h"
+#include "libbergamotgateway/loadboard.h"
+#include "libbergamotgateway/placement.h"
+#include "libbergamotgateway/ratewindow.h"
+#include "libbergamotgateway/retrybudget.h"
+#include "libbergamotgateway/routetable.h"
+#include "libbergamotgateway/targetdirectory.h"
+#include "libbergamotgateway/targethealth.h"
+#include "libbergamotgateway/waitqueue.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_set>
+
+namespace bergamot::entrypath {
+
+class CallerConnection;
+class Exchange;
+
+/// Settings of an entry.
+struct EntrySettings {
+  std::string Name;
+  std::string Domain;
+  boost::asio::ip::tcp::endpoint Listen;
+  gateway::RetryBound Retries;
+  /// Entries that may exist at the same time; divides shared allowances when
+  /// fewer are heard of.
+  unsigned MaxEntries = 8;
+  /// Time after an outage of the platform's store within which the records of
+  /// live targets return.
+  base::Duration LapseGrace = std::chrono::milliseconds(2000);
+  unsigned LogLinesPerSecond = 40;
+  std::uint64_t Seed = 1;
+};
+
+/// The state of one entry: its callers, the requests that wait and are in
+/// flight, and what it knows of configuration, targets and other entries.
+/// Everything runs on one event loop.
+class Entry {
+public:
+  Entry(boost::asio::io_context &loop, const EntrySettings &settings,
+        const Dialect &dialect, base::Metrics &metrics);
+  ~Entry();
+  Entry(const Entry &) = delete;
+  Entry &operator=(const Entry &) = delete;
+
+  /// Opens the listening socket. Throws base::Error if it can't be had.
+  void listen();
+  /// Starts a graceful end: responses close their connections.
+  void shutDown();
+  /// Returns whether no caller's request is in progress or partly read.
+  bool isDrained() const;
+  /// Stops listening and closes idle connections.
+  void closeListener();
+
+  /// Puts a configuration in force; an older version than the present one is
+  /// ignored.
+  void setRouteTable(std::shared_ptr<const gateway::RouteTable> table);
+  /// Handles changes of the directory: work may go to other targets now.
+  void targetsChanged();
+  void setPeerWork(const std::string &entry, gateway::WorkByTarget work);
+
+  gateway::TargetDirectory &directory() { return Directory; }
+  const gateway::LoadBoard &loadBoard() const { return Loads; }
+  std::shared_ptr<const gateway::RouteTable> routeTable() const {
+    return Table;
+  }
+  const EntrySettings &settings() const { return Settings; }
+  bool isShuttingDown() const { return ShuttingDown; }
+  base::TimePoint now() const { return std::chrono::steady_clock::now(); }
+  boost::asio::io_context &loop() { return Loop; }
+  DecisionLog &decisions() { return Decisions; }
+  base::Metrics &metrics() { return Metrics; }
+
+  // For callers' connections.
+  const gateway::CallerLimits &callerLimits() const;
+  void removeCaller(CallerConnection &caller);
+  void countRejectedBytes(int status);
+  template <typename Task> void post(Task task) {
+    boost::asio::post(Loop, std::move(task));
+  }
+
+  // For exchanges.
+  const Dialect &dialect() const { return Names; }
+  TargetPool &pool() { return Pool; }
+  std::uint64_t nextExchangeNumber() { return ++LastExchange; }
+  /// Returns a random number in [0, 1).
+  double draw() { return Uniform(Random); }
+  double predictedWork(const Exchange &exchange) const;
+  void enqueue(const std::shared_ptr<Exchange> &exchange);
+  void removeExchange(Exchange &exchange, const char *outcome, int status);
+  void setRetryAfter(adaptertcp::HeaderFields &headers,
+                     const Exchange &exchange);
+  void addInFlight(const Exchange &exchange, const std::string &target);
+  void removeInFlight(const Exchange &exchange, const std::string &target);
+  void noteResponse(const std::string &target, const TargetResponse &response);
+  void noteEvent(const Exchange &exchange, const std::string &target,
+                 base::TimePoint now);
+  void noteSuccess(const std::string &target);
+  void noteFailure(const std::string &target, gateway::AttemptFailure failure);
+  bool takeRepeat(const std::string &service);
+  void keepConnection(const std::string &target,
+                      TargetPool::Connection connection,
+                      const TargetResponse &response, base::TimePoint now);
+  void countNewConnection();
+  void writeLog(const char *event, const nlohmann::json &fields);
+
+private:
+  struct ServiceState {
+    explicit ServiceState(const gateway::RetryBound &bound) : Budget(bound) {}
+    gateway::WaitQueue Queue;
+    std::map<std::uint64_t, std::shared_ptr<Exchange>> Waiting;
+    gateway::RetryBudget Budget;
+    bool PumpPosted = false;
+  };
+
+  void accept();
+  ServiceState &service(const std::string &name);
+  void schedulePump(const std::string &name);
+  void pump(const std::string &name);
+  void rejectExpired(ServiceState &state);
+  bool dispatchNext(const std::string &name, ServiceState &state);
+  std::vector<gateway::Candidate> candidates(const std::string &name,
+                                             const Exchange &exchange);
+  std::uint32_t limitOf(const gateway::KnownTarget &target) const;
+  bool hasColdAllowance(const std::string &name, const std::string &target);
+  unsigned entryCount() const;
+  base::TimePoint rejectAt(const Exchange &exchange) const;
+  void tick();
+
+  boost::asio::io_context &Loop;
+  EntrySettings Settings;
+  const Dialect &Names;
+  base::Metrics &Metrics;
+  DecisionLog Decisions;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  boost::asio::steady_timer Ticker;
+  TargetPool Pool;
+  std::shared_ptr<const gateway::RouteTable> Table;
+  gateway::TargetDirectory Directory;
+  gateway::LoadBoard Loads;
+  gateway::TargetHealth Health;
+  std::map<std::string, gateway::RateWindow> RecentDispatches;
+  std::map<std::string, ServiceState> Services;
+  std::unordered_set<std::shared_ptr<CallerConnection>> Callers;
+  std::mt19937_64 Random;
+  std::uniform_real_distribution<double> Uniform{0.0, 1.0};
+  std::uint64_t LastExchange = 0;
+  base::TimePoint NextSweepAt;
+  bool ShuttingDown = false;
+};
+
+} // namespace bergamot::entrypath
+
+#endif
--- /dev/null
+++ b/src/entrypath/peerlink.cpp
@@ -0,0 +1,221 @@
+#include "entrypath/peerlink.h"
+
+#include "libbergamotbase/error.h"
+#include "libbergamotbase/jsonlog.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamot::entrypath {
+
+using base::TimePoint;
+using boost::system::error_code;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Silence after which an entry isn't counted as live.
+constexpr milliseconds PeerLife{1500};
+/// Silence after which nothing is sent to an entry any more. A partition may
+/// last long, and datagrams to a missing machine cost little.
+constexpr std::chrono::seconds PeerMemory{60};
+constexpr milliseconds FetchTimeout{600};
+
+std::string toBytes(const json &message) {
+  const auto cbor = json::to_cbor(message);
+  return {cbor.begin(), cbor.end()};
+}
+
+json fromBytes(std::string_view bytes) {
+  return json::from_cbor(bytes.begin(), bytes.end(), true, false);
+}
+
+} // namespace
+
+PeerLink::PeerLink(boost::asio::io_context &loop, Settings settings,
+                   Entry &entry, std::vector<TopicFollower *> followers)
+    : Loop(loop), Own(std::move(settings)), Owner(entry),
+      Followers(std::move(followers)), Socket(loop), SendTimer(loop),
+      FetchTimer(loop) {}
+
+void PeerLink::start() {
+  try {
+    Socket.open(Own.Listen.protocol());
+    Socket.bind(Own.Listen);
+    Socket.non_blocking(true);
+  } catch (const std::exception &e) {
+    throw base::Error(base::Step::Settings, Own.Listen.address().to_string(),
+                      e.what());
+  }
+  receive();
+  sendPeriodically();
+  fetchPeriodically();
+}
+
+void PeerLink::addPeer(const std::string &name,
+                       const boost::asio::ip::udp::endpoint &address) {
+  if (name == Own.Name || address == Own.Listen)
+    return;
+  const TimePoint now = Owner.now();
+  const auto [it, added] = Peers.try_emplace(name);
+  it->second.ForgetAt = now + PeerMemory;
+  if (it->second.Address != address) {
+    it->second.Address = address;
+    Callers.erase(name);
+  }
+  if (added)
+    base::logInfo("peer.added",
+                  {{"peer", name}, {"address", address.address().to_string()}});
+}
+
+bool PeerLink::hasLivePeer(TimePoint now) const {
+  for (const auto &[name, peer] : Peers)
+    if (peer.HeardAt + PeerLife > now)
+      return true;
+  return false;
+}
+
+void PeerLink::receive() {
+  Socket.async_receive_from(
+      boost::asio::buffer(Buffer), Sender,
+      [this](const error_code &ec, std::size_t n) {
+        if (ec == boost::asio::error::operation_aborted)
+          return;
+        if (!ec)
+          onDatagram(n);
+        receive();
+      });
+}
+
+void PeerLink::onDatagram(std::size_t n) {
+  const json message = fromBytes(std::string_view(Buffer.data(), n));
+  if (!message.is_object() || !message.contains("name") ||
+      !message["name"].is_string() || !message.contains("work") ||
+      !message["work"].is_object()) {
+    Owner.decisions().write(
+        "peer.malformed", {{"from", Sender.address().to_string()}}, Owner.now());
+    return;
+  }
+  const std::string name = message["name"];
+  if (name == Own.Name)
+    return;
+  addPeer(name, Sender);
+  Peers[name].HeardAt = Owner.now();
+  gateway::WorkByTarget work;
+  for (const auto &[target, value] : message["work"].items())
+    if (value.is_array() && value.size() == 2 && value[0].is_number_unsigned() &&
+        value[1].is_number())
+      work[target] = {value[0].get<std::uint32_t>(), value[1].get<double>()};
+  Owner.setPeerWork(name, std::move(work));
+}
+
+std::string PeerLink::datagram() const {
+  json work = json::object();
+  for (const auto &[target, it] : Owner.loadBoard().own())
+    work[target] = {it.Requests, static_cast<std::int64_t>(it.Work)};
+  return toBytes({{"name", Own.Name}, {"work", std::move(work)}});
+}
+
+void PeerLink::sendPeriodically() {
+  const TimePoint now = Owner.now();
+  const std::string message = datagram();
+  if (message != LastSent || now >= SendAgainAt) {
+    for (auto &[name, peer] : Peers) {
+      error_code ec;
+      // Datagrams may be lost anyway; the next one carries the state again.
+      Socket.send_to(boost::asio::buffer(message), peer.Address, 0, ec);
+    }
+    LastSent = message;
+    SendAgainAt = now + Own.MostPeriod;
+  }
+  std::erase_if(Peers, [&](const auto &it) {
+    const bool forgotten = it.second.ForgetAt <= now;
+    if (forgotten)
+      Callers.erase(it.first);
+    return forgotten;
+  });
+  SendTimer.expires_after(Own.LeastPeriod);
+  SendTimer.async_wait([this](const error_code &ec) {
+    if (!ec)
+      sendPeriodically();
+  });
+}
+
+void PeerLink::fetchPeriodically() {
+  for (auto *it : Followers)
+    if (!it->isStoreReachable())
+      fetch(*it);
+  FetchTimer.expires_after(Own.FetchPeriod);
+  FetchTimer.async_wait([this](const error_code &ec) {
+    if (!ec)
+      fetchPeriodically();
+  });
+}
+
+void PeerLink::fetch(TopicFollower &follower) {
+  if (Peers.empty())
+    return;
+  auto it = Peers.begin();
+  std::advance(it, static_cast<long>(NextPeer++ % Peers.size()));
+  auto &caller = Callers[it->first];
+  if (!caller)
+    caller = std::make_shared<adaptertcp::HttpCaller>(
+        Loop, boost::asio::ip::tcp::endpoint(it->second.Address.address(),
+                                             it->second.Address.port()));
+  if (caller->isBusy())
+    return;
+  adaptertcp::RequestHead head;
+  head.Method = "GET";
+  head.Target = "/records?topic=" + follower.topic() +
+                "&from=" + std::to_string(follower.end());
+  head.Headers.add("Host", "peer");
+  caller->call(head, "", Owner.now() + FetchTimeout,
+               [this, &follower](const adaptertcp::CallResult &result) {
+                 onRecords(follower, result);
+               });
+}
+
+std::string PeerLink::recordsBody(const std::string &topic,
+                                  std::uint64_t from) const {
+  for (const auto *it : Followers) {
+    if (it->topic() != topic || !it->isLoaded())
+      continue;
+    json records = json::array();
+    for (const auto &record : it->recordsFrom(from))
+      records.push_back({{"key", record.Key},
+                         {"value", record.Value ? json(*record.Value) : json()},
+                         {"offset", record.Offset}});
+    return toBytes({{"end", it->end()}, {"records", std::move(records)}});
+  }
+  return {};
+}
+
+void PeerLink::onRecords(TopicFollower &follower,
+                         const adaptertcp::CallResult &result) {
+  if (!result.isStatus(200) || follower.isStoreReachable())
+    return;
+  const json message = fromBytes(result.Body);
+  if (!message.is_object() || !message.contains("records") ||
+      !message.contains("end") || !message["end"].is_number_unsigned()) {
+    base::logWarning("peer.malformed_records", {{"topic", follower.topic()}});
+    return;
+  }
+  std::vector<KeyedRecord> records;
+  for (const auto &it : message["records"]) {
+    if (!it.is_object() || !it.contains("key") || !it.contains("offset"))
+      continue;
+    KeyedRecord record;
+    record.Key = it["key"].get<std::string>();
+    record.Offset = it["offset"].get<std::uint64_t>();
+    if (it.contains("value") && it["value"].is_string())
+      record.Value = it["value"].get<std::string>();
+    records.push_back(std::move(record));
+  }
+  if (!records.empty())
+    base::logDecision("records.from_peer", {{"topic", follower.topic()},
+                                            {"records", records.size()},
+                                            {"end", message["end"]}});
+  follower.addPeerRecords(records, message["end"].get<std::uint64_t>());
+}
+
+} // namespace bergamot::entrypath
--- /dev/null
+++ b/src/entrypath/targetpool.cpp
@@ -0,0 +1,127 @@
+#include "entrypath/targetpool.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+
+namespace bergamot::entrypath {
+
+using base::TimePoint;
+using boost::system::error_code;
+
+namespace {
+
+/// Idle connections kept to one target; the more there are, the fewer the
+/// other entries can open.
+constexpr std::size_t MaxIdlePerTarget = 24;
+
+} // namespace
+
+std::optional<boost::asio::ip::tcp::endpoint>
+parseEndpoint(const std::string &text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos)
+    return std::nullopt;
+  error_code ec;
+  const auto address =
+      boost::asio::ip::make_address(text.substr(0, colon), ec);
+  unsigned short port = 0;
+  const char *end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+  if (ec || parsed.ec != std::errc() || parsed.ptr != end)
+    return std::nullopt;
+  return boost::asio::ip::tcp::endpoint(address, port);
+}
+
+TargetPool::Connection TargetPool::take(const std::string &target,
+                                        base::Duration maxIdle, TimePoint now) {
+  const auto it = ByTarget.find(target);
+  if (it == ByTarget.end())
+    return nullptr;
+  auto &idle = it->second;
+  while (!idle.empty()) {
+    // The most recently used one is the least likely to be closed by now.
+    Idle last = std::move(idle.back());
+    idle.pop_back();
+    if (!last.Held->isOpen())
+      continue;
+    if (last.ExpiresAt > now && last.Since + maxIdle >= now)
+      return last.Held;
+    last.Held->close();
+  }
+  return nullptr;
+}
+
+void TargetPool::connect(const std::string &address, TimePoint deadline,
+                         Completion completion) {
+  const auto endpoint = parseEndpoint(address);
+  if (!endpoint) {
+    completion(nullptr);
+    return;
+  }
+  auto connection = std::make_shared<adaptertcp::TcpConnection>(
+      adaptertcp::TcpConnection::Socket(Loop));
+  auto timer = std::make_shared<boost::asio::steady_timer>(Loop, deadline);
+  auto done = std::make_shared<Completion>(std::move(completion));
+  timer->async_wait([connection, done](const error_code &ec) {
+    if (ec || !*done)
+      return;
+    const Completion callback = std::move(*done);
+    *done = nullptr;
+    connection->close();
+    callback(nullptr);
+  });
+  connection->socket().async_connect(
+      *endpoint, [connection, timer, done](const error_code &ec) {
+        if (!*done)
+          return;
+        const Completion callback = std::move(*done);
+        *done = nullptr;
+        timer->cancel();
+        callback(ec ? nullptr : connection);
+      });
+}
+
+void TargetPool::put(const std::string &target, Connection connection,
+                     TimePoint expiresAt, TimePoint now) {
+  auto &idle = ByTarget[target];
+  if (idle.size() >= MaxIdlePerTarget || !connection->isOpen()) {
+    connection->close();
+    return;
+  }
+  const auto *which = connection.get();
+  connection->setHandlers(
+      {[this, target, which](std::string_view) { drop(target, which); },
+       [this, target, which](adaptertcp::CloseReason) { drop(target, which); },
+       {}});
+  idle.push_back({std::move(connection), now, expiresAt});
+}
+
+void TargetPool::drop(const std::string &target,
+                      const adaptertcp::TcpConnection *which) {
+  const auto it = ByTarget.find(target);
+  if (it == ByTarget.end())
+    return;
+  std::erase_if(it->second, [&](const Idle &idle) {
+    if (idle.Held.get() != which)
+      return false;
+    idle.Held->close();
+    return true;
+  });
+}
+
+void TargetPool::removeStale(
+    TimePoint now, const std::function<bool(const std::string &)> &isKnown) {
+  for (auto it = ByTarget.begin(); it != ByTarget.end();) {
+    const bool known = isKnown(it->first);
+    std::erase_if(it->second, [&](const Idle &idle) {
+      const bool stale = !known || idle.ExpiresAt <= now;
+      if (stale)
+        idle.Held->close();
+      return stale || !idle.Held->isOpen();
+    });
+    it = it->second.empty() ? ByTarget.erase(it) : std::next(it);
+  }
+}
+
+} // namespace bergamot::entrypath
--- /dev/null
+++ b/src/entrypath/topicfollower.cpp
@@ -0,0 +1,160 @@
+#include "entrypath/topicfollower.h"
+
+#include "libbergamotbase/jsonlog.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bergamot::entrypath {
+
+using base::TimePoint;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+/// Time for a full read of one page, which doesn't wait for records.
+constexpr milliseconds FullReadTimeout{1000};
+/// Records that lapsed during an outage are back within two seconds of its
+/// end; a little more covers the way of a record to this process.
+constexpr milliseconds UnreliableAfterOutage{2300};
+
+} // namespace
+
+TopicFollower::TopicFollower(boost::asio::io_context &loop,
+                             FollowerSettings settings,
+                             std::unique_ptr<KeyedLog> log, Change change)
+    : Loop(loop), Settings(std::move(settings)), Log(std::move(log)),
+      OnChange(std::move(change)), Timer(loop) {}
+
+void TopicFollower::start() { readNewest(""); }
+
+void TopicFollower::readNewest(const std::string &after) {
+  if (after.empty()) {
+    Seen.clear();
+    FirstPageEnd.reset();
+  }
+  Log->newest(after, Clock::now() + FullReadTimeout,
+              [this](KeyedPage page) { onNewest(std::move(page)); });
+}
+
+void TopicFollower::onNewest(KeyedPage page) {
+  setReachable(page.Result == KeyedPage::Outcome::Read);
+  if (page.Result != KeyedPage::Outcome::Read) {
+    scheduleRead(Settings.RetryPause);
+    return;
+  }
+  if (!FirstPageEnd)
+    FirstPageEnd = page.End;
+  for (const auto &it : page.Records) {
+    Seen[it.Key] = true;
+    apply(it);
+  }
+  if (page.HasMore && !page.Records.empty()) {
+    readNewest(page.Records.back().Key);
+    return;
+  }
+  removeMissing();
+  End = std::max(End, *FirstPageEnd);
+  Loaded = true;
+  NeedsFullRead = false;
+  NextFullReadAt = Clock::now() + Settings.FullReadPeriod;
+  scheduleRead(Settings.Pause);
+}
+
+/// A key that a full read doesn't show was removed, unless its record is newer
+/// than the read.
+void TopicFollower::removeMissing() {
+  std::vector<KeyedRecord> removed;
+  for (const auto &[key, record] : Records)
+    if (record.Value && !Seen.contains(key) && record.Offset < *FirstPageEnd)
+      removed.push_back({key, std::nullopt, *FirstPageEnd - 1});
+  for (const auto &it : removed) {
+    Records[it.Key] = it;
+    OnChange(it.Key, std::nullopt, isReliable());
+  }
+}
+
+void TopicFollower::readNext() {
+  if (NeedsFullRead || Clock::now() >= NextFullReadAt) {
+    readNewest("");
+    return;
+  }
+  const TimePoint waitUntil = Clock::now() + Settings.Wait;
+  Log->read(End, waitUntil, waitUntil + Settings.ReadMargin,
+            [this](KeyedPage page) { onRead(std::move(page)); });
+}
+
+void TopicFollower::onRead(KeyedPage page) {
+  if (page.Result == KeyedPage::Outcome::Compacted) {
+    NeedsFullRead = true;
+    scheduleRead(milliseconds(0));
+    return;
+  }
+  setReachable(page.Result == KeyedPage::Outcome::Read);
+  if (page.Result != KeyedPage::Outcome::Read) {
+    // What a failed read has missed can't be known.
+    NeedsFullRead = true;
+    scheduleRead(Settings.RetryPause);
+    return;
+  }
+  for (const auto &it : page.Records) {
+    apply(it);
+    End = std::max(End, it.Offset + 1);
+  }
+  scheduleRead(Settings.Pause);
+}
+
+void TopicFollower::scheduleRead(milliseconds pause) {
+  Timer.expires_after(pause);
+  Timer.async_wait([this](const boost::system::error_code &ec) {
+    if (!ec)
+      readNext();
+  });
+}
+
+void TopicFollower::setReachable(bool reachable) {
+  if (!reachable || !Reachable)
+    ReliableFrom = Clock::now() + UnreliableAfterOutage;
+  if (reachable == Reachable)
+    return;
+  Reachable = reachable;
+  base::logInfo(reachable ? "store.regained" : "store.lost",
+                {{"topic", Settings.Topic}, {"end", End}});
+}
+
+bool TopicFollower::isReliable() const {
+  return Clock::now() >= ReliableFrom;
+}
+
+void TopicFollower::apply(const KeyedRecord &record) {
+  const auto it = Records.find(record.Key);
+  if (it != Records.end() && it->second.Offset >= record.Offset)
+    return;
+  const bool changed =
+      it == Records.end() || it->second.Value != record.Value;
+  Records[record.Key] = record;
+  if (changed)
+    OnChange(record.Key, record.Value, isReliable());
+}
+
+void TopicFollower::addPeerRecords(const std::vector<KeyedRecord> &records,
+                                   std::uint64_t end) {
+  for (const auto &it : records)
+    apply(it);
+  // The next read from the store is a full one, so End stays what it was;
+  // it only has to name what to ask peers for.
+  End = std::max(End, end);
+  NeedsFullRead = true;
+  Loaded = true;
+}
+
+std::vector<KeyedRecord>
+TopicFollower::recordsFrom(std::uint64_t from) const {
+  std::vector<KeyedRecord> records;
+  for (const auto &[key, record] : Records)
+    if (record.Offset >= from)
+      records.push_back(record);
+  return records;
+}
+
+} // namespace bergamot::entrypath
--- /dev/null
+++ b/src/libbergamotgateway/eventsplitter.cpp
@@ -0,0 +1,49 @@
+#include "libbergamotgateway/eventsplitter.h"
+
+namespace bergamot::gateway {
+
+namespace {
+
+constexpr std::string_view IdField = "id:";
+
+/// Returns the position behind the last empty line, or 0 if there is none.
+std::size_t endOfLastEvent(std::string_view text) {
+  const std::size_t lf = text.rfind("\n\n");
+  const std::size_t crlf = text.rfind("\n\r\n");
+  const std::size_t lfEnd = lf == std::string_view::npos ? 0 : lf + 2;
+  const std::size_t crlfEnd = crlf == std::string_view::npos ? 0 : crlf + 3;
+  return lfEnd > crlfEnd ? lfEnd : crlfEnd;
+}
+
+} // namespace
+
+std::string EventSplitter::push(std::string_view bytes) {
+  Rest.append(bytes);
+  const std::size_t end = endOfLastEvent(Rest);
+  if (end == 0)
+    return {};
+  std::string events = Rest.substr(0, end);
+  Rest.erase(0, end);
+  readIds(events);
+  return events;
+}
+
+void EventSplitter::readIds(std::string_view events) {
+  while (!events.empty()) {
+    const std::size_t end = events.find('\n');
+    std::string_view line = events.substr(0, end);
+    events = end == std::string_view::npos ? "" : events.substr(end + 1);
+    if (line.ends_with('\r'))
+      line.remove_suffix(1);
+    if (line.empty())
+      ++Events;
+    if (!line.starts_with(IdField))
+      continue;
+    line.remove_prefix(IdField.size());
+    if (line.starts_with(' '))
+      line.remove_prefix(1);
+    LastId = std::string(line);
+  }
+}
+
+} // namespace bergamot::gateway
