--- a/src/adaptertcp/smallserver.cpp
+++ b/src/adaptertcp/smallserver.cpp
@@ -29,23 +29,33 @@
 
 private:
   void onData(std::string_view bytes) {
-    const auto self = shared_from_this();
-    while (!bytes.empty() && Connection->isOpen()) {
-      bytes.remove_prefix(Parser.push(bytes));
-      if (Parser.hasFailed() || Parser.body().size() > MaxRequestBytes) {
-        Connection->close();
-        return;
-      }
-      if (!Parser.isComplete())
-        return;
-      respond();
-      Parser.restart();
+    Input.append(bytes);
+    if (Input.size() > MaxRequestBytes)
+      Connection->close();
+    else if (!Busy)
+      parse();
+  }
+
+  void parse() {
+    if (Input.empty() || !Connection->isOpen())
+      return;
+    Input.erase(0, Parser.push(Input));
+    if (Parser.hasFailed() || Parser.body().size() > MaxRequestBytes) {
+      Connection->close();
+      return;
     }
+    if (!Parser.isComplete())
+      return;
+    Busy = true;
+    OnRequest(Parser.requestHead(), Parser.body(),
+              [self = shared_from_this()](const SmallServer::Answer &answer) {
+                self->respond(answer);
+              });
   }
 
-  void respond() {
-    const SmallServer::Answer answer =
-        OnRequest(Parser.requestHead(), Parser.body());
+  void respond(const SmallServer::Answer &answer) {
+    if (!Connection->isOpen())
+      return;
     ResponseHead head;
     head.Status = answer.Status;
     if (!answer.ContentType.empty())
@@ -54,13 +64,20 @@
     std::string text = responseText(head, Framing::Length, answer.Body.size(),
                                     keepAlive);
     Connection->send(text.append(answer.Body));
-    if (!keepAlive)
+    if (!keepAlive) {
       Connection->closeAfterSending();
+      return;
+    }
+    Parser.restart();
+    Busy = false;
+    parse();
   }
 
   std::shared_ptr<TcpConnection> Connection;
   MessageParser Parser{MessageParser::Kind::Request};
   SmallServer::Handler OnRequest;
+  std::string Input;
+  bool Busy = false;
 };
 
 } // namespace
--- a/src/adaptertcp/smallserver.h
+++ b/src/adaptertcp/smallserver.h
@@ -12,8 +12,8 @@
 
 namespace bergamot::adaptertcp {
 
-/// Serves short requests that are answered at once: readiness, metrics and
-/// calls of other daemons.
+/// Serves short requests: readiness, metrics and calls of other daemons. Each
+/// connection has one request in progress at a time.
 class SmallServer {
 public:
   struct Answer {
@@ -21,8 +21,10 @@
     std::string ContentType;
     std::string Body;
   };
-  using Handler =
-      std::function<Answer(const RequestHead &head, const std::string &body)>;
+  /// Sends the answer; called once, then or later.
+  using Reply = std::function<void(const Answer &)>;
+  using Handler = std::function<void(const RequestHead &head,
+                                     const std::string &body, Reply reply)>;
 
   SmallServer(boost::asio::io_context &loop, Handler handler)
       : Acceptor(loop), OnRequest(std::move(handler)) {}
--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -37,6 +37,8 @@
 /// Callers follow it up to a third of that time; the range spreads them.
 constexpr double RetryAfterLowest = 0.08;
 constexpr double RetryAfterHighest = 0.30;
+/// Another entry can take the request of one that ends.
+constexpr auto LeavingRetryAfter = "0.02";
 /// Part of the allowance of a cold target that is used, since arrivals of
 /// several entries bunch on the way.
 constexpr double ColdPart = 0.9;
@@ -115,6 +117,8 @@
 
 void Entry::shutDown() { ShuttingDown = true; }
 
+void Entry::leave() { Leaving = true; }
+
 bool Entry::isDrained() const {
   return std::all_of(Callers.begin(), Callers.end(),
                      [](const auto &it) { return it->isIdle(); });
@@ -123,6 +127,10 @@
 void Entry::closeListener() {
   error_code ec;
   Acceptor.close(ec);
+  closeIdleCallers();
+}
+
+void Entry::closeIdleCallers() {
   const auto callers = Callers;
   for (const auto &it : callers)
     it->closeIfIdle();
@@ -306,6 +314,10 @@
                           const Exchange &exchange) {
   const std::chrono::duration<double> left =
       std::max(Duration::zero(), exchange.deadline() - now());
+  if (Leaving) {
+    headers.set("Retry-After", LeavingRetryAfter);
+    return;
+  }
   const double part =
       RetryAfterLowest + (RetryAfterHighest - RetryAfterLowest) * draw();
   std::array<char, 16> text{};
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -63,8 +63,12 @@
   void listen();
   /// Starts a graceful end: responses close their connections.
   void shutDown();
+  /// Rejects further requests, as there may be no time to complete them.
+  void leave();
   /// Returns whether no caller's request is in progress or partly read.
   bool isDrained() const;
+  /// Closes connections without a request in progress or partly read.
+  void closeIdleCallers();
   /// Stops listening and closes idle connections.
   void closeListener();
 
@@ -82,6 +86,7 @@
   }
   const EntrySettings &settings() const { return Settings; }
   bool isShuttingDown() const { return ShuttingDown; }
+  bool isLeaving() const { return Leaving; }
   base::TimePoint now() const { return std::chrono::steady_clock::now(); }
   boost::asio::io_context &loop() { return Loop; }
   DecisionLog &decisions() { return Decisions; }
@@ -163,6 +168,7 @@
   std::uint64_t LastExchange = 0;
   base::TimePoint NextSweepAt;
   bool ShuttingDown = false;
+  bool Leaving = false;
 };
 
 } // namespace bergamot::entrypath
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -68,6 +68,12 @@
 
 void Exchange::start() {
   Facts = Owner.dialect().decodeRequest(Head);
+  if (Owner.isLeaving()) {
+    // The process may end before a response would be complete; another entry
+    // takes the request at once.
+    answer(503, "shutting_down");
+    return;
+  }
   Table = Owner.routeTable();
   if (!Table) {
     answer(503, "no_configuration");
--- /dev/null
+++ b/src/libbergamotexperts/groupplanner.cpp
@@ -0,0 +1,288 @@
+#include "libbergamotexperts/groupplanner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace bergamot::experts {
+
+namespace {
+
+/// Ranks whose experts are considered for another copy, and ranks that are
+/// considered to take one. Wider searches found no better plans on drawn
+/// loads and take longer.
+constexpr std::size_t SourceRanks = 2;
+constexpr std::size_t ExpertsPerSource = 4;
+constexpr std::size_t DestinationRanks = 6;
+constexpr std::size_t EvictionsPerRank = 3;
+constexpr unsigned MaxPlacements = 64;
+
+constexpr std::uint32_t NoExpertIndex = 0xffffffff;
+
+/// A placement of an expert on a rank, in place of another one or in an
+/// empty place; or only the removal of a copy.
+struct Placement {
+  std::uint32_t Expert = NoExpertIndex;
+  std::uint32_t Rank = 0;
+  std::uint32_t Evicted = NoExpertIndex;
+  double Gain = 0;
+};
+
+/// The eighth power weighs the most loaded ranks by far the most but still
+/// rewards unloading one of several equally loaded ranks.
+double eighthPower(double x) {
+  const double x2 = x * x;
+  const double x4 = x2 * x2;
+  return x4 * x4;
+}
+
+/// One set of experts while it is planned.
+class SetState {
+public:
+  SetState(const std::vector<std::vector<std::uint32_t>> &ranks,
+           const std::vector<double> &loads)
+      : Held(ranks), Loads(loads), RankLoads(ranks.size(), 0),
+        New(ranks.size(), 0), Holders(loads.size()) {
+    for (std::uint32_t r = 0; r < Held.size(); ++r)
+      for (const std::uint32_t e : Held[r])
+        Holders[e].push_back(r);
+    double total = 0;
+    for (std::uint32_t e = 0; e < Loads.size(); ++e) {
+      total += Loads[e];
+      for (const std::uint32_t r : Holders[e])
+        RankLoads[r] += share(e);
+    }
+    Mean = total / static_cast<double>(Held.size());
+    if (Mean <= 0)
+      Mean = 1;
+    Original = Held;
+  }
+
+  double skew() const {
+    return *std::max_element(RankLoads.begin(), RankLoads.end()) / Mean;
+  }
+  /// A smooth stand-in for the skew.
+  double smoothSkew() const {
+    double sum = 0;
+    for (const double it : RankLoads)
+      sum += eighthPower(it / Mean);
+    return std::pow(sum, 1.0 / 8);
+  }
+
+  bool holds(std::uint32_t rank, std::uint32_t expert) const {
+    const auto &it = Holders[expert];
+    return std::find(it.begin(), it.end(), rank) != it.end();
+  }
+  bool heldBefore(std::uint32_t rank, std::uint32_t expert) const {
+    const auto &it = Original[rank];
+    return std::find(it.begin(), it.end(), expert) != it.end();
+  }
+
+  void apply(const Placement &placement) {
+    if (placement.Evicted != NoExpertIndex)
+      remove(placement.Rank, placement.Evicted);
+    if (placement.Expert != NoExpertIndex)
+      add(placement.Rank, placement.Expert);
+  }
+  void revert(const Placement &placement) {
+    if (placement.Expert != NoExpertIndex)
+      remove(placement.Rank, placement.Expert);
+    if (placement.Evicted != NoExpertIndex)
+      add(placement.Rank, placement.Evicted);
+  }
+
+  /// Returns the ranks by load, the most loaded one first.
+  std::vector<std::uint32_t> ranksByLoad() const {
+    std::vector<std::uint32_t> order(Held.size());
+    for (std::uint32_t r = 0; r < order.size(); ++r)
+      order[r] = r;
+    std::sort(order.begin(), order.end(), [&](auto a, auto b) {
+      return RankLoads[a] > RankLoads[b];
+    });
+    return order;
+  }
+  /// Returns a rank's experts that load it most.
+  std::vector<std::uint32_t> heaviest(std::uint32_t rank) const {
+    std::vector<std::uint32_t> experts = Held[rank];
+    std::sort(experts.begin(), experts.end(),
+              [&](auto a, auto b) { return share(a) > share(b); });
+    experts.resize(std::min(experts.size(), ExpertsPerSource));
+    return experts;
+  }
+  /// Returns the experts that a rank may give up because others hold them,
+  /// the least loading ones first.
+  std::vector<std::uint32_t> evictable(std::uint32_t rank) const {
+    std::vector<std::uint32_t> experts;
+    for (const std::uint32_t e : Held[rank])
+      if (Holders[e].size() > 1)
+        experts.push_back(e);
+    std::sort(experts.begin(), experts.end(),
+              [&](auto a, auto b) { return share(a) < share(b); });
+    experts.resize(std::min(experts.size(), EvictionsPerRank));
+    return experts;
+  }
+
+  std::uint32_t newAt(std::uint32_t rank) const { return New[rank]; }
+  std::size_t heldCount(std::uint32_t rank) const { return Held[rank].size(); }
+  const std::vector<std::vector<std::uint32_t>> &held() const { return Held; }
+  bool isReplicated(std::uint32_t expert) const {
+    return Holders[expert].size() > 1;
+  }
+
+private:
+  double share(std::uint32_t expert) const {
+    return Holders[expert].empty()
+               ? 0
+               : Loads[expert] / static_cast<double>(Holders[expert].size());
+  }
+  void setHolders(std::uint32_t expert, std::uint32_t rank, bool add) {
+    for (const std::uint32_t r : Holders[expert])
+      RankLoads[r] -= share(expert);
+    auto &holders = Holders[expert];
+    if (add)
+      holders.push_back(rank);
+    else
+      holders.erase(std::find(holders.begin(), holders.end(), rank));
+    for (const std::uint32_t r : Holders[expert])
+      RankLoads[r] += share(expert);
+  }
+  void add(std::uint32_t rank, std::uint32_t expert) {
+    setHolders(expert, rank, true);
+    Held[rank].push_back(expert);
+    New[rank] += heldBefore(rank, expert) ? 0 : 1;
+  }
+  void remove(std::uint32_t rank, std::uint32_t expert) {
+    setHolders(expert, rank, false);
+    Held[rank].erase(std::find(Held[rank].begin(), Held[rank].end(), expert));
+    New[rank] -= heldBefore(rank, expert) ? 0 : 1;
+  }
+
+  std::vector<std::vector<std::uint32_t>> Held;
+  std::vector<std::vector<std::uint32_t>> Original;
+  const std::vector<double> &Loads;
+  std::vector<double> RankLoads;
+  std::vector<std::uint32_t> New;
+  std::vector<std::vector<std::uint32_t>> Holders;
+  double Mean = 1;
+};
+
+/// Searches the best next placement of one set.
+class PlacementSearch {
+public:
+  PlacementSearch(SetState &set, const GroupPlanLimits &limits,
+                  const std::vector<std::uint32_t> &newPerRank)
+      : Set(set), Limits(limits), NewPerRank(newPerRank),
+        Before(set.smoothSkew()) {}
+
+  Placement best() {
+    const auto ranks = Set.ranksByLoad();
+    for (std::size_t i = 0; i < std::min(SourceRanks, ranks.size()); ++i) {
+      for (const std::uint32_t expert : Set.heaviest(ranks[i])) {
+        if (Set.isReplicated(expert))
+          consider({NoExpertIndex, ranks[i], expert});
+        considerCopies(expert, ranks);
+      }
+    }
+    return Best;
+  }
+
+private:
+  void considerCopies(std::uint32_t expert,
+                      const std::vector<std::uint32_t> &ranks) {
+    const std::size_t n = std::min(DestinationRanks, ranks.size());
+    for (std::size_t i = 0; i < n; ++i) {
+      const std::uint32_t rank = ranks[ranks.size() - 1 - i];
+      if (Set.holds(rank, expert) || !mayCopy(rank, expert))
+        continue;
+      if (Set.heldCount(rank) < Limits.PlacesPerRank)
+        consider({expert, rank, NoExpertIndex});
+      for (const std::uint32_t evicted : Set.evictable(rank))
+        consider({expert, rank, evicted});
+    }
+  }
+
+  bool mayCopy(std::uint32_t rank, std::uint32_t expert) const {
+    if (Set.heldBefore(rank, expert))
+      return true;
+    return Set.newAt(rank) < Limits.MaxNewPerSet &&
+           NewPerRank[rank] < Limits.MaxNewPerRank;
+  }
+
+  void consider(Placement placement) {
+    Set.apply(placement);
+    placement.Gain = Before - Set.smoothSkew();
+    Set.revert(placement);
+    if (placement.Gain > Best.Gain)
+      Best = placement;
+  }
+
+  SetState &Set;
+  const GroupPlanLimits &Limits;
+  const std::vector<std::uint32_t> &NewPerRank;
+  double Before;
+  Placement Best;
+};
+
+double meanSkew(const std::vector<SetState> &sets) {
+  double sum = 0;
+  for (const auto &it : sets)
+    sum += it.skew();
+  return sets.empty() ? 1 : sum / static_cast<double>(sets.size());
+}
+
+std::vector<SetState> makeSets(const GroupMap &map, const ExpertLoads &loads) {
+  std::vector<SetState> sets;
+  for (std::size_t s = 0; s < map.size(); ++s)
+    sets.emplace_back(map[s], loads[s]);
+  return sets;
+}
+
+std::vector<std::uint32_t> newPerRank(const std::vector<SetState> &sets) {
+  std::vector<std::uint32_t> sums(sets.front().held().size(), 0);
+  for (const auto &set : sets)
+    for (std::uint32_t r = 0; r < sums.size(); ++r)
+      sums[r] += set.newAt(r);
+  return sums;
+}
+
+} // namespace
+
+double groupSkew(const GroupMap &map, const ExpertLoads &loads) {
+  return meanSkew(makeSets(map, loads));
+}
+
+GroupPlan planGroup(const GroupMap &current, const ExpertLoads &loads,
+                    const GroupPlanLimits &limits) {
+  auto sets = makeSets(current, loads);
+  GroupPlan plan;
+  plan.SkewBefore = meanSkew(sets);
+  std::vector<std::uint32_t> copies = newPerRank(sets);
+  std::vector<std::optional<Placement>> best(sets.size());
+  for (unsigned n = 0; n < MaxPlacements * sets.size(); ++n) {
+    std::size_t chosen = 0;
+    for (std::size_t s = 0; s < sets.size(); ++s) {
+      // Only a set that has changed, or whose copies are used up, has another
+      // best placement than before.
+      if (!best[s] || (best[s]->Expert != NoExpertIndex &&
+                       copies[best[s]->Rank] >= limits.MaxNewPerRank))
+        best[s] = PlacementSearch(sets[s], limits, copies).best();
+      if (best[s]->Gain > best[chosen]->Gain)
+        chosen = s;
+    }
+    if (best[chosen]->Gain < limits.MinGain)
+      break;
+    sets[chosen].apply(*best[chosen]);
+    best[chosen].reset();
+    copies = newPerRank(sets);
+  }
+  plan.SkewAfter = meanSkew(sets);
+  for (const auto &set : sets)
+    plan.Map.push_back(set.held());
+  for (const std::uint32_t it : copies) {
+    plan.Copies += it;
+    plan.MostCopies = std::max(plan.MostCopies, it);
+  }
+  return plan;
+}
+
+} // namespace bergamot::experts
--- /dev/null
+++ b/src/libbergamotexperts/groupplanner.h
@@ -0,0 +1,52 @@
+#ifndef BERGAMOT_LIBBERGAMOTEXPERTS_GROUPPLANNER_H
+#define BERGAMOT_LIBBERGAMOTEXPERTS_GROUPPLANNER_H
+
+#include "libbergamotexperts/rankstate.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace bergamot::experts {
+
+/// Tokens that chose each expert lately, by set.
+using ExpertLoads = std::vector<std::vector<double>>;
+
+/// What a rank can hold and copy.
+struct GroupPlanLimits {
+  std::uint32_t PlacesPerRank = 0;
+  /// New experts per rank and set in one change.
+  std::uint32_t MaxNewPerSet = 0;
+  /// New experts per rank in one change, over all sets; bounds the time of
+  /// copying, in which passes are slower.
+  std::uint32_t MaxNewPerRank = 3;
+  /// A placement is added only if it lowers the sum of the sets' skews by
+  /// this much.
+  double MinGain = 0.01;
+};
+
+/// A map with its predicted effect. A set's skew is the load of its most
+/// loaded rank against the mean; the group's is the mean over its sets, by
+/// which the expert part of a step's time grows.
+struct GroupPlan {
+  GroupMap Map;
+  double SkewBefore = 1;
+  double SkewAfter = 1;
+  /// Experts to copy, over all ranks.
+  std::uint32_t Copies = 0;
+  /// Experts to copy at the rank that copies most.
+  std::uint32_t MostCopies = 0;
+};
+
+/// Plans the next map of a group whose ranks share the tokens of an expert
+/// evenly among its holders. Changes the present map by single placements,
+/// each the best one for the ranks that are the most loaded, since every
+/// copied expert costs time and popularity soon changes again.
+GroupPlan planGroup(const GroupMap &current, const ExpertLoads &loads,
+                    const GroupPlanLimits &limits);
+
+/// Returns the skew of a map under the loads, see GroupPlan.
+double groupSkew(const GroupMap &map, const ExpertLoads &loads);
+
+} // namespace bergamot::experts
+
+#endif
--- /dev/null
+++ b/src/libbergamotexperts/mapchange.cpp
@@ -0,0 +1,358 @@
+#include "libbergamotexperts/mapchange.h"
+
+#include <algorithm>
+
+namespace bergamot::experts {
+
+using base::TimePoint;
+
+MapChange::MapChange(const MapChangeSettings &settings, std::uint64_t version,
+                     std::vector<RankState> states, TimePoint now)
+    : Settings(settings), Version(version), NextFence(version + 1),
+      Epoch(states.front().Epoch), PrepareBy(now + settings.PrepareTimeout) {
+  for (auto &it : states) {
+    Rank rank;
+    rank.State = std::move(it);
+    Ranks.push_back(std::move(rank));
+  }
+}
+
+MapChange::MapChange(const MapChangeSettings &settings, std::uint64_t version,
+                     GroupMap next, GroupMap current,
+                     std::vector<RankState> states, TimePoint now)
+    : MapChange(settings, version, std::move(states), now) {
+  Next = std::move(next);
+  Current = std::move(current);
+}
+
+MapChange MapChange::adopted(const MapChangeSettings &settings,
+                             std::uint64_t version, GroupMap current,
+                             std::vector<RankState> states, TimePoint now) {
+  MapChange change(settings, version, std::move(states), now);
+  change.Current = std::move(current);
+  change.adopt();
+  return change;
+}
+
+/// Goes on where the other coordinator stopped if the held step can still be
+/// released with all ranks armed, else undoes what it did.
+void MapChange::adopt() {
+  Step = Ranks.front().State.HeldStep.value_or(0);
+  const auto armed = std::find_if(Ranks.begin(), Ranks.end(), [](const Rank &it) {
+    return it.State.Armed.has_value();
+  });
+  if (armed == Ranks.end()) {
+    startUndoing();
+    return;
+  }
+  Version = armed->State.Armed->Version;
+  CurrentPhase = Phase::Arming;
+  for (auto &it : Ranks)
+    it.Fresh = false;
+}
+
+const char *MapChange::phaseName() const {
+  switch (CurrentPhase) {
+  case Phase::Preparing:
+    return "preparing";
+  case Phase::Reading:
+    return "reading";
+  case Phase::Holding:
+    return "holding";
+  case Phase::Arming:
+    return "arming";
+  case Phase::Releasing:
+    return "releasing";
+  case Phase::Undoing:
+    return "undoing";
+  }
+  return "";
+}
+
+RankOrder MapChange::order(OrderKind kind) const {
+  RankOrder it;
+  it.Kind = kind;
+  it.Version = Version;
+  it.Step = Step;
+  it.Epoch = Epoch;
+  return it;
+}
+
+RankOrder MapChange::fenceOrder() {
+  RankOrder it = order(OrderKind::Prepare);
+  it.Version = NextFence++;
+  it.Map = Current;
+  return it;
+}
+
+bool MapChange::allRanks(bool Rank::*flag) const {
+  return std::all_of(Ranks.begin(), Ranks.end(),
+                     [flag](const Rank &it) { return it.*flag; });
+}
+
+std::vector<AddressedOrder> MapChange::takeOrders(TimePoint now) {
+  std::vector<AddressedOrder> orders;
+  advance(now);
+  if (Result != Outcome::Running)
+    return orders;
+  for (std::uint32_t i = 0; i < Ranks.size(); ++i) {
+    if (Ranks[i].Outstanding || !Ranks[i].Fresh)
+      continue;
+    auto next = nextOrder(i);
+    if (!next)
+      continue;
+    Ranks[i].Outstanding = *next;
+    orders.push_back({i, std::move(*next)});
+  }
+  return orders;
+}
+
+std::optional<RankOrder> MapChange::nextOrder(std::uint32_t index) {
+  Rank &rank = Ranks[index];
+  switch (CurrentPhase) {
+  case Phase::Preparing:
+    return nextPrepare(rank);
+  case Phase::Reading:
+    return std::nullopt;
+  case Phase::Holding:
+    if (index != 0)
+      return std::nullopt;
+    return order(OrderKind::Hold);
+  case Phase::Arming:
+    if (rank.Armed)
+      return std::nullopt;
+    return order(OrderKind::Arm);
+  case Phase::Releasing:
+    if (index != 0)
+      return std::nullopt;
+    return order(OrderKind::Release);
+  case Phase::Undoing:
+    return nextUndo(index, rank);
+  }
+  return std::nullopt;
+}
+
+std::optional<RankOrder> MapChange::nextPrepare(const Rank &rank) const {
+  if (rank.Copying || rank.State.PreparedVersion == Version)
+    return std::nullopt;
+  RankOrder it = order(OrderKind::Prepare);
+  it.Map = Next;
+  return it;
+}
+
+std::optional<RankOrder> MapChange::nextUndo(std::uint32_t index,
+                                             const Rank &rank) {
+  if (allRanks(&Rank::Fenced)) {
+    if (index != 0)
+      return std::nullopt;
+    return order(OrderKind::Release);
+  }
+  if (rank.Fenced || rank.Fence != 0)
+    return std::nullopt; // An accepted fence shows in the rank's next state.
+  if (!rank.State.Armed)
+    return fenceOrder();
+  if (!Blocked)
+    return std::nullopt;
+  RankOrder it = order(OrderKind::Disarm);
+  it.Version = rank.State.Armed->Version;
+  return it;
+}
+
+std::vector<std::uint32_t> MapChange::ranksToRead() const {
+  std::vector<std::uint32_t> ranks;
+  if (Result != Outcome::Running)
+    return ranks;
+  for (std::uint32_t i = 0; i < Ranks.size(); ++i) {
+    const Rank &it = Ranks[i];
+    const bool copies = CurrentPhase == Phase::Preparing && it.Copying &&
+                        it.State.PreparedVersion != Version;
+    if (!it.Outstanding && (!it.Fresh || copies))
+      ranks.push_back(i);
+  }
+  return ranks;
+}
+
+void MapChange::setState(std::uint32_t index, const RankState &state,
+                         TimePoint now) {
+  Rank &rank = Ranks[index];
+  if (Result != Outcome::Running || rank.Outstanding)
+    return;
+  if (state.Epoch != Epoch) {
+    Result = Outcome::Superseded;
+    return;
+  }
+  rank.State = state;
+  rank.Fresh = true;
+  if (state.Armed == ArmedSwitch{Version, Step})
+    rank.Armed = true;
+  if (rank.Fence != 0) {
+    rank.Fenced = !state.Armed && state.PreparedVersion == rank.Fence;
+    if (!rank.Fenced)
+      rank.Fence = 0;
+  }
+  if (index == 0)
+    onFirstRankState();
+  advance(now);
+}
+
+/// Finds out from rank 0's state what has become of a hold or a release.
+void MapChange::onFirstRankState() {
+  const RankState &state = Ranks.front().State;
+  const bool holds = state.HeldStep == Step;
+  if (CurrentPhase == Phase::Holding) {
+    if (holds)
+      CurrentPhase = Phase::Arming;
+    else if (state.HeldStep)
+      Result = Outcome::Superseded;
+    else
+      startReading();
+    return;
+  }
+  if (holds || CurrentPhase == Phase::Preparing ||
+      CurrentPhase == Phase::Reading)
+    return;
+  // The step was released, by this coordinator or another one.
+  if (CurrentPhase == Phase::Releasing)
+    Result = Outcome::Applied;
+  else
+    Result = Outcome::Superseded;
+}
+
+void MapChange::setResult(std::uint32_t index, OrderResult result,
+                          TimePoint now) {
+  Rank &rank = Ranks[index];
+  if (!rank.Outstanding || Result != Outcome::Running)
+    return;
+  const RankOrder sent = *rank.Outstanding;
+  rank.Outstanding.reset();
+  const bool accepted = result == OrderResult::Accepted;
+  // The result of an order from an earlier phase only asks for a fresh state.
+  switch (sent.Kind) {
+  case OrderKind::Prepare:
+    rank.Fresh = false;
+    if (CurrentPhase == Phase::Preparing)
+      rank.Copying = accepted;
+    else if (CurrentPhase == Phase::Undoing && accepted)
+      rank.Fence = sent.Version;
+    break;
+  case OrderKind::Hold:
+    rank.Fresh = accepted;
+    if (CurrentPhase == Phase::Holding && accepted)
+      CurrentPhase = Phase::Arming;
+    break;
+  case OrderKind::Arm:
+    rank.Fresh = accepted;
+    rank.Armed = rank.Armed || accepted;
+    if (accepted)
+      rank.State.Armed = ArmedSwitch{Version, Step};
+    break;
+  case OrderKind::Release:
+    rank.Fresh = false;
+    if (accepted)
+      Result = CurrentPhase == Phase::Undoing ? Outcome::Abandoned
+                                              : Outcome::Applied;
+    break;
+  case OrderKind::Disarm:
+    rank.Fresh = false;
+    break;
+  }
+  advance(now);
+}
+
+void MapChange::advance(TimePoint now) {
+  if (Result != Outcome::Running)
+    return;
+  switch (CurrentPhase) {
+  case Phase::Preparing: {
+    if (now >= PrepareBy) {
+      Result = Outcome::Abandoned;
+      return;
+    }
+    const bool prepared =
+        std::all_of(Ranks.begin(), Ranks.end(), [&](const Rank &it) {
+          return it.State.PreparedVersion == Version && !it.Outstanding;
+        });
+    if (prepared)
+      startReading();
+    return;
+  }
+  case Phase::Reading:
+    if (allRanks(&Rank::Fresh))
+      startHolding();
+    return;
+  case Phase::Holding:
+    return;
+  case Phase::Arming: {
+    if (allRanks(&Rank::Armed)) {
+      CurrentPhase = Phase::Releasing;
+      return;
+    }
+    const bool blocked =
+        std::any_of(Ranks.begin(), Ranks.end(), [&](const Rank &it) {
+          return it.Fresh && !it.Outstanding && !it.Armed &&
+                 it.State.PreparedVersion != Version;
+        });
+    if (blocked)
+      startUndoing();
+    return;
+  }
+  case Phase::Releasing:
+    return;
+  case Phase::Undoing:
+    advanceUndoing();
+    return;
+  }
+}
+
+void MapChange::startReading() {
+  if (++Holds > Settings.MaxHolds) {
+    Result = Outcome::Abandoned;
+    return;
+  }
+  CurrentPhase = Phase::Reading;
+  for (auto &it : Ranks)
+    it.Fresh = false;
+}
+
+void MapChange::startHolding() {
+  std::uint64_t last = 0;
+  for (const auto &it : Ranks) {
+    if (it.State.PreparedVersion != Version || it.State.Armed ||
+        it.State.HeldStep) {
+      Result = Outcome::Superseded;
+      return;
+    }
+    last = std::max(last, it.State.Step);
+  }
+  Step = last + Settings.StepMargin;
+  CurrentPhase = Phase::Holding;
+}
+
+void MapChange::startUndoing() {
+  CurrentPhase = Phase::Undoing;
+  for (auto &it : Ranks) {
+    it.Fresh = false;
+    it.Fence = 0;
+    it.Fenced = false;
+  }
+}
+
+void MapChange::advanceUndoing() {
+  Blocked = Blocked || std::any_of(Ranks.begin(), Ranks.end(),
+                                   [](const Rank &it) { return it.Fenced; });
+  if (Blocked)
+    return;
+  // As long as no rank blocks the change, another coordinator may complete it.
+  const auto &first = Ranks.front().State.Armed;
+  const bool allArmed =
+      first && first->Step == Step &&
+      std::all_of(Ranks.begin(), Ranks.end(), [&](const Rank &it) {
+        return it.Fresh && !it.Outstanding && it.State.Armed == first;
+      });
+  if (allArmed) {
+    Version = first->Version;
+    CurrentPhase = Phase::Releasing;
+  }
+}
+
+} // namespace bergamot::experts
--- /dev/null
+++ b/src/libbergamotexperts/mapchange.h
@@ -0,0 +1,142 @@
+#ifndef BERGAMOT_LIBBERGAMOTEXPERTS_MAPCHANGE_H
+#define BERGAMOT_LIBBERGAMOTEXPERTS_MAPCHANGE_H
+
+#include "libbergamotbase/timetypes.h"
+#include "libbergamotexperts/rankstate.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace bergamot::experts {
+
+/// Limits of a change.
+struct MapChangeSettings {
+  /// Steps between the last one that a rank reports and the one at which the
+  /// group switches. The group stands still if the orders aren't confirmed
+  /// within these steps.
+  std::uint64_t StepMargin = 4;
+  /// Copying that takes longer ends the change, which is harmless.
+  base::Duration PrepareTimeout = std::chrono::seconds(8);
+  /// Tries to find a step that hasn't begun when the hold arrives.
+  unsigned MaxHolds = 4;
+};
+
+/// An order and the rank that gets it.
+struct AddressedOrder {
+  std::uint32_t Rank = 0;
+  RankOrder Order;
+};
+
+/// Moves a group from one expert map to the next so that all ranks switch at
+/// one step, whatever becomes of the orders: they may be lost, carried out
+/// seconds late, or repeated, and other coordinators may act on the same group.
+///
+/// All ranks first copy the experts of the new map (Prepare). Then rank 0 is
+/// told to hold back a step S, all ranks are armed for S, and rank 0 is released
+/// when each has confirmed. Nothing of this is taken back: a coordinator that
+/// finds a held step arms the ranks that are missing and releases it, so two
+/// coordinators do the same and late orders change nothing.
+///
+/// Only if a rank can't be armed any more, because it has prepared a higher
+/// version meanwhile, is the change undone. Such a rank blocks the change for
+/// good, as versions only grow, so no coordinator can have released the step or
+/// ever will. All ranks are then disarmed, and each prepares a higher version of
+/// the present map, which voids arms that are still on their way, before
+/// the step is released.
+class MapChange {
+public:
+  enum class Outcome {
+    Running,
+    /// All ranks switch, or have switched, to one map.
+    Applied,
+    /// The old map stays; nothing is armed or held.
+    Abandoned,
+    /// Another coordinator has acted, or the group has formed anew. What is
+    /// armed or held now has to be looked at afresh.
+    Superseded,
+  };
+
+  /// Starts a change to `next`, as `version`, which must be higher than all
+  /// versions that the ranks report and unlike any other coordinator's. The
+  /// following versions, up to one per rank, are used to undo it. `current` is
+  /// the map in use.
+  MapChange(const MapChangeSettings &settings, std::uint64_t version,
+            GroupMap next, GroupMap current, std::vector<RankState> states,
+            base::TimePoint now);
+  /// Takes over a held step that another coordinator has left.
+  static MapChange adopted(const MapChangeSettings &settings,
+                           std::uint64_t version, GroupMap current,
+                           std::vector<RankState> states, base::TimePoint now);
+
+  /// Returns the orders to send now. Each rank has at most one in progress.
+  std::vector<AddressedOrder> takeOrders(base::TimePoint now);
+  /// Returns the ranks whose state is needed now.
+  std::vector<std::uint32_t> ranksToRead() const;
+  /// Takes a state that was read after the rank's last result.
+  void setState(std::uint32_t rank, const RankState &state,
+                base::TimePoint now);
+  void setResult(std::uint32_t rank, OrderResult result, base::TimePoint now);
+
+  Outcome outcome() const { return Result; }
+  /// Returns whether the group waits, or may wait, for a release.
+  bool mayHold() const {
+    return CurrentPhase != Phase::Preparing && CurrentPhase != Phase::Reading;
+  }
+  /// Returns whether the ranks still copy experts, which takes long.
+  bool isPreparing() const { return CurrentPhase == Phase::Preparing; }
+  const char *phaseName() const;
+  std::uint64_t version() const { return Version; }
+  std::uint64_t step() const { return Step; }
+
+private:
+  enum class Phase { Preparing, Reading, Holding, Arming, Releasing, Undoing };
+
+  struct Rank {
+    RankState State;
+    bool Fresh = true;
+    std::optional<RankOrder> Outstanding;
+    bool Copying = false;
+    bool Armed = false;
+    /// While undoing: the version that voids earlier arms, once accepted.
+    std::uint64_t Fence = 0;
+    bool Fenced = false;
+  };
+
+  MapChange(const MapChangeSettings &settings, std::uint64_t version,
+            std::vector<RankState> states, base::TimePoint now);
+
+  RankOrder order(OrderKind kind) const;
+  std::optional<RankOrder> nextOrder(std::uint32_t index);
+  std::optional<RankOrder> nextPrepare(const Rank &rank) const;
+  std::optional<RankOrder> nextUndo(std::uint32_t index, const Rank &rank);
+  RankOrder fenceOrder();
+  void adopt();
+  void advance(base::TimePoint now);
+  void startReading();
+  void startHolding();
+  void startUndoing();
+  void advanceUndoing();
+  bool allRanks(bool Rank::*flag) const;
+  void onFirstRankState();
+
+  MapChangeSettings Settings;
+  std::uint64_t Version;
+  std::uint64_t NextFence;
+  std::uint64_t Epoch = 0;
+  std::uint64_t Step = 0;
+  GroupMap Next;
+  GroupMap Current;
+  std::vector<Rank> Ranks;
+  Phase CurrentPhase = Phase::Preparing;
+  Outcome Result = Outcome::Running;
+  base::TimePoint PrepareBy;
+  unsigned Holds = 0;
+  /// While undoing: a rank is known that can't be armed any more, so that the
+  /// others may be disarmed.
+  bool Blocked = false;
+};
+
+} // namespace bergamot::experts
+
+#endif
--- a/src/libbergamotgateway/targetdirectory.h
+++ b/src/libbergamotgateway/targetdirectory.h
@@ -14,6 +14,16 @@
 
 using base::TimePoint;
 
+/// A target's place in a group of ranks.
+struct GroupMembership {
+  std::string Group;
+  std::uint32_t Rank = 0;
+  std::uint32_t GroupSize = 0;
+  bool Open = false;
+
+  bool operator==(const GroupMembership &) const = default;
+};
+
 /// What a target says of itself.
 struct TargetRecord {
   std::string Id;
@@ -26,6 +36,8 @@
   /// When the target started, as it says; tells restarts under one id apart.
   std::int64_t StartedAtMs = 0;
   std::chrono::milliseconds ColdFor{0};
+  /// Unset for targets without expert groups.
+  std::optional<GroupMembership> Membership;
 
   bool operator==(const TargetRecord &) const = default;
 };
--- /dev/null
+++ b/src/sidecar/coordinator.cpp
@@ -0,0 +1,290 @@
+#include "sidecar/coordinator.h"
+
+#include "libbergamotbase/jsonlog.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace bergamot::sidecar {
+
+using base::TimePoint;
+using experts::GroupMap;
+using experts::MapChange;
+using experts::OrderResult;
+using experts::RankState;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+/// Polls in a row that show a held or armed rank without a change of this
+/// coordinator before it takes the matter over: another one may be at work.
+constexpr unsigned PollsBeforeAdoption = 2;
+/// Time between questions about the progress of a copy.
+constexpr milliseconds CopyReadPeriod{80};
+/// A change that isn't finished by then is given up and looked at anew.
+constexpr std::chrono::seconds MaxChangeTime{14};
+/// Low bits of a version are for the orders that undo a change.
+constexpr unsigned FenceBits = 8;
+/// Random bits make versions of different coordinators, or of one before and
+/// after a restart, differ.
+constexpr unsigned RandomBits = 20;
+
+long long toMs(base::Duration it) {
+  return duration_cast<milliseconds>(it).count();
+}
+
+} // namespace
+
+Coordinator::Coordinator(boost::asio::io_context &loop,
+                         const CoordinatorSettings &settings,
+                         std::vector<std::shared_ptr<RankPort>> ranks)
+    : Loop(loop), Settings(settings), PollTimer(loop), DriveTimer(loop),
+      Estimate(settings.Sets, settings.Experts, settings.KeepLoads),
+      Random(std::random_device{}()) {
+  for (auto &it : ranks) {
+    Seat seat;
+    seat.Port = std::move(it);
+    Seats.push_back(std::move(seat));
+  }
+}
+
+void Coordinator::start() { poll(); }
+
+void Coordinator::poll() {
+  const TimePoint deadline = Clock::now() + Settings.PollTimeout;
+  const std::uint64_t number = ++PollNumber;
+  Estimate.startUpdate();
+  for (std::uint32_t i = 0; i < Seats.size(); ++i) {
+    Seat &seat = Seats[i];
+    if (!Change) {
+      seat.State.reset();
+      seat.Port->fetchState(
+          deadline, [this, i, number, alive = std::weak_ptr<int>(Alive)](
+                        const std::optional<RankState> &state) {
+            if (!alive.expired() && number == PollNumber && !Change)
+              Seats[i].State = state;
+          });
+    }
+    seat.Port->fetchCounts(
+        deadline, [this, i, alive = std::weak_ptr<int>(Alive)](
+                      const std::optional<RankCounts> &counts) {
+          if (!alive.expired() && counts)
+            Estimate.addCounts(i, *counts);
+        });
+  }
+  PollTimer.expires_after(Settings.PollPeriod);
+  PollTimer.async_wait([this](const boost::system::error_code &ec) {
+    if (ec)
+      return;
+    finishPoll();
+    poll();
+  });
+}
+
+bool Coordinator::isSettled() const {
+  const auto &first = Seats.front().State;
+  return std::all_of(Seats.begin(), Seats.end(), [&](const Seat &it) {
+    return it.State && it.State->Epoch == first->Epoch &&
+           it.State->GroupOpen &&
+           it.State->MapVersion == first->MapVersion && !it.State->Armed &&
+           !it.State->HeldStep;
+  });
+}
+
+void Coordinator::finishPoll() {
+  if (Change)
+    return;
+  const bool allKnown = std::all_of(
+      Seats.begin(), Seats.end(),
+      [](const Seat &it) { return it.State && it.State->GroupOpen; });
+  if (!allKnown) {
+    UnsettledPolls = 0;
+    return;
+  }
+  if (!hasCurrentMap()) {
+    readExperts();
+    return;
+  }
+  if (isSettled()) {
+    UnsettledPolls = 0;
+    considerChange();
+  } else {
+    considerAdoption();
+  }
+}
+
+/// The map that the ranks state belongs to the version that they run.
+bool Coordinator::hasCurrentMap() const {
+  return std::all_of(Seats.begin(), Seats.end(), [](const Seat &it) {
+    return it.Experts && it.Experts->Epoch == it.State->Epoch &&
+           it.Experts->MapVersion == it.State->MapVersion;
+  });
+}
+
+void Coordinator::readExperts() {
+  const TimePoint deadline = Clock::now() + Settings.PollTimeout;
+  for (std::uint32_t i = 0; i < Seats.size(); ++i)
+    Seats[i].Port->fetchExperts(
+        deadline, [this, i, alive = std::weak_ptr<int>(Alive)](
+                      const std::optional<RankExperts> &experts) {
+          if (!alive.expired() && experts)
+            Seats[i].Experts = experts;
+        });
+}
+
+GroupMap Coordinator::currentMap() const {
+  GroupMap map(Settings.Sets);
+  for (std::uint32_t s = 0; s < Settings.Sets; ++s)
+    for (const auto &it : Seats)
+      map[s].push_back(s < it.Experts->Experts.size() ? it.Experts->Experts[s]
+                                                      : std::vector<std::uint32_t>());
+  return map;
+}
+
+std::vector<RankState> Coordinator::states() const {
+  std::vector<RankState> all;
+  for (const auto &it : Seats)
+    all.push_back(*it.State);
+  return all;
+}
+
+std::uint64_t Coordinator::newVersion() {
+  std::uint64_t highest = 0;
+  for (const auto &it : Seats) {
+    highest = std::max({highest, it.State->MapVersion,
+                        it.State->PreparedVersion});
+    if (it.State->Armed)
+      highest = std::max(highest, it.State->Armed->Version);
+  }
+  constexpr unsigned Shift = FenceBits + RandomBits;
+  const std::uint64_t random = Random() & ((1ULL << RandomBits) - 1);
+  return ((highest >> Shift) + 1) << Shift | random << FenceBits;
+}
+
+void Coordinator::considerAdoption() {
+  const bool held =
+      std::any_of(Seats.begin(), Seats.end(), [](const Seat &it) {
+        return it.State->HeldStep.has_value();
+      });
+  // Without a hold, armed ranks switch by themselves.
+  if (!held || ++UnsettledPolls < PollsBeforeAdoption)
+    return;
+  UnsettledPolls = 0;
+  base::logDecision("map.adopt", {{"epoch", Seats.front().State->Epoch},
+                                 {"step", Seats.front().State->Step}});
+  ChangeStartedAt = Clock::now();
+  ChangeEndsAt = ChangeStartedAt + MaxChangeTime;
+  Change = MapChange::adopted(Settings.Change, newVersion(), currentMap(),
+                              states(), ChangeStartedAt);
+  drive();
+}
+
+void Coordinator::considerChange() {
+  if (Estimate.weight() < Settings.MinWeight)
+    return;
+  const GroupMap current = currentMap();
+  Planned = experts::planGroup(current, Estimate.loads(), Settings.Limits);
+  const double drop = 1 - Planned.SkewAfter / Planned.SkewBefore;
+  if (drop < Settings.MinSkewDrop)
+    return;
+  ChangeStartedAt = Clock::now();
+  ChangeEndsAt = ChangeStartedAt + MaxChangeTime;
+  Change.emplace(Settings.Change, newVersion(), Planned.Map, current, states(),
+                 ChangeStartedAt);
+  base::logDecision("map.plan", {{"version", Change->version()},
+                                 {"epoch", Seats.front().State->Epoch},
+                                 {"step", Seats.front().State->Step},
+                                 {"skew", Planned.SkewBefore},
+                                 {"planned_skew", Planned.SkewAfter},
+                                 {"copies", Planned.Copies},
+                                 {"most_copies", Planned.MostCopies},
+                                 {"choices", Estimate.weight()}});
+  drive();
+}
+
+void Coordinator::drive() {
+  if (!Change)
+    return;
+  const TimePoint now = Clock::now();
+  for (auto &it : Change->takeOrders(now)) {
+    const std::uint32_t rank = it.Rank;
+    Seats[rank].Port->sendOrder(
+        it.Order, now + Settings.OrderTimeout,
+        [this, rank, kind = it.Order.Kind,
+         alive = std::weak_ptr<int>(Alive)](OrderResult result) {
+          if (alive.expired() || !Change)
+            return;
+          if (result != OrderResult::Accepted)
+            base::logDecision("order.failed",
+                              {{"rank", rank},
+                               {"order", experts::orderName(kind)},
+                               {"answered", result == OrderResult::Conflict}});
+          Change->setResult(rank, result, Clock::now());
+          drive();
+        });
+  }
+  for (const std::uint32_t rank : Change->ranksToRead()) {
+    Seat &seat = Seats[rank];
+    const bool tooSoon = Change->isPreparing() && now < seat.NextReadAt;
+    if (seat.Reading || tooSoon)
+      continue;
+    seat.Reading = true;
+    if (Change->isPreparing())
+      seat.NextReadAt = now + CopyReadPeriod;
+    seat.Port->fetchState(now + Settings.OrderTimeout,
+                          [this, rank, alive = std::weak_ptr<int>(Alive)](
+                              const std::optional<RankState> &state) {
+                            if (alive.expired())
+                              return;
+                            Seats[rank].Reading = false;
+                            if (!Change || !state)
+                              return;
+                            Change->setState(rank, *state, Clock::now());
+                            drive();
+                          });
+  }
+  if (Change->outcome() != MapChange::Outcome::Running || now >= ChangeEndsAt)
+    finishChange();
+  else
+    scheduleDrive();
+}
+
+void Coordinator::scheduleDrive() {
+  DriveTimer.expires_after(Settings.DrivePeriod);
+  DriveTimer.async_wait([this](const boost::system::error_code &ec) {
+    if (!ec)
+      drive();
+  });
+}
+
+void Coordinator::finishChange() {
+  const auto outcome = Change->outcome();
+  const char *name = outcome == MapChange::Outcome::Applied     ? "applied"
+                     : outcome == MapChange::Outcome::Abandoned ? "abandoned"
+                     : outcome == MapChange::Outcome::Superseded
+                         ? "superseded"
+                         : "given_up";
+  base::logDecision("map.change",
+                    {{"version", Change->version()},
+                     {"step", Change->step()},
+                     {"outcome", name},
+                     {"phase", Change->phaseName()},
+                     {"took_ms", toMs(Clock::now() - ChangeStartedAt)}});
+  if (outcome == MapChange::Outcome::Applied)
+    for (std::uint32_t r = 0; r < Seats.size(); ++r) {
+      auto &experts = Seats[r].Experts;
+      experts->MapVersion = Change->version();
+      for (std::size_t s = 0; s < experts->Experts.size(); ++s)
+        experts->Experts[s] = Planned.Map[s][r];
+    }
+  Change.reset();
+  // States from before the change would mislead the next decision.
+  for (auto &it : Seats)
+    it.State.reset();
+  DriveTimer.cancel();
+}
+
+} // namespace bergamot::sidecar
--- /dev/null
+++ b/src/sidecar/coordinator.h
@@ -0,0 +1,98 @@
+#ifndef BERGAMOT_SIDECAR_COORDINATOR_H
+#define BERGAMOT_SIDECAR_COORDINATOR_H
+
+#include "libbergamotexperts/groupplanner.h"
+#include "libbergamotexperts/mapchange.h"
+#include "sidecar/loadestimate.h"
+#include "sidecar/rankport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace bergamot::sidecar {
+
+/// Sizes of a group and how its map is kept even.
+struct CoordinatorSettings {
+  std::uint32_t Sets = 0;
+  std::uint32_t Experts = 0;
+  experts::GroupPlanLimits Limits;
+  experts::MapChangeSettings Change;
+  std::chrono::milliseconds PollPeriod{400};
+  /// Time for the answers of one poll.
+  std::chrono::milliseconds PollTimeout{250};
+  std::chrono::milliseconds OrderTimeout{150};
+  /// How often a change in progress is looked after.
+  std::chrono::milliseconds DrivePeriod{40};
+  /// A change is worth its orders and copies if it lowers the skew by this
+  /// part.
+  double MinSkewDrop = 0.06;
+  /// Weight of earlier loads at each poll: at 0.5, three quarters of the
+  /// estimate come from the last two polls.
+  double KeepLoads = 0.5;
+  /// Choices that an estimate must rest on.
+  double MinWeight = 20000;
+};
+
+/// Keeps the expert map of one group even: reads what all ranks count, plans
+/// a better map, and moves the group to it. Any number of coordinators may act
+/// on a group (see MapChange); normally one does.
+class Coordinator {
+public:
+  Coordinator(boost::asio::io_context &loop,
+              const CoordinatorSettings &settings,
+              std::vector<std::shared_ptr<RankPort>> ranks);
+
+  void start();
+  /// Returns whether the coordinator may have left the group waiting.
+  bool mayHold() const { return Change && Change->mayHold(); }
+
+private:
+  struct Seat {
+    std::shared_ptr<RankPort> Port;
+    std::optional<experts::RankState> State;
+    std::optional<RankExperts> Experts;
+    bool Reading = false;
+    base::TimePoint NextReadAt;
+  };
+
+  void poll();
+  void finishPoll();
+  void readExperts();
+  bool isSettled() const;
+  bool hasCurrentMap() const;
+  experts::GroupMap currentMap() const;
+  std::vector<experts::RankState> states() const;
+  std::uint64_t newVersion();
+  void considerAdoption();
+  void considerChange();
+  void drive();
+  void scheduleDrive();
+  void finishChange();
+
+  boost::asio::io_context &Loop;
+  CoordinatorSettings Settings;
+  std::vector<Seat> Seats;
+  boost::asio::steady_timer PollTimer;
+  boost::asio::steady_timer DriveTimer;
+  LoadEstimate Estimate;
+  std::optional<experts::MapChange> Change;
+  experts::GroupPlan Planned;
+  std::mt19937_64 Random;
+  base::TimePoint ChangeStartedAt;
+  /// Ends a change that makes no progress, e.g. as rank 0 can't be reached.
+  base::TimePoint ChangeEndsAt;
+  unsigned UnsettledPolls = 0;
+  std::uint64_t PollNumber = 0;
+  /// Completions of calls that began before the coordinator was destroyed find
+  /// this expired.
+  std::shared_ptr<int> Alive = std::make_shared<int>(0);
+};
+
+} // namespace bergamot::sidecar
+
+#endif
--- /dev/null
+++ b/src/sidecar/peerrank.cpp
@@ -0,0 +1,106 @@
+#include "sidecar/peerrank.h"
+
+#include "sidecar/rankcodec.h"
+
+namespace bergamot::sidecar {
+
+using adaptertcp::CallResult;
+using base::TimePoint;
+using experts::OrderResult;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+/// Calls without an answer after which the engine is called directly, and how
+/// long until the sidecar is tried again.
+constexpr unsigned MaxFailures = 2;
+constexpr std::chrono::milliseconds DirectTime{1500};
+
+} // namespace
+
+PeerRank::PeerRank(boost::asio::io_context &loop,
+                   const boost::asio::ip::tcp::endpoint &sidecar,
+                   std::shared_ptr<RankPort> engine, std::uint32_t coordinator)
+    : Loop(loop), Sidecar(sidecar), Engine(std::move(engine)),
+      Coordinator(coordinator) {}
+
+PeerRank::~PeerRank() {
+  for (const auto &it : {Queries, CountQueries, Orders})
+    if (it)
+      it->cancel();
+}
+
+void PeerRank::call(Caller &caller, const char *path, const std::string &body,
+                    TimePoint deadline,
+                    adaptertcp::HttpCaller::Completion completion) {
+  // A call in progress keeps its caller; a further one gets its own.
+  if (!caller || caller->isBusy())
+    caller = std::make_shared<adaptertcp::HttpCaller>(Loop, Sidecar);
+  adaptertcp::RequestHead head;
+  head.Method = body.empty() ? "GET" : "POST";
+  head.Target = path + std::string(paths::ByParameter) +
+                std::to_string(Coordinator);
+  head.Headers.add("Host", "sidecar");
+  caller->call(head, body, deadline, std::move(completion));
+}
+
+bool PeerRank::isDirect() const { return Clock::now() < DirectUntil; }
+
+void PeerRank::noteAnswer(const CallResult &result) {
+  if (result.Result == CallResult::Outcome::Answered) {
+    Failures = 0;
+    return;
+  }
+  if (++Failures < MaxFailures)
+    return;
+  Failures = 0;
+  DirectUntil = Clock::now() + DirectTime;
+}
+
+void PeerRank::fetchState(TimePoint deadline, StateCompletion done) {
+  if (isDirect()) {
+    Engine->fetchState(deadline, std::move(done));
+    return;
+  }
+  call(Queries, paths::State, "", deadline,
+       [this, done = std::move(done)](const CallResult &it) {
+         noteAnswer(it);
+         done(it.isStatus(200) ? decodeState(it.Body) : std::nullopt);
+       });
+}
+
+void PeerRank::fetchCounts(TimePoint deadline, CountsCompletion done) {
+  call(CountQueries, paths::Counts, "", deadline,
+       [done = std::move(done)](const CallResult &it) {
+         done(it.isStatus(200) ? decodeCounts(it.Body) : std::nullopt);
+       });
+}
+
+void PeerRank::fetchExperts(TimePoint deadline, ExpertsCompletion done) {
+  if (isDirect()) {
+    Engine->fetchExperts(deadline, std::move(done));
+    return;
+  }
+  call(Queries, paths::Experts, "", deadline,
+       [this, done = std::move(done)](const CallResult &it) {
+         noteAnswer(it);
+         done(it.isStatus(200) ? decodeExperts(it.Body) : std::nullopt);
+       });
+}
+
+void PeerRank::sendOrder(const experts::RankOrder &order, TimePoint deadline,
+                         OrderCompletion done) {
+  if (isDirect()) {
+    Engine->sendOrder(order, deadline, std::move(done));
+    return;
+  }
+  call(Orders, paths::Order, encodeOrder(order), deadline,
+       [this, done = std::move(done)](const CallResult &it) {
+         noteAnswer(it);
+         const auto result =
+             it.isStatus(200) ? decodeResult(it.Body) : std::nullopt;
+         done(result.value_or(OrderResult::Unknown));
+       });
+}
+
+} // namespace bergamot::sidecar
--- /dev/null
+++ b/src/sidecar/rankcodec.h
@@ -0,0 +1,26 @@
+#ifndef BERGAMOT_SIDECAR_RANKCODEC_H
+#define BERGAMOT_SIDECAR_RANKCODEC_H
+
+#include "sidecar/rankport.h"
+
+#include <optional>
+#include <string>
+
+namespace bergamot::sidecar {
+
+/// Encodings of the messages between sidecars, in CBOR. Decoders return unset
+/// for damaged bytes.
+std::string encodeState(const experts::RankState &state);
+std::optional<experts::RankState> decodeState(const std::string &bytes);
+std::string encodeCounts(const RankCounts &counts);
+std::optional<RankCounts> decodeCounts(const std::string &bytes);
+std::string encodeExperts(const RankExperts &experts);
+std::optional<RankExperts> decodeExperts(const std::string &bytes);
+std::string encodeOrder(const experts::RankOrder &order);
+std::optional<experts::RankOrder> decodeOrder(const std::string &bytes);
+std::string encodeResult(experts::OrderResult result);
+std::optional<experts::OrderResult> decodeResult(const std::string &bytes);
+
+} // namespace bergamot::sidecar
+
+#endif
--- /dev/null
+++ b/src/sidecar/rankport.h
@@ -0,0 +1,53 @@
+#ifndef BERGAMOT_SIDECAR_RANKPORT_H
+#define BERGAMOT_SIDECAR_RANKPORT_H
+
+#include "libbergamotbase/timetypes.h"
+#include "libbergamotexperts/rankstate.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace bergamot::sidecar {
+
+/// How often a rank's requests chose each expert since the rank started, set
+/// after set.
+struct RankCounts {
+  std::uint64_t Epoch = 0;
+  std::uint64_t Step = 0;
+  std::vector<std::uint64_t> Counts;
+};
+
+/// The experts that a rank holds, by set.
+struct RankExperts {
+  std::uint64_t Epoch = 0;
+  std::uint64_t MapVersion = 0;
+  std::vector<std::vector<std::uint32_t>> Experts;
+};
+
+/// Port to one rank. Each kind of call has at most one in progress. A
+/// completion gets an unset value if there is no usable answer by the
+/// deadline.
+class RankPort {
+public:
+  using StateCompletion =
+      std::function<void(const std::optional<experts::RankState> &)>;
+  using CountsCompletion =
+      std::function<void(const std::optional<RankCounts> &)>;
+  using ExpertsCompletion =
+      std::function<void(const std::optional<RankExperts> &)>;
+  using OrderCompletion = std::function<void(experts::OrderResult)>;
+
+  virtual ~RankPort() = default;
+  virtual void fetchState(base::TimePoint deadline, StateCompletion done) = 0;
+  virtual void fetchCounts(base::TimePoint deadline, CountsCompletion done) = 0;
+  virtual void fetchExperts(base::TimePoint deadline,
+                            ExpertsCompletion done) = 0;
+  virtual void sendOrder(const experts::RankOrder &order,
+                         base::TimePoint deadline, OrderCompletion done) = 0;
+};
+
+} // namespace bergamot::sidecar
+
+#endif
