adaptertcp: Keep connections and callers alive while they end

Two faults of this kind were found by reading: a connection whose handlers hold its last owner was destroyed within close(), and a completion that was due ran after cancel().

--- a/src/adaptertcp/httpcaller.cpp
+++ b/src/adaptertcp/httpcaller.cpp
@@ -103,13 +103,18 @@
 
 void HttpCaller::complete(CallResult result) {
   Timer.cancel();
-  boost::asio::post(Loop, [completion = std::move(Pending),
-                           result = std::move(result)] { completion(result); });
+  boost::asio::post(Loop, [self = shared_from_this(), cancels = Cancels,
+                           completion = std::move(Pending),
+                           result = std::move(result)] {
+    if (cancels == self->Cancels)
+      completion(result);
+  });
   Pending = nullptr;
 }
 
 void HttpCaller::cancel() {
   ++CallNumber;
+  ++Cancels;
   Pending = nullptr;
   Timer.cancel();
   if (Connection)
--- a/src/adaptertcp/httpcaller.h
+++ b/src/adaptertcp/httpcaller.h
@@ -47,6 +47,7 @@
   void call(const RequestHead &head, std::string_view body,
             base::TimePoint deadline, Completion completion);
   /// Ends the call in progress without completion and closes the connection.
+  /// A completion that is already due doesn't run either.
   void cancel();
 
   bool isBusy() const { return static_cast<bool>(Pending); }
@@ -67,6 +68,7 @@
   std::string Request;
   Completion Pending;
   std::uint64_t CallNumber = 0;
+  std::uint64_t Cancels = 0;
   bool Sent = false;
 };
 
--- a/src/adaptertcp/tcpconnection.cpp
+++ b/src/adaptertcp/tcpconnection.cpp
@@ -143,6 +143,8 @@
 void TcpConnection::closeAfterSending() {
   if (!Sock.is_open() || Finishing)
     return;
+  // The handlers may hold the owner, and the owner this connection.
+  const auto self = shared_from_this();
   Finishing = true;
   setHandlers({});
   if (Unsent.empty())
@@ -165,12 +167,14 @@
 }
 
 void TcpConnection::close() {
+  const auto self = shared_from_this();
   setHandlers({});
   error_code ec;
   Sock.close(ec);
 }
 
 void TcpConnection::abort() {
+  const auto self = shared_from_this();
   error_code ec;
   Sock.set_option(boost::asio::socket_base::linger(true, 0), ec);
   close();
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -242,8 +242,10 @@
   // An error ends the attempt and releases the connection's handlers.
   const auto self = shared_from_this();
   while (!bytes.empty() && Connection) {
-    bytes.remove_prefix(Parser.push(bytes));
-    if (Parser.hasFailed()) {
+    const std::size_t n = Parser.push(bytes);
+    bytes.remove_prefix(n);
+    const bool stuck = n == 0 && !Parser.isComplete();
+    if (Parser.hasFailed() || stuck) {
       attemptFailed(AttemptFailure::Lost, "malformed");
       return;
     }
