--- a/src/sidecar/coordinator.cpp
+++ b/src/sidecar/coordinator.cpp
@@ -73,8 +73,9 @@
           addAnswer(number);
         });
   PollTimer.expires_after(Settings.PollPeriod);
-  PollTimer.async_wait([this](const boost::system::error_code &ec) {
-    if (ec)
+  PollTimer.async_wait([this, alive = std::weak_ptr<int>(Alive)](
+                           const boost::system::error_code &ec) {
+    if (ec || alive.expired())
       return;
     if (MissingAnswers > 0)
       finishPoll();
@@ -224,6 +225,7 @@
                                  {"step", Seats.front().State->Step}});
   ChangeStartedAt = Clock::now();
   ChangeEndsAt = ChangeStartedAt + MaxChangeTime;
+  Planned = {};
   Change = MapChange::adopted(Settings.Change, newVersion(), currentMap(),
                               states(), ChangeStartedAt);
   drive();
@@ -233,10 +235,12 @@
   if (Estimate.weight() < Settings.MinWeight)
     return;
   const GroupMap current = currentMap();
-  Planned = experts::planGroup(current, Estimate.loads(), Settings.Limits);
-  const double drop = 1 - Planned.SkewAfter / Planned.SkewBefore;
+  auto plan =
+      experts::planGroup(current, Estimate.loads(), Settings.Limits);
+  const double drop = 1 - plan.SkewAfter / plan.SkewBefore;
   if (drop < Settings.MinSkewDrop)
     return;
+  Planned = std::move(plan);
   ChangeStartedAt = Clock::now();
   ChangeEndsAt = ChangeStartedAt + MaxChangeTime;
   Change.emplace(Settings.Change, newVersion(), Planned.Map, current, states(),
@@ -301,12 +305,28 @@
 
 void Coordinator::scheduleDrive() {
   DriveTimer.expires_after(Settings.DrivePeriod);
-  DriveTimer.async_wait([this](const boost::system::error_code &ec) {
-    if (!ec)
+  DriveTimer.async_wait([this, alive = std::weak_ptr<int>(Alive)](
+                            const boost::system::error_code &ec) {
+    if (!ec && !alive.expired())
       drive();
   });
 }
 
+/// Notes the map that the group switches to. An adopted change's map isn't
+/// known here; the ranks are asked for it.
+void Coordinator::setAppliedMap() {
+  for (std::uint32_t r = 0; r < Seats.size(); ++r) {
+    auto &experts = Seats[r].Experts;
+    if (!experts || Planned.Map.empty()) {
+      experts.reset();
+      continue;
+    }
+    experts->MapVersion = Change->version();
+    for (std::size_t s = 0; s < Planned.Map.size(); ++s)
+      experts->Experts[s] = Planned.Map[s][r];
+  }
+}
+
 void Coordinator::finishChange() {
   const auto outcome = Change->outcome();
   const char *name = outcome == MapChange::Outcome::Applied     ? "applied"
@@ -321,12 +341,7 @@
                      {"phase", Change->phaseName()},
                      {"took_ms", toMs(Clock::now() - ChangeStartedAt)}});
   if (outcome == MapChange::Outcome::Applied)
-    for (std::uint32_t r = 0; r < Seats.size(); ++r) {
-      auto &experts = Seats[r].Experts;
-      experts->MapVersion = Change->version();
-      for (std::size_t s = 0; s < experts->Experts.size(); ++s)
-        experts->Experts[s] = Planned.Map[s][r];
-    }
+    setAppliedMap();
   Change.reset();
   Planned = {};
   // States from before the change would mislead the next decision.
--- a/src/sidecar/coordinator.h
+++ b/src/sidecar/coordinator.h
@@ -82,6 +82,7 @@
   void drive();
   void scheduleDrive();
   void finishChange();
+  void setAppliedMap();
 
   boost::asio::io_context &Loop;
   CoordinatorSettings Settings;
@@ -100,7 +101,7 @@
   std::size_t MissingAnswers = 0;
   /// Skew of the map in use under the present estimate.
   double Skew = 1;
-  /// Completions of calls that began before the coordinator was destroyed find
+  /// Completions and timers that were due as the coordinator was destroyed find
   /// this expired.
   std::shared_ptr<int> Alive = std::make_shared<int>(0);
 };
