--- a/src/sidecar/peerrank.cpp
+++ b/src/sidecar/peerrank.cpp
@@ -63,8 +63,10 @@
     return;
   }
   call(Queries, paths::State, "", deadline,
-       [this, done = std::move(done)](const CallResult &it) {
-         noteAnswer(it);
+       [this, alive = std::weak_ptr<int>(Alive),
+        done = std::move(done)](const CallResult &it) {
+         if (!alive.expired())
+           noteAnswer(it);
          done(it.isStatus(200) ? decodeState(it.Body) : std::nullopt);
        });
 }
@@ -82,8 +84,10 @@
     return;
   }
   call(Queries, paths::Experts, "", deadline,
-       [this, done = std::move(done)](const CallResult &it) {
-         noteAnswer(it);
+       [this, alive = std::weak_ptr<int>(Alive),
+        done = std::move(done)](const CallResult &it) {
+         if (!alive.expired())
+           noteAnswer(it);
          done(it.isStatus(200) ? decodeExperts(it.Body) : std::nullopt);
        });
 }
@@ -95,8 +99,10 @@
     return;
   }
   call(Orders, paths::Order, encodeOrder(order), deadline,
-       [this, done = std::move(done)](const CallResult &it) {
-         noteAnswer(it);
+       [this, alive = std::weak_ptr<int>(Alive),
+        done = std::move(done)](const CallResult &it) {
+         if (!alive.expired())
+           noteAnswer(it);
          const auto result =
              it.isStatus(200) ? decodeResult(it.Body) : std::nullopt;
          done(result.value_or(OrderResult::Unknown));
--- a/src/sidecar/peerrank.h
+++ b/src/sidecar/peerrank.h
@@ -27,7 +27,7 @@
   PeerRank(boost::asio::io_context &loop,
            const boost::asio::ip::tcp::endpoint &sidecar,
            std::shared_ptr<RankPort> engine, std::uint32_t coordinator);
-  /// Ends calls in progress without completion.
+  /// Ends the newest call of each kind without completion.
   ~PeerRank() override;
   PeerRank(const PeerRank &) = delete;
   PeerRank &operator=(const PeerRank &) = delete;
@@ -58,6 +58,8 @@
   Caller Orders;
   base::TimePoint DirectUntil;
   unsigned Failures = 0;
+  /// Completions of calls that outlive this object find it expired.
+  std::shared_ptr<int> Alive = std::make_shared<int>(0);
 };
 
 } // namespace bergamot::sidecar
