--- a/src/adaptertcp/httpcaller.cpp
+++ b/src/adaptertcp/httpcaller.cpp
@@ -40,22 +40,21 @@
   auto connection =
       std::make_shared<TcpConnection>(TcpConnection::Socket(Loop));
   Connection = connection;
-  connection->socket().async_connect(
-      Peer, [self = shared_from_this(), connection,
-             number = CallNumber](const error_code &ec) {
-        if (number != self->CallNumber || self->Connection != connection)
-          return;
-        if (ec) {
-          self->Connection.reset();
-          self->complete({CallResult::Outcome::NotSent, {}, {}});
-          return;
-        }
-        connection->start(
-            {[self](std::string_view bytes) { self->onData(bytes); },
-             [self](CloseReason reason) { self->onClose(reason); },
-             {}});
-        self->sendRequest();
-      });
+  connection->socket().async_connect(Peer, [self = shared_from_this(),
+                                            connection, number = CallNumber](
+                                               const error_code &ec) {
+    if (number != self->CallNumber || self->Connection != connection)
+      return;
+    if (ec) {
+      self->Connection.reset();
+      self->complete({CallResult::Outcome::NotSent, {}, {}});
+      return;
+    }
+    connection->start({[self](std::string_view bytes) { self->onData(bytes); },
+                       [self](CloseReason reason) { self->onClose(reason); },
+                       {}});
+    self->sendRequest();
+  });
 }
 
 void HttpCaller::sendRequest() {
--- a/src/adaptertcp/httpmessage.cpp
+++ b/src/adaptertcp/httpmessage.cpp
@@ -1,12 +1,12 @@
 #include "adaptertcp/httpmessage.h"
 
+#include <http_parser.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdio>
 
-#include <http_parser.h>
-
 namespace bergamot::adaptertcp {
 
 namespace {
@@ -67,9 +67,8 @@
 }
 
 void HeaderFields::remove(std::string_view name) {
-  std::erase_if(Fields, [&](const HeaderField &it) {
-    return equalNames(it.Name, name);
-  });
+  std::erase_if(
+      Fields, [&](const HeaderField &it) { return equalNames(it.Name, name); });
 }
 
 void HeaderFields::set(std::string_view name, std::string_view value) {
--- a/src/adaptertcp/messageparser.cpp
+++ b/src/adaptertcp/messageparser.cpp
@@ -1,14 +1,33 @@
 #include "adaptertcp/messageparser.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace bergamot::adaptertcp {
 
+namespace {
+
+/// Bytes of a field beside its name and value: colon, space and line end.
+constexpr std::size_t FieldOverhead = 4;
+
+/// Returns whether a text is a token (RFC 9110, 5.6.2). The parser lets spaces
+/// pass in names, which other readers take for another field.
+bool isToken(std::string_view text) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  const auto isTokenChar = [&](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+           (c >= 'A' && c <= 'Z') || Marks.find(c) != std::string_view::npos;
+  };
+  return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
+}
+
+} // namespace
+
 MessageParser::MessageParser(Kind kind) : MessageKind(kind) { restart(); }
 
 void MessageParser::restart(bool bodiless) {
-  http_parser_init(&Parser, MessageKind == Kind::Request ? HTTP_REQUEST
-                                                         : HTTP_RESPONSE);
+  http_parser_init(&Parser,
+                   MessageKind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   Parser.data = this;
   Request = {};
   Response = {};
@@ -49,15 +68,14 @@
 std::size_t MessageParser::push(std::string_view bytes) {
   if (Failed || Complete || bytes.empty())
     return 0;
-  const bool inHead = !HeadComplete;
-  if (inHead && !checkLineEnds(bytes)) {
+  if (!HeadComplete && !checkLineEnds(bytes)) {
     Failed = true;
     return 0;
   }
   const std::size_t n =
       http_parser_execute(&Parser, &callbacks(), bytes.data(), bytes.size());
-  if (inHead)
-    HeadBytes += HeadComplete ? 0 : n;
+  if (!HeadComplete)
+    HeadBytes += n;
   const http_errno error = HTTP_PARSER_ERRNO(&Parser);
   if (error != HPE_OK && error != HPE_PAUSED)
     Failed = true;
@@ -111,8 +129,7 @@
   return 0;
 }
 
-int MessageParser::onValue(http_parser *parser, const char *at,
-                           std::size_t n) {
+int MessageParser::onValue(http_parser *parser, const char *at, std::size_t n) {
   MessageParser &it = self(parser);
   if (it.HeadComplete)
     return 0;
@@ -124,6 +141,9 @@
 bool MessageParser::isFramingSound() const {
   const HeaderFields &fields =
       MessageKind == Kind::Request ? Request.Headers : Response.Headers;
+  for (const auto &it : fields.fields())
+    if (!isToken(it.Name))
+      return false;
   const std::size_t lengths = fields.count("Content-Length");
   const std::size_t codings = fields.count("Transfer-Encoding");
   if (lengths + codings > 1)
@@ -135,7 +155,11 @@
 int MessageParser::onHeadComplete(http_parser *parser) {
   MessageParser &it = self(parser);
   it.HeadComplete = true;
-  if (!it.isFramingSound())
+  it.HeadBytes = it.Request.Target.size();
+  for (const auto &field : it.headers().fields())
+    it.HeadBytes += field.Name.size() + field.Value.size() + FieldOverhead;
+  it.HeadBytes = std::max<std::size_t>(it.HeadBytes, 1);
+  if (parser->http_major != 1 || !it.isFramingSound())
     return -1;
   const bool hasLength =
       parser->content_length != std::numeric_limits<std::uint64_t>::max() &&
--- a/src/adaptertcp/smallserver.cpp
+++ b/src/adaptertcp/smallserver.cpp
@@ -61,8 +61,8 @@
     if (!answer.ContentType.empty())
       head.Headers.add("Content-Type", answer.ContentType);
     const bool keepAlive = Parser.requestHead().KeepAlive;
-    std::string text = responseText(head, Framing::Length, answer.Body.size(),
-                                    keepAlive);
+    std::string text =
+        responseText(head, Framing::Length, answer.Body.size(), keepAlive);
     Connection->send(text.append(answer.Body));
     if (!keepAlive) {
       Connection->closeAfterSending();
--- a/src/adaptertcp/tcpconnection.cpp
+++ b/src/adaptertcp/tcpconnection.cpp
@@ -94,8 +94,8 @@
     return;
   }
   error_code ec;
-  const std::size_t n = Sock.write_some(
-      boost::asio::buffer(bytes.data(), bytes.size()), ec);
+  const std::size_t n =
+      Sock.write_some(boost::asio::buffer(bytes.data(), bytes.size()), ec);
   if (ec && ec != boost::asio::error::would_block &&
       ec != boost::asio::error::try_again)
     return; // The read side reports the reset.
--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -83,9 +83,9 @@
 
 void CallerConnection::onRequestComplete() {
   KeepAlive = Parser.requestHead().KeepAlive;
-  Current = std::make_shared<Exchange>(
-      Owner, *this, std::move(Parser.requestHead()), std::move(Parser.body()),
-      RequestStartedAt);
+  Current =
+      std::make_shared<Exchange>(Owner, *this, std::move(Parser.requestHead()),
+                                 std::move(Parser.body()), RequestStartedAt);
   Parser.restart();
   ContinueSent = false;
   // The exchange may end within the call, which clears Current.
@@ -97,8 +97,7 @@
   Owner.countRejectedBytes(status);
   ResponseHead head;
   head.Status = status;
-  Connection->send(
-      adaptertcp::responseText(head, Framing::Length, 0, false));
+  Connection->send(adaptertcp::responseText(head, Framing::Length, 0, false));
   Closed = true;
   Owner.removeCaller(*this);
   Connection->closeAfterSending();
@@ -109,8 +108,8 @@
   if (Closed)
     return;
   KeepAlive = KeepAlive && !Owner.isShuttingDown();
-  std::string text = adaptertcp::responseText(head, Framing::Length,
-                                              body.size(), KeepAlive);
+  std::string text =
+      adaptertcp::responseText(head, Framing::Length, body.size(), KeepAlive);
   text.append(body);
   Connection->send(text);
   finishExchange();
--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -81,7 +81,8 @@
     if (ec) {
       // Out of descriptors: wait for connections to end before the next try.
       base::logWarning("accept.failed", {{"error", ec.message()}});
-      auto pause = std::make_shared<boost::asio::steady_timer>(Loop, TickPeriod);
+      auto pause =
+          std::make_shared<boost::asio::steady_timer>(Loop, TickPeriod);
       pause->async_wait([this, pause](const error_code &) { accept(); });
       return;
     }
@@ -193,7 +194,8 @@
   const auto objective = exchange.route().LatencyObjective;
   const TimePoint byObjective =
       exchange.arrivedAt() +
-      duration_cast<Duration>(WaitPart * std::chrono::duration<double, std::milli>(objective));
+      duration_cast<Duration>(
+          WaitPart * std::chrono::duration<double, std::milli>(objective));
   return std::min(exchange.deadline(), std::max(byObjective, now()));
 }
 
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -193,44 +193,43 @@
 void Exchange::openConnection(const std::string &address) {
   const TimePoint by = std::min(Deadline, Owner.now() + ConnectTimeout);
   Owner.countNewConnection();
-  Owner.pool().connect(
-      address, by,
-      [self = shared_from_this(),
-       attempt = AttemptNumber](const TargetPool::Connection &connection) {
-        if (self->Finished || attempt != self->AttemptNumber ||
-            self->TargetId.empty()) {
-          if (connection)
-            connection->close();
-          return;
-        }
-        if (!connection) {
-          self->attemptFailed(AttemptFailure::NotSent, "connect");
-          return;
-        }
-        self->Connection = connection;
-        connection->start({});
-        self->sendRequest();
-      });
+  Owner.pool().connect(address, by,
+                       [self = shared_from_this(), attempt = AttemptNumber](
+                           const TargetPool::Connection &connection) {
+                         if (self->Finished || attempt != self->AttemptNumber ||
+                             self->TargetId.empty()) {
+                           if (connection)
+                             connection->close();
+                           return;
+                         }
+                         if (!connection) {
+                           self->attemptFailed(AttemptFailure::NotSent,
+                                               "connect");
+                           return;
+                         }
+                         self->Connection = connection;
+                         connection->start({});
+                         self->sendRequest();
+                       });
 }
 
 void Exchange::sendRequest() {
   const TimePoint now = Owner.now();
   AttemptFields fields;
   fields.TargetId = TargetId;
-  fields.TimeLeft = std::max(milliseconds(1),
-                             duration_cast<milliseconds>(Deadline - now));
+  fields.TimeLeft =
+      std::max(milliseconds(1), duration_cast<milliseconds>(Deadline - now));
   if (ResponseStarted)
     fields.ResumeAfter = Events.lastEventId();
   Owner.dialect().setAttemptFields(Head.Headers, fields);
   Parser.restart(Head.Method == "HEAD");
-  Connection->setHandlers(
-      {[self = shared_from_this()](std::string_view it) {
-         self->onTargetData(it);
-       },
-       [self = shared_from_this()](CloseReason reason) {
-         self->onTargetClose(reason);
-       },
-       {}});
+  Connection->setHandlers({[self = shared_from_this()](std::string_view it) {
+                             self->onTargetData(it);
+                           },
+                           [self = shared_from_this()](CloseReason reason) {
+                             self->onTargetClose(reason);
+                           },
+                           {}});
   Sent = true;
   SentAt = now;
   ++Dispatches;
@@ -448,8 +447,8 @@
 
 void Exchange::attemptFailed(AttemptFailure failure, const char *detail) {
   const auto self = shared_from_this();
-  const bool mayBeExecuted =
-      failure == AttemptFailure::Lost || failure == AttemptFailure::ErrorResponse;
+  const bool mayBeExecuted = failure == AttemptFailure::Lost ||
+                             failure == AttemptFailure::ErrorResponse;
   if (mayBeExecuted)
     ++ExecutedAttempts;
   if (failure == AttemptFailure::Misdirected)
@@ -457,10 +456,9 @@
   Tried.insert(TargetId);
   Owner.noteFailure(TargetId, failure);
   log("attempt.failed", failureName(failure), Parser.responseHead().Status);
-  const AttemptVerdict verdict =
-      gateway::verdictFor({failure, Route->Rule, Route->Resumable,
-                           ResponseStarted, ExecutedAttempts, Dispatches,
-                           Route->MaxAttempts});
+  const AttemptVerdict verdict = gateway::verdictFor(
+      {failure, Route->Rule, Route->Resumable, ResponseStarted,
+       ExecutedAttempts, Dispatches, Route->MaxAttempts});
   switch (verdict) {
   case AttemptVerdict::TryAgain:
     tryAgain(failure, detail);
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -25,9 +25,8 @@
 /// response on. All deadlines are points on the monotonic clock.
 class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
-  Exchange(Entry &entry, CallerConnection &caller,
-           adaptertcp::RequestHead head, std::string body,
-           base::TimePoint arrivedAt);
+  Exchange(Entry &entry, CallerConnection &caller, adaptertcp::RequestHead head,
+           std::string body, base::TimePoint arrivedAt);
   ~Exchange();
 
   /// Answers the request or puts it in its service's queue.
--- a/src/entrypath/peerlink.cpp
+++ b/src/entrypath/peerlink.cpp
@@ -76,15 +76,14 @@
 }
 
 void PeerLink::receive() {
-  Socket.async_receive_from(
-      boost::asio::buffer(Buffer), Sender,
-      [this](const error_code &ec, std::size_t n) {
-        if (ec == boost::asio::error::operation_aborted)
-          return;
-        if (!ec)
-          onDatagram(n);
-        receive();
-      });
+  Socket.async_receive_from(boost::asio::buffer(Buffer), Sender,
+                            [this](const error_code &ec, std::size_t n) {
+                              if (ec == boost::asio::error::operation_aborted)
+                                return;
+                              if (!ec)
+                                onDatagram(n);
+                              receive();
+                            });
 }
 
 void PeerLink::onDatagram(std::size_t n) {
@@ -92,8 +91,9 @@
   if (!message.is_object() || !message.contains("name") ||
       !message["name"].is_string() || !message.contains("work") ||
       !message["work"].is_object()) {
-    Owner.decisions().write(
-        "peer.malformed", {{"from", Sender.address().to_string()}}, Owner.now());
+    Owner.decisions().write("peer.malformed",
+                            {{"from", Sender.address().to_string()}},
+                            Owner.now());
     return;
   }
   const std::string name = message["name"];
@@ -103,8 +103,8 @@
   Peers[name].HeardAt = Owner.now();
   gateway::WorkByTarget work;
   for (const auto &[target, value] : message["work"].items())
-    if (value.is_array() && value.size() == 2 && value[0].is_number_unsigned() &&
-        value[1].is_number())
+    if (value.is_array() && value.size() == 2 &&
+        value[0].is_number_unsigned() && value[1].is_number())
       work[target] = {value[0].get<std::uint32_t>(), value[1].get<double>()};
   Owner.setPeerWork(name, std::move(work));
 }
--- a/src/entrypath/targetpool.cpp
+++ b/src/entrypath/targetpool.cpp
@@ -23,8 +23,7 @@
   if (colon == std::string::npos)
     return std::nullopt;
   error_code ec;
-  const auto address =
-      boost::asio::ip::make_address(text.substr(0, colon), ec);
+  const auto address = boost::asio::ip::make_address(text.substr(0, colon), ec);
   unsigned short port = 0;
   const char *end = text.data() + text.size();
   const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
--- a/src/entrypath/topicfollower.cpp
+++ b/src/entrypath/topicfollower.cpp
@@ -122,16 +122,13 @@
                 {{"topic", Settings.Topic}, {"end", End}});
 }
 
-bool TopicFollower::isReliable() const {
-  return Clock::now() >= ReliableFrom;
-}
+bool TopicFollower::isReliable() const { return Clock::now() >= ReliableFrom; }
 
 void TopicFollower::apply(const KeyedRecord &record) {
   const auto it = Records.find(record.Key);
   if (it != Records.end() && it->second.Offset >= record.Offset)
     return;
-  const bool changed =
-      it == Records.end() || it->second.Value != record.Value;
+  const bool changed = it == Records.end() || it->second.Value != record.Value;
   Records[record.Key] = record;
   if (changed)
     OnChange(record.Key, record.Value, isReliable());
@@ -148,8 +145,7 @@
   Loaded = true;
 }
 
-std::vector<KeyedRecord>
-TopicFollower::recordsFrom(std::uint64_t from) const {
+std::vector<KeyedRecord> TopicFollower::recordsFrom(std::uint64_t from) const {
   std::vector<KeyedRecord> records;
   for (const auto &[key, record] : Records)
     if (record.Offset >= from)
--- a/src/libbergamotexperts/groupplanner.cpp
+++ b/src/libbergamotexperts/groupplanner.cpp
@@ -96,9 +96,8 @@
     std::vector<std::uint32_t> order(Held.size());
     for (std::uint32_t r = 0; r < order.size(); ++r)
       order[r] = r;
-    std::sort(order.begin(), order.end(), [&](auto a, auto b) {
-      return RankLoads[a] > RankLoads[b];
-    });
+    std::sort(order.begin(), order.end(),
+              [&](auto a, auto b) { return RankLoads[a] > RankLoads[b]; });
     return order;
   }
   /// Returns a rank's experts that load it most.
--- a/src/libbergamotexperts/mapchange.cpp
+++ b/src/libbergamotexperts/mapchange.cpp
@@ -38,9 +38,9 @@
 /// released with all ranks armed, else undoes what it did.
 void MapChange::adopt() {
   Step = Ranks.front().State.HeldStep.value_or(0);
-  const auto armed = std::find_if(Ranks.begin(), Ranks.end(), [](const Rank &it) {
-    return it.State.Armed.has_value();
-  });
+  const auto armed =
+      std::find_if(Ranks.begin(), Ranks.end(),
+                   [](const Rank &it) { return it.State.Armed.has_value(); });
   if (armed == Ranks.end()) {
     startUndoing();
     return;
@@ -187,8 +187,8 @@
   if (mayHold() && CurrentPhase != Phase::Holding && state.Step >= Step) {
     // The step has begun, so another coordinator has released it. What is
     // armed now belongs to a later change.
-    Result = state.MapVersion == Version ? Outcome::Applied
-                                         : Outcome::Superseded;
+    Result =
+        state.MapVersion == Version ? Outcome::Applied : Outcome::Superseded;
     return;
   }
   if (CurrentPhase == Phase::Undoing && state.Armed &&
--- a/src/libbergamotexperts/mapchange.h
+++ b/src/libbergamotexperts/mapchange.h
@@ -33,17 +33,17 @@
 /// seconds late, or repeated, and other coordinators may act on the same group.
 ///
 /// All ranks first copy the experts of the new map (Prepare). Then rank 0 is
-/// told to hold back a step S, all ranks are armed for S, and rank 0 is released
-/// when each has confirmed. Nothing of this is taken back: a coordinator that
-/// finds a held step arms the ranks that are missing and releases it, so two
-/// coordinators do the same and late orders change nothing.
+/// told to hold back a step S, all ranks are armed for S, and rank 0 is
+/// released when each has confirmed. Nothing of this is taken back: a
+/// coordinator that finds a held step arms the ranks that are missing and
+/// releases it, so two coordinators do the same and late orders change nothing.
 ///
 /// Only if a rank can't be armed any more, because it has prepared a higher
 /// version meanwhile, is the change undone. Such a rank blocks the change for
 /// good, as versions only grow, so no coordinator can have released the step or
-/// ever will. All ranks are then disarmed, and each prepares a higher version of
-/// the present map, which voids arms that are still on their way, before
-/// the step is released.
+/// ever will. All ranks are then disarmed, and each prepares a higher version
+/// of the present map, which voids arms that are still on their way, before the
+/// step is released.
 class MapChange {
 public:
   enum class Outcome {
--- a/src/libbergamotgateway/placement.cpp
+++ b/src/libbergamotgateway/placement.cpp
@@ -33,7 +33,8 @@
     if (candidates[i].Requests < candidates[i].Limit &&
         score(candidates[i]) <= least + TieWidth)
       tied.push_back(static_cast<int>(i));
-  return tied[static_cast<std::size_t>(draw * static_cast<double>(tied.size()))];
+  return tied[static_cast<std::size_t>(draw *
+                                       static_cast<double>(tied.size()))];
 }
 
 } // namespace bergamot::gateway
--- a/src/sidecar/coordinator.cpp
+++ b/src/sidecar/coordinator.cpp
@@ -108,8 +108,7 @@
 bool Coordinator::isSettled() const {
   const auto &first = Seats.front().State;
   return std::all_of(Seats.begin(), Seats.end(), [&](const Seat &it) {
-    return it.State && it.State->Epoch == first->Epoch &&
-           it.State->GroupOpen &&
+    return it.State && it.State->Epoch == first->Epoch && it.State->GroupOpen &&
            it.State->MapVersion == first->MapVersion && !it.State->Armed &&
            !it.State->HeldStep;
   });
@@ -117,8 +116,8 @@
 
 void Coordinator::finishPoll() {
   MissingAnswers = 0;
-  const bool knowsMap = std::all_of(
-      Seats.begin(), Seats.end(), [](const Seat &it) { return it.Experts; });
+  const bool knowsMap = std::all_of(Seats.begin(), Seats.end(),
+                                    [](const Seat &it) { return it.Experts; });
   if (knowsMap) {
     const GroupMap map = currentMap();
     const bool jumped = Estimate.finishUpdate(map);
@@ -133,9 +132,10 @@
 }
 
 void Coordinator::evaluate() {
-  const bool allKnown = std::all_of(
-      Seats.begin(), Seats.end(),
-      [](const Seat &it) { return it.State && it.State->GroupOpen; });
+  const bool allKnown =
+      std::all_of(Seats.begin(), Seats.end(), [](const Seat &it) {
+        return it.State && it.State->GroupOpen;
+      });
   if (!allKnown)
     return;
   if (!hasCurrentMap()) {
@@ -175,20 +175,21 @@
 void Coordinator::readExperts() {
   const TimePoint deadline = Clock::now() + Settings.PollTimeout;
   for (std::uint32_t i = 0; i < Seats.size(); ++i)
-    Seats[i].Port->fetchExperts(
-        deadline, [this, i, alive = std::weak_ptr<int>(Alive)](
-                      const std::optional<RankExperts> &experts) {
-          if (!alive.expired() && experts)
-            Seats[i].Experts = experts;
-        });
+    Seats[i].Port->fetchExperts(deadline,
+                                [this, i, alive = std::weak_ptr<int>(Alive)](
+                                    const std::optional<RankExperts> &experts) {
+                                  if (!alive.expired() && experts)
+                                    Seats[i].Experts = experts;
+                                });
 }
 
 GroupMap Coordinator::currentMap() const {
   GroupMap map(Settings.Sets);
   for (std::uint32_t s = 0; s < Settings.Sets; ++s)
     for (const auto &it : Seats)
-      map[s].push_back(s < it.Experts->Experts.size() ? it.Experts->Experts[s]
-                                                      : std::vector<std::uint32_t>());
+      map[s].push_back(s < it.Experts->Experts.size()
+                           ? it.Experts->Experts[s]
+                           : std::vector<std::uint32_t>());
   return map;
 }
 
@@ -202,8 +203,8 @@
 std::uint64_t Coordinator::newVersion() {
   std::uint64_t highest = 0;
   for (const auto &it : Seats) {
-    highest = std::max({highest, it.State->MapVersion,
-                        it.State->PreparedVersion});
+    highest =
+        std::max({highest, it.State->MapVersion, it.State->PreparedVersion});
     if (it.State->Armed)
       highest = std::max(highest, it.State->Armed->Version);
   }
@@ -213,16 +214,15 @@
 }
 
 void Coordinator::considerAdoption() {
-  const bool held =
-      std::any_of(Seats.begin(), Seats.end(), [](const Seat &it) {
-        return it.State->HeldStep.has_value();
-      });
+  const bool held = std::any_of(Seats.begin(), Seats.end(), [](const Seat &it) {
+    return it.State->HeldStep.has_value();
+  });
   // Without a hold, armed ranks switch by themselves.
   if (!held || ++UnsettledPolls < PollsBeforeAdoption)
     return;
   UnsettledPolls = 0;
   base::logDecision("map.adopt", {{"epoch", Seats.front().State->Epoch},
-                                 {"step", Seats.front().State->Step}});
+                                  {"step", Seats.front().State->Step}});
   ChangeStartedAt = Clock::now();
   ChangeEndsAt = ChangeStartedAt + MaxChangeTime;
   Planned = {};
@@ -235,8 +235,7 @@
   if (Estimate.weight() < Settings.MinWeight)
     return;
   const GroupMap current = currentMap();
-  auto plan =
-      experts::planGroup(current, Estimate.loads(), Settings.Limits);
+  auto plan = experts::planGroup(current, Estimate.loads(), Settings.Limits);
   const double drop = 1 - plan.SkewAfter / plan.SkewBefore;
   if (drop < Settings.MinSkewDrop)
     return;
@@ -329,11 +328,10 @@
 
 void Coordinator::finishChange() {
   const auto outcome = Change->outcome();
-  const char *name = outcome == MapChange::Outcome::Applied     ? "applied"
-                     : outcome == MapChange::Outcome::Abandoned ? "abandoned"
-                     : outcome == MapChange::Outcome::Superseded
-                         ? "superseded"
-                         : "given_up";
+  const char *name = outcome == MapChange::Outcome::Applied      ? "applied"
+                     : outcome == MapChange::Outcome::Abandoned  ? "abandoned"
+                     : outcome == MapChange::Outcome::Superseded ? "superseded"
+                                                                 : "given_up";
   base::logDecision("map.change",
                     {{"version", Change->version()},
                      {"step", Change->step()},
--- a/src/sidecar/loadestimate.cpp
+++ b/src/sidecar/loadestimate.cpp
@@ -36,9 +36,9 @@
 bool LoadEstimate::finishUpdate(const experts::GroupMap &map) {
   if (NewestWeight < MinUpdateWeight)
     return false; // Left for the next update.
-  const bool jumped = Weight > 0 && experts::groupSkew(map, Newest) >
-                                        JumpGrowth *
-                                            experts::groupSkew(map, Loads);
+  const bool jumped =
+      Weight > 0 && experts::groupSkew(map, Newest) >
+                        JumpGrowth * experts::groupSkew(map, Loads);
   const double keep = jumped ? 0 : Keep;
   for (std::size_t s = 0; s < Loads.size(); ++s)
     for (std::size_t e = 0; e < Loads[s].size(); ++e) {
--- a/src/sidecar/peerrank.cpp
+++ b/src/sidecar/peerrank.cpp
@@ -38,8 +38,8 @@
     caller = std::make_shared<adaptertcp::HttpCaller>(Loop, Sidecar);
   adaptertcp::RequestHead head;
   head.Method = body.empty() ? "GET" : "POST";
-  head.Target = path + std::string(paths::ByParameter) +
-                std::to_string(Coordinator);
+  head.Target =
+      path + std::string(paths::ByParameter) + std::to_string(Coordinator);
   head.Headers.add("Host", "sidecar");
   caller->call(head, body, deadline, std::move(completion));
 }
--- a/src/sidecar/rankcodec.cpp
+++ b/src/sidecar/rankcodec.cpp
@@ -38,11 +38,11 @@
 } // namespace
 
 std::string encodeState(const RankState &it) {
-  json message = {{"group", it.Group},         {"rank", it.Rank},
-                  {"size", it.GroupSize},      {"epoch", it.Epoch},
-                  {"open", it.GroupOpen},      {"step", it.Step},
-                  {"map", it.MapVersion},      {"ready", it.PreparedVersion},
-                  {"armed", nullptr},          {"held", nullptr}};
+  json message = {{"group", it.Group},    {"rank", it.Rank},
+                  {"size", it.GroupSize}, {"epoch", it.Epoch},
+                  {"open", it.GroupOpen}, {"step", it.Step},
+                  {"map", it.MapVersion}, {"ready", it.PreparedVersion},
+                  {"armed", nullptr},     {"held", nullptr}};
   if (it.Armed)
     message["armed"] = {it.Armed->Version, it.Armed->Step};
   if (it.HeldStep)
--- /dev/null
+++ b/tests/entrypath/testpath.cpp
@@ -0,0 +1,233 @@
+#include "testpath.h"
+
+#include <boost/asio/connect.hpp>
+
+namespace bergamot::entrypath {
+
+using adaptertcp::HeaderFields;
+using adaptertcp::MessageParser;
+using adaptertcp::RequestHead;
+using adaptertcp::ResponseHead;
+using adaptertcp::TcpConnection;
+using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+namespace {
+
+tcp::endpoint freeEndpoint() {
+  boost::asio::io_context loop;
+  tcp::acceptor acceptor(
+      loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  return acceptor.local_endpoint();
+}
+
+gateway::Route route(const std::string &name, gateway::RepeatRule rule,
+                     bool streams, bool resumable) {
+  gateway::Route it;
+  it.Name = name;
+  it.Host = "h";
+  it.PathPrefix = "/" + name + "/";
+  it.Services = {{"s", 1}};
+  it.Rule = rule;
+  it.Streams = streams;
+  it.Resumable = resumable;
+  it.Timeout = 1500ms;
+  it.LatencyObjective = 400ms;
+  it.MaxAttempts =
+      rule == gateway::RepeatRule::NonIdempotent && !resumable ? 1 : 2;
+  return it;
+}
+
+std::shared_ptr<const gateway::RouteTable> table() {
+  using gateway::RepeatRule;
+  gateway::CallerLimits limits;
+  limits.HeaderBytes = 2048;
+  limits.BodyBytes = 4096;
+  limits.HeaderTimeout = 300ms;
+  limits.IdleTimeout = 60000ms;
+  return std::make_shared<const gateway::RouteTable>(
+      1,
+      std::vector<gateway::Route>{
+          route("safe", RepeatRule::Idempotent, false, false),
+          route("once", RepeatRule::NonIdempotent, false, false),
+          route("stream", RepeatRule::NonIdempotent, true, true),
+          route("stream-once", RepeatRule::NonIdempotent, true, false)},
+      std::vector<gateway::Service>{},
+      std::vector<gateway::ClientAccount>{{"account", {"key"}, std::nullopt}},
+      limits);
+}
+
+} // namespace
+
+CallerRequest TestDialect::decodeRequest(const RequestHead &head) const {
+  CallerRequest it;
+  it.Id = head.Headers.value("X-Id").value_or("");
+  it.Host = head.Headers.value("Host").value_or("");
+  if (const auto key = head.Headers.value("X-Key"))
+    it.Key = std::string(*key);
+  if (const auto left = head.Headers.value("X-Left"))
+    it.TimeLeft =
+        std::chrono::milliseconds(adaptertcp::parseNumber(*left).value_or(0));
+  return it;
+}
+
+TargetResponse TestDialect::decodeResponse(const ResponseHead &head) const {
+  TargetResponse it;
+  if (const auto id = head.Headers.value("X-Id"))
+    it.RequestId = std::string(*id);
+  it.IsSigned = head.Headers.value("X-Signed").has_value();
+  it.NotExecuted = head.Headers.value("X-Not-Executed").has_value();
+  it.Misdirected = head.Status == 421;
+  return it;
+}
+
+void TestDialect::prepareForwarding(HeaderFields &headers,
+                                    const std::string &account) const {
+  headers.removeConnectionFields();
+  headers.remove("X-Key");
+  headers.set("X-Account", account);
+}
+
+void TestDialect::setAttemptFields(HeaderFields &headers,
+                                   const AttemptFields &fields) const {
+  headers.set("X-Left", std::to_string(fields.TimeLeft.count()));
+  headers.set("X-Instance", fields.TargetId);
+  if (fields.ResumeAfter)
+    headers.set("X-After", *fields.ResumeAfter);
+}
+
+void TestDialect::setRequestId(HeaderFields &headers,
+                               const std::string &id) const {
+  headers.set("X-Id", id);
+}
+
+TestTarget::TestTarget(boost::asio::io_context &loop, Script script)
+    : Loop(loop), Acceptor(loop, freeEndpoint()), OnRequest(std::move(script)) {
+  accept();
+}
+
+TestTarget::~TestTarget() {
+  boost::system::error_code ec;
+  Acceptor.close(ec);
+  for (const auto &it : Open)
+    it->close();
+}
+
+std::string TestTarget::address() const {
+  const auto endpoint = Acceptor.local_endpoint();
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+void TestTarget::accept() {
+  Acceptor.async_accept(
+      [this](const boost::system::error_code &ec, tcp::socket socket) {
+        if (ec)
+          return;
+        serve(std::move(socket));
+        accept();
+      });
+}
+
+void TestTarget::serve(TcpConnection::Socket socket) {
+  ++Connections;
+  auto connection = std::make_shared<TcpConnection>(std::move(socket));
+  auto parser = std::make_shared<MessageParser>(MessageParser::Kind::Request);
+  Open.push_back(connection);
+  const std::weak_ptr<TcpConnection> weak = connection;
+  connection->start({[this, weak, parser](std::string_view bytes) {
+                       while (!bytes.empty()) {
+                         bytes.remove_prefix(parser->push(bytes));
+                         if (!parser->isComplete())
+                           return;
+                         ++Requests;
+                         const RequestHead head = parser->requestHead();
+                         const std::string body = parser->body();
+                         parser->restart();
+                         if (const auto open = weak.lock())
+                           OnRequest(head, body, open);
+                       }
+                     },
+                     [this](adaptertcp::CloseReason) { ++Closed; },
+                     {}});
+}
+
+std::string signedResponse(const RequestHead &head, const std::string &body,
+                           int status, const std::string &extraFields) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nX-Id: " + std::string(head.Headers.value("X-Id").value_or("")) +
+         "\r\nX-Signed: 1\r\n" + extraFields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+TestPath::TestPath() {
+  EntrySettings settings;
+  settings.Name = "entry";
+  settings.Domain = "d";
+  settings.Listen = freeEndpoint();
+  settings.Retries = {0.2, 80, 10s};
+  Path = std::make_unique<Entry>(Loop, settings, Names, Metrics);
+  Path->setRouteTable(table());
+  Path->listen();
+}
+
+TestTarget &TestPath::addTarget(const std::string &id,
+                                TestTarget::Script script,
+                                std::uint32_t slots) {
+  Targets.push_back(std::make_unique<TestTarget>(Loop, std::move(script)));
+  gateway::TargetRecord record;
+  record.Id = id;
+  record.Service = "s";
+  record.Address = Targets.back()->address();
+  record.Domain = "d";
+  record.Slots = slots;
+  Path->directory().setTarget(record, Path->now());
+  return *Targets.back();
+}
+
+std::shared_ptr<Received> TestPath::send(const std::string &bytes) {
+  auto received = std::make_shared<Received>();
+  auto connection =
+      std::make_shared<TcpConnection>(TcpConnection::Socket(Loop));
+  connection->socket().connect(Path->settings().Listen);
+  connection->start(
+      {[received](std::string_view it) { received->Bytes.append(it); },
+       [received](adaptertcp::CloseReason) { received->Closed = true; },
+       {}});
+  connection->send(bytes);
+  Callers.emplace_back(received, connection);
+  return received;
+}
+
+void TestPath::hangUp(const std::shared_ptr<Received> &received) {
+  for (auto &[it, connection] : Callers)
+    if (it == received)
+      connection->close();
+}
+
+void TestPath::openIdle(const std::string &bytes) { (void)send(bytes); }
+
+bool TestPath::runUntil(const std::function<bool()> &condition) {
+  const auto end = std::chrono::steady_clock::now() + 5s;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > end)
+      return false;
+    Loop.run_one_for(20ms);
+  }
+  return true;
+}
+
+void TestPath::run(std::chrono::milliseconds time) {
+  const auto end = std::chrono::steady_clock::now() + time;
+  while (std::chrono::steady_clock::now() < end)
+    Loop.run_one_for(5ms);
+}
+
+std::string requestText(const std::string &route, const std::string &id,
+                        const std::string &fields) {
+  const bool get = route == "safe";
+  return (get ? "GET /" : "POST /") + route + "/x HTTP/1.1\r\nHost: h\r\n" +
+         "X-Id: " + id + "\r\nX-Key: key\r\n" + fields +
+         (get ? "" : "Content-Length: 2\r\n") + "\r\n" + (get ? "" : "ab");
+}
+
+} // namespace bergamot::entrypath
--- /dev/null
+++ b/tests/entrypath/testpath.h
@@ -0,0 +1,117 @@
+#ifndef BERGAMOT_TESTS_ENTRYPATH_TESTPATH_H
+#define BERGAMOT_TESTS_ENTRYPATH_TESTPATH_H
+
+#include "adaptertcp/messageparser.h"
+#include "adaptertcp/tcpconnection.h"
+#include "entrypath/dialect.h"
+#include "entrypath/entry.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bergamot::entrypath {
+
+/// A dialect with headers of its own, to test the path without the platform.
+class TestDialect final : public Dialect {
+public:
+  CallerRequest
+  decodeRequest(const adaptertcp::RequestHead &head) const override;
+  TargetResponse
+  decodeResponse(const adaptertcp::ResponseHead &head) const override;
+  void prepareForwarding(adaptertcp::HeaderFields &headers,
+                         const std::string &account) const override;
+  void setAttemptFields(adaptertcp::HeaderFields &headers,
+                        const AttemptFields &fields) const override;
+  void setRequestId(adaptertcp::HeaderFields &headers,
+                    const std::string &id) const override;
+};
+
+/// A target whose answers a test scripts.
+class TestTarget {
+public:
+  using Connection = std::shared_ptr<adaptertcp::TcpConnection>;
+  /// Gets a request and the connection to answer on.
+  using Script = std::function<void(const adaptertcp::RequestHead &head,
+                                    const std::string &body,
+                                    const Connection &connection)>;
+
+  TestTarget(boost::asio::io_context &loop, Script script);
+  ~TestTarget();
+
+  std::string address() const;
+  std::uint32_t requestCount() const { return Requests; }
+  std::uint32_t connectionCount() const { return Connections; }
+  std::uint32_t closedCount() const { return Closed; }
+
+private:
+  void accept();
+  void serve(adaptertcp::TcpConnection::Socket socket);
+
+  boost::asio::io_context &Loop;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  Script OnRequest;
+  std::vector<Connection> Open;
+  std::uint32_t Requests = 0;
+  std::uint32_t Connections = 0;
+  std::uint32_t Closed = 0;
+};
+
+/// Returns a signed response of a test target to a request.
+std::string signedResponse(const adaptertcp::RequestHead &head,
+                           const std::string &body, int status = 200,
+                           const std::string &extraFields = "");
+
+/// What a test's caller has received.
+struct Received {
+  std::string Bytes;
+  bool Closed = false;
+
+  bool has(std::string_view text) const {
+    return Bytes.find(text) != std::string::npos;
+  }
+};
+
+/// An entry with targets and callers on one event loop.
+class TestPath {
+public:
+  TestPath();
+
+  /// Adds a target to the service "s".
+  TestTarget &addTarget(const std::string &id, TestTarget::Script script,
+                        std::uint32_t slots = 4);
+  /// Sends bytes over a new connection; what comes back goes to the result.
+  std::shared_ptr<Received> send(const std::string &bytes);
+  /// Closes the caller's end of the connection of a result.
+  void hangUp(const std::shared_ptr<Received> &received);
+  /// Opens a connection that sends only these bytes and stays open.
+  void openIdle(const std::string &bytes);
+  /// Runs the loop until the condition holds; returns false after a time-out.
+  bool runUntil(const std::function<bool()> &condition);
+  void run(std::chrono::milliseconds time);
+
+  Entry &entry() { return *Path; }
+  boost::asio::io_context &loop() { return Loop; }
+
+private:
+  boost::asio::io_context Loop;
+  TestDialect Names;
+  base::Metrics Metrics;
+  std::unique_ptr<Entry> Path;
+  std::vector<std::unique_ptr<TestTarget>> Targets;
+  std::vector<std::pair<std::shared_ptr<Received>,
+                        std::shared_ptr<adaptertcp::TcpConnection>>>
+      Callers;
+};
+
+/// Returns the text of a request; `route` is "safe", "once", "stream" or
+/// "stream-once".
+std::string requestText(const std::string &route, const std::string &id,
+                        const std::string &fields = "");
+
+} // namespace bergamot::entrypath
+
+#endif
--- /dev/null
+++ b/tests/gateway/test_gateway.cpp
@@ -0,0 +1,307 @@
+#include "libbergamotgateway/attemptpolicy.h"
+#include "libbergamotgateway/eventsplitter.h"
+#include "libbergamotgateway/loadboard.h"
+#include "libbergamotgateway/placement.h"
+#include "libbergamotgateway/retrybudget.h"
+#include "libbergamotgateway/routetable.h"
+#include "libbergamotgateway/targetdirectory.h"
+#include "libbergamotgateway/targethealth.h"
+#include "libbergamotgateway/waitqueue.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace bergamot;
+using namespace bergamot::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+TimePoint at(std::chrono::milliseconds time) { return TimePoint() + time; }
+
+Route routeOf(const std::string &host, const std::string &prefix) {
+  Route route;
+  route.Name = host + prefix;
+  route.Host = host;
+  route.PathPrefix = prefix;
+  route.Services = {{"s", 1}};
+  return route;
+}
+
+/// The obviously right choice: a linear scan over all routes.
+const Route *scan(const std::vector<Route> &routes, const std::string &host,
+                  const std::string &path) {
+  const Route *best = nullptr;
+  for (const auto &it : routes)
+    if (it.Host == host && path.starts_with(it.PathPrefix) &&
+        (!best || it.PathPrefix.size() > best->PathPrefix.size()))
+      best = &it;
+  return best;
+}
+
+TargetRecord record(const std::string &id, const std::string &address = "a") {
+  TargetRecord it;
+  it.Id = id;
+  it.Service = "s";
+  it.Address = address;
+  it.Domain = "d";
+  it.Slots = 4;
+  return it;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix wins, as in a scan over all routes") {
+  std::mt19937_64 random(7);
+  const auto segment = [&] {
+    return std::string(1, char('a' + random() % 3)) + "/";
+  };
+  for (int round = 0; round < 200; ++round) {
+    std::vector<Route> routes;
+    std::set<std::string> names;
+    for (int i = 0; i < 12; ++i) {
+      std::string prefix = "/";
+      for (std::uint64_t n = random() % 4; n > 0; --n)
+        prefix += segment();
+      const std::string host = random() % 2 == 0 ? "x.example" : "y.example";
+      if (names.insert(host + prefix).second)
+        routes.push_back(routeOf(host, prefix));
+    }
+    const RouteTable table(1, routes, {}, {}, {});
+    for (int i = 0; i < 50; ++i) {
+      std::string path = "/";
+      for (std::uint64_t n = random() % 5; n > 0; --n)
+        path += segment();
+      path += "end";
+      const Route *expected = scan(routes, "x.example", path);
+      const Route *found = table.route("X.example:80", path + "?q=/a/b/");
+      REQUIRE((found == nullptr) == (expected == nullptr));
+      if (found)
+        REQUIRE(found->Name == expected->Name);
+    }
+  }
+}
+
+TEST_CASE("services are chosen by weight") {
+  Route route = routeOf("h", "/");
+  route.Services = {{"a", 90}, {"b", 10}};
+  CHECK(chooseService(route, 0.0) == "a");
+  CHECK(chooseService(route, 0.899) == "a");
+  CHECK(chooseService(route, 0.901) == "b");
+  CHECK(chooseService(route, 0.999) == "b");
+}
+
+TEST_CASE("events are cut at their ends whatever the pieces") {
+  // Guards against an event that is passed on in part and then continued by
+  // another target.
+  std::string body;
+  for (int i = 1; i <= 9; ++i)
+    body += "id: " + std::to_string(i) + "\ndata: x" + std::to_string(i) +
+            (i % 2 == 0 ? "\n\n" : "\r\n\r\n");
+  std::mt19937_64 random(3);
+  for (int round = 0; round < 300; ++round) {
+    EventSplitter splitter;
+    std::string out;
+    std::string fed;
+    for (std::size_t pos = 0; pos < body.size();) {
+      const std::size_t n =
+          std::min<std::size_t>(1 + random() % 11, body.size() - pos);
+      fed += body.substr(pos, n);
+      out += splitter.push(body.substr(pos, n));
+      pos += n;
+      REQUIRE(fed == out + splitter.rest());
+      REQUIRE(
+          (out.empty() || out.ends_with("\n\n") || out.ends_with("\n\r\n")));
+    }
+    REQUIRE(out == body);
+    REQUIRE(splitter.lastEventId() == "9");
+    REQUIRE(splitter.eventCount() == 9);
+  }
+}
+
+TEST_CASE("a body that ends within an event shows the last whole one") {
+  EventSplitter splitter;
+  CHECK(splitter.push("id: 4\ndata: a\n\nid: 5\nda") == "id: 4\ndata: a\n\n");
+  CHECK(splitter.lastEventId() == "4");
+  splitter.dropRest();
+  CHECK(splitter.push("id: 5\ndata: b\n\n") == "id: 5\ndata: b\n\n");
+}
+
+TEST_CASE("retries of all entries stay within the bound in every window") {
+  // Guards against a bound that each entry keeps but all together exceed.
+  const RetryBound bound{0.2, 40, 10s};
+  constexpr unsigned Entries = 5;
+  std::mt19937_64 random(11);
+  std::vector<RetryBudget> budgets(Entries, RetryBudget(bound));
+  std::vector<TimePoint> requests;
+  std::vector<TimePoint> repeats;
+  for (auto now = 0ms; now < 60000ms; now += 5ms) {
+    const bool burst = now > 20000ms && now < 30000ms;
+    if (random() % (burst ? 1 : 8) == 0) {
+      budgets[random() % Entries].addRequest(at(now));
+      requests.push_back(at(now));
+    }
+    if (budgets[random() % Entries].takeRepeat(8, at(now)))
+      repeats.push_back(at(now));
+  }
+  const auto within = [](const std::vector<TimePoint> &times, TimePoint from,
+                         TimePoint to) {
+    return std::count_if(times.begin(), times.end(),
+                         [&](TimePoint it) { return it >= from && it < to; });
+  };
+  CHECK(repeats.size() > 100);
+  for (auto end = 10000ms; end <= 60000ms; end += 100ms) {
+    const double most =
+        0.2 *
+            static_cast<double>(within(requests, at(end - 10000ms), at(end))) +
+        40;
+    REQUIRE(static_cast<double>(within(repeats, at(end - 10000ms), at(end))) <=
+            most);
+  }
+}
+
+TEST_CASE("a record that lapses in an outage is kept for a while") {
+  TargetDirectory directory(2000ms);
+  directory.setTarget(record("a"), at(0ms));
+  directory.removeTarget("a", false, at(100ms));
+  directory.removeLapsed(at(2000ms));
+  CHECK(directory.target("a"));
+  SECTION("and used on if it returns") {
+    directory.setTarget(record("a"), at(2000ms));
+    directory.removeLapsed(at(9000ms));
+    CHECK(directory.target("a"));
+  }
+  SECTION("and dropped if it doesn't") {
+    directory.removeLapsed(at(2100ms));
+    CHECK_FALSE(directory.target("a"));
+  }
+}
+
+TEST_CASE("a removal seen while the list is reliable takes effect at once") {
+  TargetDirectory directory(2000ms);
+  directory.setTarget(record("a"), at(0ms));
+  directory.removeTarget("a", true, at(100ms));
+  CHECK_FALSE(directory.target("a"));
+}
+
+TEST_CASE("a draining target that lapses isn't kept") {
+  TargetDirectory directory(2000ms);
+  TargetRecord draining = record("a");
+  draining.Draining = true;
+  directory.setTarget(draining, at(0ms));
+  directory.removeTarget("a", false, at(100ms));
+  CHECK_FALSE(directory.target("a"));
+}
+
+TEST_CASE("a newer target at an address replaces the older one") {
+  // Guards against work for a target that is gone at an address in use again.
+  TargetDirectory directory(2000ms);
+  TargetRecord old = record("old", "10.0.0.1:80");
+  old.StartedAtMs = 100;
+  TargetRecord fresh = record("new", "10.0.0.1:80");
+  fresh.StartedAtMs = 200;
+  directory.setTarget(old, at(0ms));
+  directory.setTarget(fresh, at(10ms));
+  CHECK_FALSE(directory.target("old"));
+  CHECK(directory.target("new"));
+}
+
+TEST_CASE("targets of an evacuated domain get no new work until it returns") {
+  TargetDirectory directory(2000ms);
+  directory.setTarget(record("a"), at(0ms));
+  directory.setEvacuated("d", true);
+  CHECK_FALSE(directory.isUsable(*directory.target("a")));
+  directory.setEvacuated("d", false);
+  CHECK(directory.isUsable(*directory.target("a")));
+}
+
+TEST_CASE("the load of an entry that has vanished is forgotten") {
+  LoadBoard board(1500ms);
+  board.addOwn("t", 10);
+  board.setReport("other", {{"t", {3, 30}}}, at(0ms));
+  CHECK(board.total("t", at(100ms)) == TargetWork{4, 40});
+  CHECK(board.liveEntries(at(100ms)) == 2);
+  CHECK(board.total("t", at(1600ms)) == TargetWork{1, 10});
+  CHECK(board.liveEntries(at(1600ms)) == 1);
+}
+
+TEST_CASE("a full target is never chosen and the least loaded one wins") {
+  const std::vector<Candidate> full = {{"a", 4, 4, 0, true, 0},
+                                       {"b", 9, 4, 0, false, 0}};
+  CHECK(chooseTarget(full, 0.5) == -1);
+  const std::vector<Candidate> choices = {{"a", 3, 4, 0, true, 0},
+                                          {"b", 1, 4, 0, false, 0},
+                                          {"c", 4, 4, 0, true, 0}};
+  for (double draw = 0; draw < 1; draw += 0.1)
+    CHECK(chooseTarget(choices, draw) == 1);
+}
+
+TEST_CASE("near targets win a tie and failing ones are avoided") {
+  const std::vector<Candidate> near = {{"a", 1, 12, 0, false, 0},
+                                       {"b", 1, 12, 0, true, 0}};
+  CHECK(chooseTarget(near, 0.9) == 1);
+  const std::vector<Candidate> failing = {{"a", 0, 6, 0, true, 0.6},
+                                          {"b", 2, 6, 0, false, 0}};
+  CHECK(chooseTarget(failing, 0.1) == 1);
+}
+
+TEST_CASE("a target's penalty fades so that it is tried again") {
+  TargetHealth health({0.25, 3s});
+  for (int i = 0; i < 10; ++i)
+    health.addResult("t", true, at(0ms));
+  CHECK(health.penalty("t", at(0ms)) > 0.9);
+  CHECK(health.penalty("t", at(3000ms)) == Approx(0.47).margin(0.05));
+  CHECK(health.penalty("t", at(30000ms)) < 0.01);
+}
+
+TEST_CASE("urgent requests go first, then those that arrived first") {
+  WaitQueue queue;
+  queue.add({1, 2, at(0ms), at(300ms)});
+  queue.add({2, 1, at(20ms), at(320ms)});
+  queue.add({3, 1, at(10ms), at(310ms)});
+  CHECK(queue.next()->Number == 3);
+  CHECK(queue.countBefore(1) == 2);
+  queue.remove(3);
+  CHECK(queue.next()->Number == 2);
+  const auto expired = queue.takeExpired(at(305ms));
+  REQUIRE(expired.size() == 1);
+  CHECK(expired.front().Number == 1);
+  CHECK(queue.size() == 1);
+}
+
+TEST_CASE("what follows a failed attempt never breaks a promise") {
+  // Goes through all cases; each is checked against the promises themselves.
+  const AttemptFailure failures[] = {
+      AttemptFailure::NotSent, AttemptFailure::Refused,
+      AttemptFailure::Misdirected, AttemptFailure::ErrorResponse,
+      AttemptFailure::Lost};
+  for (const auto failure : failures)
+    for (const auto rule : {RepeatRule::Idempotent, RepeatRule::NonIdempotent})
+      for (const bool resumable : {false, true})
+        for (const bool started : {false, true})
+          for (const std::uint32_t executedBefore : {0U, 1U})
+            for (const std::uint32_t dispatches : {1U, 2U, 3U}) {
+              const bool mayHaveRun = failure == AttemptFailure::Lost ||
+                                      failure == AttemptFailure::ErrorResponse;
+              FailedAttempt failed;
+              failed.Failure = failure;
+              failed.Rule = rule;
+              failed.Resumable = resumable;
+              failed.ResponseStarted = started;
+              failed.ExecutedAttempts = executedBefore + (mayHaveRun ? 1 : 0);
+              failed.Dispatches = dispatches;
+              failed.MaxAttempts = 2;
+              const AttemptVerdict verdict = verdictFor(failed);
+              const bool once = rule == RepeatRule::NonIdempotent && !resumable;
+              if (once && failed.ExecutedAttempts > 0) {
+                REQUIRE(verdict != AttemptVerdict::TryAgain);
+                REQUIRE(verdict != AttemptVerdict::Reject);
+              }
+              if (dispatches >= 2)
+                REQUIRE(verdict != AttemptVerdict::TryAgain);
+              if (started && verdict != AttemptVerdict::TryAgain)
+                REQUIRE(verdict == AttemptVerdict::CutResponse);
+            }
+}
--- a/tests/mapchange/test_mapchange.cpp
+++ b/tests/mapchange/test_mapchange.cpp
@@ -1,5 +1,4 @@
 #include "groupmodel.h"
-
 #include "libbergamotexperts/mapchange.h"
 
 #include <catch2/catch.hpp>
@@ -104,16 +103,15 @@
   void deliver() {
     if (Orders.empty())
       return;
-    const auto it =
-        Orders.begin() + draw(static_cast<int>(Orders.size()));
+    const auto it = Orders.begin() + draw(static_cast<int>(Orders.size()));
     const Travelling order = *it;
     Orders.erase(it);
     const bool accepted = Group.carryOut(order.Rank, order.Order);
     auto &change = Changes[static_cast<std::size_t>(order.Coordinator)];
     if (!order.Lost && change)
-      change->setResult(order.Rank,
-                        accepted ? OrderResult::Accepted : OrderResult::Conflict,
-                        at(Now));
+      change->setResult(
+          order.Rank, accepted ? OrderResult::Accepted : OrderResult::Conflict,
+          at(Now));
   }
 
   void giveUp() {
@@ -167,22 +165,20 @@
       states.push_back(Group.state(r));
       armed = armed || states.back().Armed;
       held = held || states.back().HeldStep;
-      highest = std::max({highest, states.back().PreparedVersion,
-                          states.back().MapVersion});
+      highest = std::max(
+          {highest, states.back().PreparedVersion, states.back().MapVersion});
     }
     // Random low bits make versions of several coordinators differ.
-    const std::uint64_t version =
-        ((highest >> 16) + 1) << 16 | static_cast<std::uint64_t>(draw(256)) << 8;
+    const std::uint64_t version = ((highest >> 16) + 1) << 16 |
+                                  static_cast<std::uint64_t>(draw(256)) << 8;
     const GroupMap current = {{{0}, {1}, {2}}};
-    const GroupMap next = {{{0, static_cast<std::uint32_t>(version & 0xffff)},
-                            {1},
-                            {2}}};
+    const GroupMap next = {
+        {{0, static_cast<std::uint32_t>(version & 0xffff)}, {1}, {2}}};
     auto &change = Changes[static_cast<std::size_t>(index)];
     if (held)
       change = std::make_unique<MapChange>(
           MapChange::adopted({}, version, current, states, at(Now)));
-    else if (!armed &&
-             Group.step() > LastStep[static_cast<std::size_t>(index)])
+    else if (!armed && Group.step() > LastStep[static_cast<std::size_t>(index)])
       change = std::make_unique<MapChange>(MapChangeSettings(), version, next,
                                            current, states, at(Now));
   }
--- /dev/null
+++ b/tests/platform/test_platform.cpp
@@ -0,0 +1,274 @@
+#include "entrypath/topicfollower.h"
+#include "platform/decode.h"
+#include "platform/engineclient.h"
+#include "platform/platformdialect.h"
+#include "platform/storelog.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace bergamot;
+using namespace bergamot::platform;
+using namespace std::chrono_literals;
+using entrypath::KeyedPage;
+using entrypath::KeyedRecord;
+
+namespace {
+
+/// A topic whose pages a test provides; without one, calls fail.
+class FakeLog final : public entrypath::KeyedLog {
+public:
+  struct Topic {
+    std::vector<KeyedRecord> Records;
+    bool Up = true;
+    bool Compacted = false;
+  };
+
+  FakeLog(boost::asio::io_context &loop, Topic &topic)
+      : Loop(loop), Source(topic) {}
+
+  void newest(const std::string &after, base::TimePoint,
+              Completion completion) override {
+    KeyedPage page = base();
+    std::map<std::string, KeyedRecord> byKey;
+    for (const auto &it : Source.Records)
+      byKey[it.Key] = it;
+    for (const auto &[key, it] : byKey)
+      if (it.Value && key > after)
+        page.Records.push_back(it);
+    answer(std::move(page), std::move(completion));
+  }
+  void read(std::uint64_t from, base::TimePoint, base::TimePoint,
+            Completion completion) override {
+    KeyedPage page = base();
+    if (Source.Compacted && Source.Up)
+      page.Result = KeyedPage::Outcome::Compacted;
+    for (const auto &it : Source.Records)
+      if (it.Offset >= from)
+        page.Records.push_back(it);
+    answer(std::move(page), std::move(completion));
+  }
+
+private:
+  KeyedPage base() const {
+    KeyedPage page;
+    page.Result =
+        Source.Up ? KeyedPage::Outcome::Read : KeyedPage::Outcome::Unavailable;
+    page.End = Source.Records.empty() ? 0 : Source.Records.back().Offset + 1;
+    return page;
+  }
+  void answer(KeyedPage page, Completion completion) {
+    if (page.Result != KeyedPage::Outcome::Read)
+      page.Records.clear();
+    boost::asio::post(Loop,
+                      [page, done = std::move(completion)] { done(page); });
+  }
+
+  boost::asio::io_context &Loop;
+  Topic &Source;
+};
+
+struct Follow {
+  explicit Follow(FakeLog::Topic &topic)
+      : Follower(Loop, settings(), std::make_unique<FakeLog>(Loop, topic),
+                 [this](const auto &key, const auto &value, bool reliable) {
+                   Values[key] = value.value_or("-");
+                   Reliable[key] = reliable;
+                 }) {
+    Follower.start();
+  }
+  static entrypath::FollowerSettings settings() {
+    entrypath::FollowerSettings it;
+    it.Topic = "t";
+    it.Pause = 5ms;
+    it.RetryPause = 5ms;
+    return it;
+  }
+  void run() { Loop.run_for(60ms); }
+
+  boost::asio::io_context Loop;
+  std::map<std::string, std::string> Values;
+  std::map<std::string, bool> Reliable;
+  entrypath::TopicFollower Follower;
+};
+
+} // namespace
+
+TEST_CASE("a follower takes changes and removals in their order") {
+  FakeLog::Topic topic;
+  topic.Records = {{"a", "1", 0}, {"b", "1", 1}};
+  Follow follow(topic);
+  follow.run();
+  CHECK(follow.Values ==
+        std::map<std::string, std::string>{{"a", "1"}, {"b", "1"}});
+  topic.Records.push_back({"a", "2", 2});
+  topic.Records.push_back({"b", std::nullopt, 3});
+  follow.run();
+  CHECK(follow.Values ==
+        std::map<std::string, std::string>{{"a", "2"}, {"b", "-"}});
+}
+
+TEST_CASE("a follower finds out after a compaction what has gone") {
+  FakeLog::Topic topic;
+  topic.Records = {{"a", "1", 0}, {"b", "1", 1}};
+  Follow follow(topic);
+  follow.run();
+  topic.Records = {{"a", "2", 7}};
+  topic.Compacted = true;
+  follow.run();
+  CHECK(follow.Values["a"] == "2");
+  CHECK(follow.Values["b"] == "-");
+}
+
+TEST_CASE(
+    "peers' records take effect while the store is away, newer ones only") {
+  // Guards against an entry that another one takes back to an older state.
+  FakeLog::Topic topic;
+  topic.Records = {{"a", "1", 4}};
+  Follow follow(topic);
+  follow.run();
+  topic.Up = false;
+  follow.run();
+  CHECK_FALSE(follow.Follower.isStoreReachable());
+  follow.Follower.addPeerRecords({{"a", "0", 3}, {"b", "1", 5}}, 6);
+  CHECK(follow.Values["a"] == "1");
+  CHECK(follow.Values["b"] == "1");
+  topic.Up = true;
+  topic.Records = {{"a", "1", 4}, {"b", "1", 5}, {"a", "2", 6}};
+  follow.run();
+  CHECK(follow.Values["a"] == "2");
+}
+
+TEST_CASE("a removal right after an outage isn't reliable") {
+  FakeLog::Topic topic;
+  topic.Records = {{"a", "1", 0}};
+  Follow follow(topic);
+  follow.run();
+  topic.Up = false;
+  follow.run();
+  topic.Up = true;
+  topic.Records.push_back({"a", std::nullopt, 1});
+  follow.run();
+  CHECK(follow.Values["a"] == "-");
+  CHECK_FALSE(follow.Reliable["a"]);
+}
+
+TEST_CASE("records are decoded with their offsets") {
+  std::string bytes(16, '\0');
+  bytes[7] = 9;
+  bytes += encodeKeyedRecord("k1", "v1") + encodeKeyedRecord("k2", "");
+  const auto page = decodeRecords(bytes, 7);
+  REQUIRE(page);
+  CHECK(page->End == 9);
+  REQUIRE(page->Records.size() == 2);
+  CHECK(page->Records[0].Key == "k1");
+  CHECK(page->Records[0].Value == "v1");
+  CHECK(page->Records[0].Offset == 7);
+  CHECK(page->Records[1].Offset == 8);
+  CHECK_FALSE(page->Records[1].Value);
+  for (std::size_t n = 17; n < bytes.size(); ++n)
+    if (n != 16 + encodeKeyedRecord("k1", "v1").size())
+      CHECK_FALSE(decodeRecords(bytes.substr(0, n), 7));
+}
+
+TEST_CASE("newest records are decoded from base64") {
+  const auto page = decodeNewest(
+      R"({"items":[{"key":"a","value":"aGk=","offset":3}],"has-more":true,"end-offset":8})");
+  REQUIRE(page);
+  CHECK(page->HasMore);
+  CHECK(page->End == 8);
+  REQUIRE(page->Records.size() == 1);
+  CHECK(page->Records[0].Value == "hi");
+  CHECK_FALSE(decodeNewest("{"));
+  CHECK_FALSE(decodeNewest("[]"));
+}
+
+TEST_CASE("a configuration is decoded; unreadable parts are left out") {
+  const auto table = decodeConfiguration(R"({"version":7,"routes":[
+    {"name":"r1","host":"h","path-prefix":"/a/","kind":"streaming",
+     "timeout-ms":8000,"target-latency-ms":500,"priority":1,
+     "traffic-split":[{"service":"x","weight":9},{"service":"y","weight":1}],
+     "max-attempts":2,"resumable":true,"target-gap-ms":120},
+    {"name":"r2","host":"h","path-prefix":"/b/","kind":"unsafe","service":"x"},
+    {"name":"bad","host":3}],
+    "services":[{"name":"x","cold-per-s":36.0,"engine":{"slots":12,"sets":3,
+     "read_per_s":61400.0,"usual":{"prompt":835,"answer":97}}}],
+    "limits":{"max-header-bytes":100},
+    "tenants":[{"name":"t","api-keys":["k"],"priority":1}]})");
+  REQUIRE(table);
+  CHECK(table->version() == 7);
+  CHECK(table->routeCount() == 2);
+  const auto *stream = table->route("h", "/a/x");
+  REQUIRE(stream);
+  CHECK(stream->Streams);
+  CHECK(stream->Resumable);
+  CHECK(stream->mayRepeat());
+  CHECK(stream->Services.size() == 2);
+  CHECK(stream->GapObjective == 120ms);
+  CHECK_FALSE(table->route("h", "/b/x")->mayRepeat());
+  CHECK(table->account("k")->Name == "t");
+  CHECK(table->service("x")->Engine->ExpertSets == 3);
+  CHECK(table->service("x")->Engine->PrefillTokensPerMs == Approx(61.4));
+  CHECK(table->limits().HeaderBytes == 100);
+  CHECK_FALSE(decodeConfiguration("no"));
+  CHECK_FALSE(decodeConfiguration("{}"));
+}
+
+TEST_CASE("records of other writers name no target") {
+  const std::string good =
+      R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":6,"state":"ready"})";
+  REQUIRE(decodeTarget("i", good));
+  for (
+      const char *bad :
+      {"", "[]", "\xff\xfe", R"({"service":"s"})",
+       R"({"service":1,"address":"a","zone":"z","slots":6,"state":"ready"})",
+       R"({"service":"s","address":"a","zone":"z","slots":"6","state":"ready"})",
+       R"({"service":"s","address":"a","zone":"z","slots":6,"state":"odd"})"})
+    CHECK_FALSE(decodeTarget("i", bad));
+}
+
+TEST_CASE("a rank's report is decoded") {
+  const auto state = decodeRankState(
+      R"({"group":{"name":"g","epoch":2,"rank":3,"state":"open"},"size":12,
+      "sequence":0,"step":59,"map":7,"prepared":{"version":9},
+      "armed":{"version":9,"step":61},"held":61})");
+  REQUIRE(state);
+  CHECK(state->Rank == 3);
+  CHECK(state->Epoch == 2);
+  CHECK(state->PreparedVersion == 9);
+  CHECK(state->Armed == experts::ArmedSwitch{9, 61});
+  CHECK(state->HeldStep == 61);
+  CHECK_FALSE(decodeRankState("{}"));
+  CHECK_FALSE(decodeRankState(R"({"group":{"name":4}})"));
+}
+
+TEST_CASE("only the system sets the fields that targets trust") {
+  // Guards against forged account names and instances.
+  PlatformDialect dialect;
+  adaptertcp::HeaderFields headers;
+  headers.add("Authorization", "Token secret");
+  headers.add("bergamotloft-tenant", "forged");
+  headers.add("Bergamotloft-Expect-Instance", "forged");
+  headers.add("Bergamotloft-Request-Id", "r1");
+  dialect.prepareForwarding(headers, "account");
+  CHECK(headers.count("Bergamotloft-Tenant") == 1);
+  CHECK(headers.value("Bergamotloft-Tenant") == "account");
+  CHECK_FALSE(headers.value("Authorization"));
+  CHECK_FALSE(headers.value("Bergamotloft-Expect-Instance"));
+  CHECK(headers.value("Bergamotloft-Request-Id") == "r1");
+}
+
+TEST_CASE("only a marked refusal counts as not executed") {
+  PlatformDialect dialect;
+  adaptertcp::ResponseHead head;
+  head.Status = 503;
+  CHECK_FALSE(dialect.decodeResponse(head).NotExecuted);
+  head.Headers.add("Bergamotloft-Not-Executed", "1");
+  CHECK(dialect.decodeResponse(head).NotExecuted);
+  head.Status = 200;
+  CHECK_FALSE(dialect.decodeResponse(head).NotExecuted);
+  head.Headers.add("Keep-Alive", "timeout=5, max=3");
+  CHECK(dialect.decodeResponse(head).KeepAliveFor == 5000ms);
+}
--- /dev/null
+++ b/tests/sidecar/test_sidecar.cpp
@@ -0,0 +1,312 @@
+#include "mapchange/groupmodel.h"
+#include "sidecar/coordinator.h"
+#include "sidecar/duty.h"
+#include "sidecar/loadestimate.h"
+#include "sidecar/peerrank.h"
+#include "sidecar/rankcodec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <memory>
+#include <random>
+#include <set>
+
+using namespace bergamot;
+using namespace bergamot::sidecar;
+using namespace std::chrono_literals;
+using experts::GroupMap;
+using experts::GroupModel;
+using experts::OrderResult;
+using experts::RankOrder;
+
+namespace {
+
+constexpr std::uint32_t Ranks = 4;
+constexpr std::uint32_t Experts = 16;
+
+base::TimePoint at(std::chrono::milliseconds time) {
+  return base::TimePoint() + time;
+}
+
+/// Map 0 of the engines: experts in turn, one set.
+GroupMap initialMap() {
+  GroupMap map(1);
+  for (std::uint32_t r = 0; r < Ranks; ++r) {
+    map[0].emplace_back();
+    for (std::uint32_t e = r; e < Experts; e += Ranks)
+      map[0][r].push_back(e);
+  }
+  return map;
+}
+
+/// A rank of a modelled group, with counters that grow by `Popularity`.
+class ModelRank final : public RankPort {
+public:
+  struct Shared {
+    GroupModel Group{Ranks};
+    std::map<std::uint64_t, GroupMap> Maps{{0, initialMap()}};
+    std::vector<double> Popularity = std::vector<double>(Experts, 1000);
+    std::vector<double> Counts = std::vector<double>(Experts, 0);
+    bool LosesOrders = false;
+    std::mt19937_64 Random{3};
+  };
+
+  ModelRank(boost::asio::io_context &loop, Shared &shared, std::uint32_t rank)
+      : Loop(loop), Common(shared), Index(rank) {}
+
+  void fetchState(base::TimePoint, StateCompletion done) override {
+    Common.Group.finishCopy(Index);
+    post([state = Common.Group.state(Index), done] { done(state); });
+  }
+  void fetchCounts(base::TimePoint, CountsCompletion done) override {
+    RankCounts counts{1, Common.Group.step(), {}};
+    for (std::uint32_t e = 0; e < Experts; ++e) {
+      Common.Counts[e] += Common.Popularity[e];
+      counts.Counts.push_back(static_cast<std::uint64_t>(Common.Counts[e]));
+    }
+    // Only rank 0 counts, so that the sum is the popularity.
+    if (Index != 0)
+      counts.Counts.assign(Experts, 0);
+    post([counts, done] { done(counts); });
+  }
+  void fetchExperts(base::TimePoint, ExpertsCompletion done) override {
+    const std::uint64_t version = Common.Group.state(Index).MapVersion;
+    RankExperts experts{1, version, {Common.Maps[version][0][Index]}};
+    post([experts, done] { done(experts); });
+  }
+  void sendOrder(const RankOrder &order, base::TimePoint,
+                 OrderCompletion done) override {
+    if (order.Kind == experts::OrderKind::Prepare)
+      Common.Maps[order.Version] = order.Map;
+    const bool lost = Common.LosesOrders && Common.Random() % 3 == 0;
+    const bool accepted = Common.Group.carryOut(Index, order);
+    post([=] {
+      done(lost       ? OrderResult::Unknown
+           : accepted ? OrderResult::Accepted
+                      : OrderResult::Conflict);
+    });
+  }
+
+private:
+  template <typename Task> void post(Task task) {
+    boost::asio::post(Loop, std::move(task));
+  }
+
+  boost::asio::io_context &Loop;
+  Shared &Common;
+  std::uint32_t Index;
+};
+
+CoordinatorSettings quickSettings() {
+  CoordinatorSettings settings;
+  settings.Sets = 1;
+  settings.Experts = Experts;
+  settings.Limits.PlacesPerRank = 6;
+  settings.Limits.MaxNewPerSet = 2;
+  settings.PollPeriod = 10ms;
+  settings.PollTimeout = 8ms;
+  settings.DrivePeriod = 3ms;
+  settings.MinWeight = 100;
+  return settings;
+}
+
+struct Running {
+  explicit Running(ModelRank::Shared &shared) : Common(shared) { start(); }
+  void start() {
+    std::vector<std::shared_ptr<RankPort>> ports;
+    for (std::uint32_t r = 0; r < Ranks; ++r)
+      ports.push_back(std::make_shared<ModelRank>(Loop, Common, r));
+    Acting = std::make_unique<Coordinator>(Loop, quickSettings(), ports);
+    Acting->start();
+  }
+  void run(std::chrono::milliseconds time) {
+    const auto end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end) {
+      Loop.run_one_for(2ms);
+      if (++Turns % 8 == 0)
+        Common.Group.beginStep();
+    }
+  }
+  double skew() const {
+    const auto version = Common.Group.state(0).MapVersion;
+    return experts::groupSkew(Common.Maps[version], {Common.Popularity});
+  }
+
+  boost::asio::io_context Loop;
+  ModelRank::Shared &Common;
+  std::unique_ptr<Coordinator> Acting;
+  unsigned Turns = 0;
+};
+
+} // namespace
+
+TEST_CASE("a coordinator evens out a jump of popularity") {
+  // Load pattern: one expert gets a third of all tokens from now on.
+  ModelRank::Shared shared;
+  Running group(shared);
+  group.run(200ms);
+  CHECK(shared.Group.state(0).MapVersion == 0);
+  shared.Popularity[5] = 8000;
+  CHECK(group.skew() > 1.8);
+  group.run(900ms);
+  CHECK(shared.Group.state(0).MapVersion != 0);
+  CHECK(group.skew() < 1.35);
+  CHECK(shared.Group.fault().empty());
+}
+
+TEST_CASE("lost answers to orders delay a change but don't stop it") {
+  ModelRank::Shared shared;
+  shared.LosesOrders = true;
+  Running group(shared);
+  group.run(100ms);
+  shared.Popularity[5] = 8000;
+  group.run(2000ms);
+  CHECK(group.skew() < 1.4);
+  CHECK(shared.Group.fault().empty());
+}
+
+TEST_CASE("the next coordinator releases a group that the last one held") {
+  // Guards against a group that waits for ever as its coordinator is gone, and
+  // against use of a coordinator by timers and calls that outlive it.
+  for (int round = 0; round < 40; ++round) {
+    ModelRank::Shared shared;
+    Running group(shared);
+    group.run(60ms);
+    shared.Popularity[static_cast<std::size_t>(round) % Experts] = 9000;
+    group.run(std::chrono::milliseconds(20 + 2 * round));
+    group.start(); // The old one is destroyed with calls in progress.
+    group.run(400ms);
+    CAPTURE(round);
+    REQUIRE(shared.Group.fault().empty());
+    const auto before = shared.Group.step();
+    group.run(60ms);
+    REQUIRE(shared.Group.step() > before);
+  }
+}
+
+TEST_CASE("the sidecar of the lowest rank that runs coordinates") {
+  Duty first(at(0ms));
+  Duty second(at(0ms));
+  CHECK_FALSE(first.isCoordinator(0, at(900ms)));
+  CHECK(first.isCoordinator(0, at(1000ms)));
+  CHECK_FALSE(second.isCoordinator(1, at(1000ms)));
+  second.addCall(0, 1, at(1100ms));
+  CHECK_FALSE(second.isCoordinator(1, at(2300ms)));
+  CHECK(second.isCoordinator(1, at(2350ms)));
+  // Rank 0 is back: its calls end the other's duty, not the reverse.
+  first.addCall(1, 0, at(2400ms));
+  CHECK(first.isCoordinator(0, at(2400ms)));
+  second.addCall(0, 1, at(2400ms));
+  CHECK_FALSE(second.isCoordinator(1, at(2400ms)));
+}
+
+TEST_CASE("the estimate averages and starts anew after a jump") {
+  LoadEstimate estimate(1, 4, 0.5);
+  const GroupMap map = {{{0}, {1}, {2}, {3}}};
+  std::vector<std::uint64_t> counts = {0, 0, 0, 0};
+  const auto add = [&](std::vector<std::uint64_t> more) {
+    for (std::size_t i = 0; i < 4; ++i)
+      counts[i] += more[i];
+    estimate.addCounts(0, {1, 1, counts});
+    return estimate.finishUpdate(map);
+  };
+  estimate.addCounts(0, {1, 1, counts});
+  CHECK_FALSE(add({10000, 10000, 10000, 10000}));
+  CHECK_FALSE(add({11000, 9000, 10000, 10000}));
+  CHECK(estimate.loads()[0][0] == Approx(16000));
+  CHECK(add({40000, 1000, 1000, 1000}));
+  CHECK(estimate.loads()[0][0] == Approx(40000));
+  // A restarted rank counts from zero, which is no negative load.
+  estimate.addCounts(0, {1, 1, {5, 5, 5, 5}});
+  CHECK_FALSE(estimate.finishUpdate(map));
+  CHECK(estimate.loads()[0][0] == Approx(40000));
+}
+
+TEST_CASE("plans are valid and never worse than the present map") {
+  std::mt19937_64 random(17);
+  for (int round = 0; round < 60; ++round) {
+    const std::uint32_t sets = 1 + random() % 3;
+    const std::uint32_t ranks = 4 + random() % 9;
+    const std::uint32_t count = ranks * 8;
+    GroupMap map(sets);
+    experts::ExpertLoads loads(sets, std::vector<double>(count));
+    for (std::uint32_t s = 0; s < sets; ++s) {
+      map[s].resize(ranks);
+      for (std::uint32_t e = 0; e < count; ++e) {
+        map[s][e % ranks].push_back(e);
+        loads[s][e] =
+            1 / std::pow(1.0 + static_cast<double>(random() % count), 1.3);
+      }
+    }
+    experts::GroupPlanLimits limits;
+    limits.PlacesPerRank = 11;
+    limits.MaxNewPerSet = 4;
+    limits.MaxNewPerRank = 1 + random() % 3;
+    const auto plan = experts::planGroup(map, loads, limits);
+    REQUIRE(plan.SkewAfter <= plan.SkewBefore + 1e-9);
+    REQUIRE(plan.SkewAfter == Approx(experts::groupSkew(plan.Map, loads)));
+    REQUIRE(plan.MostCopies <= limits.MaxNewPerRank);
+    for (std::uint32_t s = 0; s < sets; ++s) {
+      std::vector<int> holders(count, 0);
+      for (std::uint32_t r = 0; r < ranks; ++r) {
+        const auto &held = plan.Map[s][r];
+        REQUIRE(held.size() <= limits.PlacesPerRank);
+        REQUIRE(std::set<std::uint32_t>(held.begin(), held.end()).size() ==
+                held.size());
+        for (const std::uint32_t e : held)
+          ++holders[e];
+      }
+      REQUIRE(*std::min_element(holders.begin(), holders.end()) >= 1);
+    }
+  }
+}
+
+TEST_CASE("messages between sidecars survive their encoding") {
+  experts::RankState state;
+  state.Group = "g";
+  state.Rank = 3;
+  state.GroupSize = 12;
+  state.Epoch = 4;
+  state.GroupOpen = true;
+  state.Step = 77;
+  state.MapVersion = 1ULL << 40;
+  state.Armed = experts::ArmedSwitch{9, 80};
+  state.HeldStep = 80;
+  const auto decoded = decodeState(encodeState(state));
+  REQUIRE(decoded);
+  CHECK(decoded->MapVersion == 1ULL << 40);
+  CHECK(decoded->Armed == state.Armed);
+  CHECK(decoded->HeldStep == 80);
+  RankOrder order{experts::OrderKind::Prepare, 5, 6, 7, {{{0, 2}, {1}}}};
+  const auto decodedOrder = decodeOrder(encodeOrder(order));
+  REQUIRE(decodedOrder);
+  CHECK(decodedOrder->Map == order.Map);
+  CHECK(decodedOrder->Epoch == 7);
+  CHECK_FALSE(decodeState("\xff"));
+  CHECK_FALSE(decodeOrder(""));
+  CHECK_FALSE(decodeCounts("{}"));
+}
+
+TEST_CASE("a call that times out after its port is gone does no harm") {
+  // Guards against a completion on a destroyed port: a slow sidecar makes
+  // several calls wait at the same time.
+  boost::asio::io_context loop;
+  boost::asio::ip::tcp::acceptor silent(
+      loop, boost::asio::ip::tcp::endpoint(
+                boost::asio::ip::make_address("127.0.0.1"), 0));
+  int answers = 0;
+  {
+    ModelRank::Shared shared;
+    PeerRank peer(loop, silent.local_endpoint(),
+                  std::make_shared<ModelRank>(loop, shared, 0), 0);
+    const auto deadline = std::chrono::steady_clock::now() + 50ms;
+    for (int i = 0; i < 3; ++i)
+      peer.fetchState(deadline, [&](const auto &) { ++answers; });
+    loop.run_for(10ms);
+  }
+  loop.run_for(100ms);
+  CHECK(answers >= 2);
+}
--- /dev/null
+++ b/tests/tcp/test_tcp.cpp
@@ -0,0 +1,230 @@
+#include "adaptertcp/httpcaller.h"
+#include "adaptertcp/messageparser.h"
+#include "adaptertcp/smallserver.h"
+#include "adaptertcp/tcpconnection.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace bergamot;
+using namespace bergamot::adaptertcp;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// Feeds bytes in pieces and returns whether the message is complete.
+bool parses(MessageParser &parser, std::string_view bytes, std::size_t piece) {
+  parser.restart();
+  while (!bytes.empty() && !parser.hasFailed() && !parser.isComplete()) {
+    const auto part = bytes.substr(0, piece);
+    const std::size_t n = parser.push(part);
+    if (n == 0)
+      break;
+    bytes.remove_prefix(n);
+  }
+  return parser.isComplete() && !parser.hasFailed();
+}
+
+tcp::endpoint freeEndpoint() {
+  boost::asio::io_context loop;
+  tcp::acceptor acceptor(
+      loop, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  return acceptor.local_endpoint();
+}
+
+base::TimePoint in(std::chrono::milliseconds time) {
+  return std::chrono::steady_clock::now() + time;
+}
+
+} // namespace
+
+TEST_CASE("a request is parsed whatever the pieces it arrives in") {
+  const std::string text = "POST /a/b?c HTTP/1.1\r\nHost: x\r\nX-Long: 1\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n"
+                           "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+  for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+    MessageParser parser(MessageParser::Kind::Request);
+    REQUIRE(parses(parser, text, piece));
+    CHECK(parser.requestHead().Method == "POST");
+    CHECK(parser.requestHead().Target == "/a/b?c");
+    CHECK(parser.requestHead().Headers.value("x-long") == "1");
+    CHECK(parser.body() == "abcde");
+  }
+}
+
+TEST_CASE("framing that two readers could understand differently is rejected") {
+  // Guards against a second request smuggled inside the body of a first.
+  const char *bad[] = {
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
+      "chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\na",
+      "GET / HTTP/1.1\nHost: x\n\n",
+      "GET / HTTP/1.1\r\nHost: x\nX: y\r\n\r\n",
+      "GET /\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+      "CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n",
+  };
+  for (const char *text : bad) {
+    CAPTURE(text);
+    for (const std::size_t piece : {1UL, 7UL, 4096UL}) {
+      MessageParser parser(MessageParser::Kind::Request);
+      CHECK_FALSE(parses(parser, text, piece));
+      CHECK(parser.hasFailed());
+    }
+  }
+}
+
+TEST_CASE("random bytes never complete past the parser's checks") {
+  std::mt19937_64 random(5);
+  const std::string seedText =
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nabcd";
+  for (int round = 0; round < 20000; ++round) {
+    std::string text = seedText;
+    for (std::uint64_t n = 1 + random() % 4; n > 0; --n)
+      text[random() % text.size()] = static_cast<char>(random() % 256);
+    MessageParser parser(MessageParser::Kind::Request);
+    if (parses(parser, text, 1 + random() % 20)) {
+      const auto &headers = parser.requestHead().Headers;
+      REQUIRE(headers.count("Content-Length") +
+                  headers.count("Transfer-Encoding") <=
+              1);
+    }
+  }
+}
+
+TEST_CASE("a response without a length is complete only at a clean end") {
+  MessageParser parser(MessageParser::Kind::Response);
+  const std::string text = "HTTP/1.1 200 OK\r\nX: y\r\n\r\npart";
+  CHECK(parser.push(text) == text.size());
+  CHECK_FALSE(parser.isComplete());
+  parser.finish();
+  CHECK(parser.isComplete());
+  CHECK(parser.body() == "part");
+}
+
+TEST_CASE("a response cut within its stated length isn't complete") {
+  MessageParser parser(MessageParser::Kind::Response);
+  parser.push("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+  parser.finish();
+  CHECK_FALSE(parser.isComplete());
+  CHECK(parser.hasFailed());
+}
+
+TEST_CASE("fields that concern one connection are removed") {
+  HeaderFields headers;
+  headers.add("Connection", "close, X-Hop");
+  headers.add("X-Hop", "1");
+  headers.add("Keep-Alive", "timeout=5");
+  headers.add("Transfer-Encoding", "chunked");
+  headers.add("X-Kept", "1");
+  headers.removeConnectionFields();
+  REQUIRE(headers.fields().size() == 1);
+  CHECK(headers.fields().front().Name == "X-Kept");
+}
+
+TEST_CASE("a caller gets its answer over one kept connection") {
+  boost::asio::io_context loop;
+  const auto address = freeEndpoint();
+  int calls = 0;
+  SmallServer server(loop, [&](const auto &head, const auto &body, auto reply) {
+    ++calls;
+    reply({200, "text/plain", head.Target + body});
+  });
+  server.listen(address);
+  const auto caller = std::make_shared<HttpCaller>(loop, address);
+  std::vector<std::string> answers;
+  std::function<void()> next = [&] {
+    RequestHead head;
+    head.Method = "POST";
+    head.Target = "/" + std::to_string(answers.size());
+    head.Headers.add("Host", "x");
+    caller->call(head, "b", in(2s), [&](const CallResult &it) {
+      REQUIRE(it.isStatus(200));
+      answers.push_back(it.Body);
+      if (answers.size() < 3)
+        next();
+      else
+        loop.stop();
+    });
+  };
+  next();
+  loop.run_for(5s);
+  CHECK(answers == std::vector<std::string>{"/0b", "/1b", "/2b"});
+  CHECK(calls == 3);
+}
+
+TEST_CASE("a silent server ends a call at its deadline as unknown") {
+  boost::asio::io_context loop;
+  const auto address = freeEndpoint();
+  tcp::acceptor acceptor(loop, address);
+  const auto caller = std::make_shared<HttpCaller>(loop, address);
+  RequestHead head;
+  head.Method = "GET";
+  head.Target = "/";
+  std::optional<CallResult::Outcome> outcome;
+  caller->call(head, "", in(100ms), [&](const CallResult &it) {
+    outcome = it.Result;
+    loop.stop();
+  });
+  loop.run_for(5s);
+  CHECK(outcome == CallResult::Outcome::Unknown);
+  CHECK_FALSE(caller->isBusy());
+}
+
+TEST_CASE("a completion that is due doesn't run after cancel") {
+  // Guards against a completion that uses an owner which is gone.
+  boost::asio::io_context loop;
+  const auto address = freeEndpoint();
+  const auto caller = std::make_shared<HttpCaller>(loop, address);
+  RequestHead head;
+  head.Method = "GET";
+  head.Target = "/";
+  bool ran = false;
+  caller->call(head, "", in(2s), [&](const CallResult &) { ran = true; });
+  // The refused connection makes the completion due; it is queued behind.
+  while (caller->isBusy() && loop.run_one_for(1s) > 0) {
+  }
+  caller->cancel();
+  loop.run_for(100ms);
+  CHECK_FALSE(ran);
+}
+
+TEST_CASE("a connection whose handlers hold its only owner can be closed") {
+  // Guards against the destruction of a connection within its own close().
+  boost::asio::io_context loop;
+  const auto address = freeEndpoint();
+  tcp::acceptor acceptor(loop, address);
+  struct Owner {
+    std::shared_ptr<TcpConnection> Connection;
+  };
+  for (int way = 0; way < 3; ++way) {
+    auto owner = std::make_shared<Owner>();
+    owner->Connection =
+        std::make_shared<TcpConnection>(TcpConnection::Socket(loop));
+    owner->Connection->socket().connect(address);
+    TcpConnection &connection = *owner->Connection;
+    connection.start({[owner](std::string_view) {}, {}, {}});
+    connection.setReading(false);
+    loop.poll();
+    owner.reset();
+    if (way == 0)
+      connection.close();
+    else if (way == 1)
+      connection.abort();
+    else
+      connection.closeAfterSending();
+    loop.poll();
+  }
+  SUCCEED();
+}
