--- a/src/adaptertcp/smallserver.cpp
+++ b/src/adaptertcp/smallserver.cpp
@@ -20,6 +20,10 @@
       : Connection(std::make_shared<TcpConnection>(std::move(socket))),
         OnRequest(handler) {}
 
+  const std::shared_ptr<TcpConnection> &connection() const {
+    return Connection;
+  }
+
   void start() {
     Connection->start(
         {[self = shared_from_this()](std::string_view it) { self->onData(it); },
@@ -82,6 +86,12 @@
 
 } // namespace
 
+SmallServer::~SmallServer() {
+  for (const auto &it : Connections)
+    if (const auto connection = it.lock())
+      connection->close();
+}
+
 void SmallServer::listen(const boost::asio::ip::tcp::endpoint &address) {
   try {
     Acceptor.open(address.protocol());
@@ -100,10 +110,15 @@
                                boost::asio::ip::tcp::socket socket) {
     if (ec == boost::asio::error::operation_aborted)
       return;
-    if (!ec)
-      std::make_shared<SmallConnection>(std::move(socket), OnRequest)->start();
-    else
+    if (!ec) {
+      const auto connection =
+          std::make_shared<SmallConnection>(std::move(socket), OnRequest);
+      std::erase_if(Connections, [](const auto &it) { return it.expired(); });
+      Connections.push_back(connection->connection());
+      connection->start();
+    } else {
       base::logWarning("accept.failed", {{"error", ec.message()}});
+    }
     accept();
   });
 }
--- a/src/adaptertcp/smallserver.h
+++ b/src/adaptertcp/smallserver.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace bergamot::adaptertcp {
 
@@ -28,6 +29,10 @@
 
   SmallServer(boost::asio::io_context &loop, Handler handler)
       : Acceptor(loop), OnRequest(std::move(handler)) {}
+  /// Closes all connections; replies that come later are dropped.
+  ~SmallServer();
+  SmallServer(const SmallServer &) = delete;
+  SmallServer &operator=(const SmallServer &) = delete;
 
   /// Starts serving at an address. Throws base::Error if it can't be had.
   void listen(const boost::asio::ip::tcp::endpoint &address);
@@ -37,6 +42,7 @@
 
   boost::asio::ip::tcp::acceptor Acceptor;
   Handler OnRequest;
+  std::vector<std::weak_ptr<TcpConnection>> Connections;
 };
 
 } // namespace bergamot::adaptertcp
--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -173,6 +173,12 @@
   });
 }
 
+void CallerConnection::drop() {
+  const auto self = shared_from_this();
+  Connection->close();
+  onClose();
+}
+
 void CallerConnection::onClose() {
   Closed = true;
   if (const auto exchange = std::move(Current))
--- a/src/entrypath/callerconnection.h
+++ b/src/entrypath/callerconnection.h
@@ -38,6 +38,8 @@
   void checkTimeouts(base::TimePoint now);
   /// Closes the connection if no request is in progress or partly read.
   void closeIfIdle();
+  /// Closes the connection and ends its request.
+  void drop();
   bool isIdle() const;
 
 private:
--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -57,7 +57,11 @@
       Pool(loop), Directory(settings.LapseGrace), Loads(ReportLife),
       Health(gateway::HealthSettings{}), Random(settings.Seed) {}
 
-Entry::~Entry() = default;
+Entry::~Entry() {
+  const auto callers = Callers;
+  for (const auto &it : callers)
+    it->drop();
+}
 
 void Entry::listen() {
   try {
--- a/src/entrypath/targetpool.cpp
+++ b/src/entrypath/targetpool.cpp
@@ -32,6 +32,12 @@
   return boost::asio::ip::tcp::endpoint(address, port);
 }
 
+TargetPool::~TargetPool() {
+  for (auto &[target, idle] : ByTarget)
+    for (auto &it : idle)
+      it.Held->close();
+}
+
 TargetPool::Connection TargetPool::take(const std::string &target,
                                         base::Duration maxIdle, TimePoint now) {
   const auto it = ByTarget.find(target);
--- a/src/entrypath/targetpool.h
+++ b/src/entrypath/targetpool.h
@@ -26,6 +26,10 @@
   using Completion = std::function<void(Connection)>;
 
   explicit TargetPool(boost::asio::io_context &loop) : Loop(loop) {}
+  /// Closes all idle connections.
+  ~TargetPool();
+  TargetPool(const TargetPool &) = delete;
+  TargetPool &operator=(const TargetPool &) = delete;
 
   /// Returns an idle connection that has been idle for at most `maxIdle`;
   /// null if there is none.
--- a/tests/entrypath/testpath.cpp
+++ b/tests/entrypath/testpath.cpp
@@ -170,6 +170,12 @@
   Path->listen();
 }
 
+TestPath::~TestPath() {
+  for (auto &[received, connection] : Callers)
+    connection->close();
+  Path.reset();
+}
+
 TestTarget &TestPath::addTarget(const std::string &id,
                                 TestTarget::Script script,
                                 std::uint32_t slots) {
--- a/tests/entrypath/testpath.h
+++ b/tests/entrypath/testpath.h
@@ -79,6 +79,7 @@
 class TestPath {
 public:
   TestPath();
+  ~TestPath();
 
   /// Adds a target to the service "s".
   TestTarget &addTarget(const std::string &id, TestTarget::Script script,
--- a/tests/tcp/test_tcp.cpp
+++ b/tests/tcp/test_tcp.cpp
@@ -160,6 +160,7 @@
   };
   next();
   loop.run_for(5s);
+  caller->cancel();
   CHECK(answers == std::vector<std::string>{"/0b", "/1b", "/2b"});
   CHECK(calls == 3);
 }
@@ -226,5 +227,8 @@
       connection.closeAfterSending();
     loop.poll();
   }
+  // The closing side waits for the peer's end.
+  acceptor.close();
+  loop.run_for(100ms);
   SUCCEED();
 }
