gateway: Derive the streams per engine from its published figures

Cause: six streams per engine was a fixed figure. The limit now keeps the pass right after a jump of popularity under 0.8 of the accepted pause, which gives 7 on the deployments.

--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -149,6 +149,7 @@
                      {"previous", Table ? Table->version() : 0},
                      {"routes", table->routeCount()}});
   Table = std::move(table);
+  StreamLimits = gateway::streamLimits(*Table);
   Metrics.setGauge("bergamot_config_version", "",
                    static_cast<double>(Table->version()));
 }
@@ -282,7 +283,9 @@
 }
 
 std::uint32_t Entry::limitOf(const gateway::KnownTarget &target) const {
-  return std::max(1U, target.Record.Slots > 6 ? 6U : target.Record.Slots);
+  const std::uint32_t slots = std::max(1U, target.Record.Slots);
+  const auto it = StreamLimits.find(target.Record.Service);
+  return it == StreamLimits.end() ? slots : std::min(slots, it->second);
 }
 
 unsigned Entry::entryCount() const {
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -6,6 +6,7 @@
 #include "entrypath/targetpool.h"
 #include "libbergamotbase/metrics.h"
 #include "libbergamotgateway/attemptpolicy.h"
+#include "libbergamotgateway/enginelimit.h"
 #include "libbergamotgateway/loadboard.h"
 #include "libbergamotgateway/placement.h"
 #include "libbergamotgateway/ratewindow.h"
@@ -157,6 +158,7 @@
   boost::asio::steady_timer Ticker;
   TargetPool Pool;
   std::shared_ptr<const gateway::RouteTable> Table;
+  std::map<std::string, std::uint32_t> StreamLimits;
   gateway::TargetDirectory Directory;
   gateway::LoadBoard Loads;
   gateway::TargetHealth Health;
--- /dev/null
+++ b/src/libbergamotgateway/enginelimit.cpp
@@ -0,0 +1,57 @@
+#include "libbergamotgateway/enginelimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bergamot::gateway {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Load of the most loaded rank against the mean right after a jump of
+/// popularity. Counts on the deployments' traffic show 2.8 to 3.7.
+constexpr double JumpSkew = 3.2;
+/// Part of the accepted pause that a pass may take; prompts that are read in
+/// the same pass and the way to the caller need the rest.
+constexpr double PassPart = 0.8;
+
+} // namespace
+
+std::uint32_t streamLimit(const EngineFigures &engine,
+                          milliseconds gapObjective) {
+  const std::uint32_t slots = std::max(1U, engine.Slots);
+  if (gapObjective.count() == 0 || engine.StepMsPerSequence <= 0)
+    return slots;
+  const double share = engine.ExpertSets > 0 ? engine.ExpertShare : 0;
+  const double skew = 1 - share + share * JumpSkew;
+  const double perPass = std::max(1U, engine.StepsPerPass);
+  const double left = PassPart * static_cast<double>(gapObjective.count()) -
+                      perPass * engine.StepMs;
+  const double streams =
+      std::floor(left / (perPass * engine.StepMsPerSequence * skew));
+  return static_cast<std::uint32_t>(
+      std::clamp(streams, 1.0, static_cast<double>(slots)));
+}
+
+std::map<std::string, std::uint32_t> streamLimits(const RouteTable &table) {
+  std::map<std::string, std::uint32_t> limits;
+  for (const auto &[name, service] : table.services()) {
+    if (!service.Engine)
+      continue;
+    milliseconds shortest{0};
+    for (const auto &route : table.routes()) {
+      const bool leadsHere = std::any_of(
+          route.Services.begin(), route.Services.end(),
+          [&](const ServiceShare &it) { return it.Service == name; });
+      if (!leadsHere || route.GapObjective.count() == 0)
+        continue;
+      shortest = shortest.count() == 0 ? route.GapObjective
+                                       : std::min(shortest, route.GapObjective);
+    }
+    limits[name] = streamLimit(*service.Engine, shortest);
+  }
+  return limits;
+}
+
+} // namespace bergamot::gateway
--- a/src/libbergamotgateway/routetable.h
+++ b/src/libbergamotgateway/routetable.h
@@ -64,6 +64,8 @@
   std::uint32_t ExpertsPerSet = 0;
   std::uint32_t PlacesPerRank = 0;
   std::uint32_t SparePlaces = 0;
+  /// Part of the work for a token that experts do.
+  double ExpertShare = 0;
 };
 
 /// A back-end service of the configuration.
@@ -113,6 +115,7 @@
   bool hasAccounts() const { return !Accounts.empty(); }
   const CallerLimits &limits() const { return Limits; }
   const std::map<std::string, Service> &services() const { return Services; }
+  const std::vector<Route> &routes() const { return Routes; }
   std::size_t routeCount() const { return Routes.size(); }
 
 private:
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -1,4 +1,5 @@
 #include "libbergamotgateway/attemptpolicy.h"
+#include "libbergamotgateway/enginelimit.h"
 #include "libbergamotgateway/eventsplitter.h"
 #include "libbergamotgateway/loadboard.h"
 #include "libbergamotgateway/placement.h"
@@ -305,3 +306,25 @@
                 REQUIRE(verdict == AttemptVerdict::CutResponse);
             }
 }
+
+TEST_CASE("passes stay under the accepted pause right after a jump") {
+  // Load pattern: popularity jumps while every engine runs at its limit.
+  EngineFigures engine;
+  engine.StepMs = 4.55;
+  engine.StepMsPerSequence = 0.905;
+  engine.StepsPerPass = 4;
+  engine.Slots = 12;
+  engine.ExpertSets = 3;
+  engine.ExpertShare = 0.85;
+  const auto passMs = [&](std::uint32_t streams, double skew) {
+    return 4 * (4.55 + 0.905 * streams * (0.15 + 0.85 * skew));
+  };
+  const std::uint32_t limit = streamLimit(engine, 120ms);
+  CHECK(passMs(limit, 3.2) <= 96);
+  CHECK(passMs(limit + 1, 3.2) > 96);
+  CHECK(passMs(engine.Slots, 3.2) > 120);
+  engine.ExpertSets = 0;
+  CHECK(streamLimit(engine, 120ms) == 12);
+  CHECK(streamLimit(engine, 0ms) == 12);
+  CHECK(streamLimit(engine, 1ms) == 1);
+}
