sidecar: Give engines time to answer calls from other machines

Cause: a coordinator that takes over from a frozen one never learned the state of the frozen machine's rank: answers came later than the poll's 140 ms. States are now used while they are younger than 900 ms.

--- a/src/entrypath/keyedlog.h
+++ b/src/entrypath/keyedlog.h
@@ -41,7 +41,7 @@
 /// Port to one keyed topic of the platform's store. One call at a time.
 class KeyedLog {
 public:
-  using Completion = std::function<void(KeyedPage)>;
+  using Completion = std::function<void(const KeyedPage &)>;
 
   virtual ~KeyedLog() = default;
   /// Reads the newest record of each key behind the key `after`.
--- a/src/entrypath/topicfollower.cpp
+++ b/src/entrypath/topicfollower.cpp
@@ -34,10 +34,10 @@
     FirstPageEnd.reset();
   }
   Log->newest(after, Clock::now() + FullReadTimeout,
-              [this](KeyedPage page) { onNewest(std::move(page)); });
+              [this](const KeyedPage &page) { onNewest(page); });
 }
 
-void TopicFollower::onNewest(KeyedPage page) {
+void TopicFollower::onNewest(const KeyedPage &page) {
   setReachable(page.Result == KeyedPage::Outcome::Read);
   if (page.Result != KeyedPage::Outcome::Read) {
     scheduleRead(Settings.RetryPause);
@@ -81,10 +81,10 @@
   }
   const TimePoint waitUntil = Clock::now() + Settings.Wait;
   Log->read(End, waitUntil, waitUntil + Settings.ReadMargin,
-            [this](KeyedPage page) { onRead(std::move(page)); });
+            [this](const KeyedPage &page) { onRead(page); });
 }
 
-void TopicFollower::onRead(KeyedPage page) {
+void TopicFollower::onRead(const KeyedPage &page) {
   if (page.Result == KeyedPage::Outcome::Compacted) {
     NeedsFullRead = true;
     scheduleRead(milliseconds(0));
--- a/src/entrypath/topicfollower.h
+++ b/src/entrypath/topicfollower.h
@@ -64,9 +64,9 @@
 
 private:
   void readNewest(const std::string &after);
-  void onNewest(KeyedPage page);
+  void onNewest(const KeyedPage &page);
   void readNext();
-  void onRead(KeyedPage page);
+  void onRead(const KeyedPage &page);
   void scheduleRead(std::chrono::milliseconds pause);
   void setReachable(bool reachable);
   bool isReliable() const;
--- a/src/sidecar/coordinator.cpp
+++ b/src/sidecar/coordinator.cpp
@@ -22,6 +22,9 @@
 /// Polls in a row that show a held or armed rank without a change of this
 /// coordinator before it takes the matter over: another one may be at work.
 constexpr unsigned PollsBeforeAdoption = 4;
+/// Age up to which a rank's state is used to decide on a change. An engine that
+/// is called from another machine takes some hundred milliseconds to answer.
+constexpr milliseconds MaxStateAge{900};
 /// Time between questions about the progress of a copy.
 constexpr milliseconds CopyReadPeriod{80};
 /// A change that isn't finished by then is given up and looked at anew.
@@ -85,20 +88,35 @@
 
 void Coordinator::readStates(TimePoint deadline) {
   for (std::uint32_t i = 0; i < Seats.size(); ++i) {
-    Seats[i].State.reset();
+    if (Seats[i].Reading) {
+      addAnswer(PollNumber);
+      continue;
+    }
+    Seats[i].Reading = true;
     Seats[i].Port->fetchState(
-        deadline,
-        [this, i, number = PollNumber, alive = std::weak_ptr<int>(Alive)](
-            const std::optional<RankState> &state) {
+        deadline, [this, i, number = PollNumber, readAt = Clock::now(),
+                   alive = std::weak_ptr<int>(Alive)](
+                      const std::optional<RankState> &state) {
           if (alive.expired())
             return;
-          if (number == PollNumber && !Change)
-            Seats[i].State = state;
+          Seats[i].Reading = false;
+          // A state from before a change would mislead the next decision.
+          if (state && !Change && readAt >= StatesFrom)
+            Seats[i].setState(*state, readAt);
           addAnswer(number);
         });
   }
 }
 
+/// Returns whether the states of all ranks are known and recent, and the group
+/// is open.
+bool Coordinator::knowsStates() const {
+  const TimePoint oldest = Clock::now() - MaxStateAge;
+  return std::all_of(Seats.begin(), Seats.end(), [&](const Seat &it) {
+    return it.State && it.State->GroupOpen && it.StateReadAt >= oldest;
+  });
+}
+
 /// Ends the poll early if all answers are there.
 void Coordinator::addAnswer(std::uint64_t poll) {
   if (poll == PollNumber && MissingAnswers > 0 && --MissingAnswers == 0)
@@ -342,7 +360,7 @@
     setAppliedMap();
   Change.reset();
   Planned = {};
-  // States from before the change would mislead the next decision.
+  StatesFrom = Clock::now();
   for (auto &it : Seats)
     it.State.reset();
   DriveTimer.cancel();
--- a/src/sidecar/coordinator.h
+++ b/src/sidecar/coordinator.h
@@ -60,13 +60,20 @@
   struct Seat {
     std::shared_ptr<RankPort> Port;
     std::optional<experts::RankState> State;
+    base::TimePoint StateReadAt;
     std::optional<RankExperts> Experts;
     bool Reading = false;
     base::TimePoint NextReadAt;
+
+    void setState(const experts::RankState &state, base::TimePoint readAt) {
+      State = state;
+      StateReadAt = readAt;
+    }
   };
 
   void poll();
   void readStates(base::TimePoint deadline);
+  bool knowsStates() const;
   void addAnswer(std::uint64_t poll);
   void finishPoll();
   void evaluate();
@@ -96,6 +103,8 @@
   base::TimePoint ChangeStartedAt;
   /// Ends a change that makes no progress, e.g. as rank 0 can't be reached.
   base::TimePoint ChangeEndsAt;
+  /// States that were read earlier are out of date.
+  base::TimePoint StatesFrom;
   unsigned UnsettledPolls = 0;
   std::uint64_t PollNumber = 0;
   std::size_t MissingAnswers = 0;
--- a/src/sidecar/peerrank.cpp
+++ b/src/sidecar/peerrank.cpp
@@ -2,6 +2,8 @@
 
 #include "sidecar/rankcodec.h"
 
+#include <algorithm>
+
 namespace bergamot::sidecar {
 
 using adaptertcp::CallResult;
@@ -14,7 +16,13 @@
 /// Calls without an answer after which the engine is called directly, and how
 /// long until the sidecar is tried again.
 constexpr unsigned MaxFailures = 2;
-constexpr std::chrono::milliseconds DirectTime{1500};
+constexpr std::chrono::milliseconds DirectTime{3000};
+/// An engine answers calls from other machines some hundred milliseconds late.
+constexpr std::chrono::milliseconds DirectTimeout{600};
+
+TimePoint directDeadline(TimePoint deadline) {
+  return std::max(deadline, Clock::now() + DirectTimeout);
+}
 
 } // namespace
 
@@ -59,7 +67,7 @@
 
 void PeerRank::fetchState(TimePoint deadline, StateCompletion done) {
   if (isDirect()) {
-    Engine->fetchState(deadline, std::move(done));
+    Engine->fetchState(directDeadline(deadline), std::move(done));
     return;
   }
   call(Queries, paths::State, "", deadline,
@@ -80,7 +88,7 @@
 
 void PeerRank::fetchExperts(TimePoint deadline, ExpertsCompletion done) {
   if (isDirect()) {
-    Engine->fetchExperts(deadline, std::move(done));
+    Engine->fetchExperts(directDeadline(deadline), std::move(done));
     return;
   }
   call(Queries, paths::Experts, "", deadline,
@@ -95,7 +103,7 @@
 void PeerRank::sendOrder(const experts::RankOrder &order, TimePoint deadline,
                          OrderCompletion done) {
   if (isDirect()) {
-    Engine->sendOrder(order, deadline, std::move(done));
+    Engine->sendOrder(order, directDeadline(deadline), std::move(done));
     return;
   }
   call(Orders, paths::Order, encodeOrder(order), deadline,
