--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -184,6 +184,10 @@
   return Services.try_emplace(name, Settings.Retries).first->second;
 }
 
+std::size_t Entry::waitingCount(const std::string &name) {
+  return service(name).Queue.size();
+}
+
 double Entry::predictedWork(const Exchange &exchange) const {
   const auto &size = exchange.request().Generation;
   if (!size)
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -107,6 +107,10 @@
   std::uint64_t nextExchangeNumber() { return ++LastExchange; }
   /// Returns a random number in [0, 1).
   double draw() { return Uniform(Random); }
+  /// Returns how many requests of a service wait here.
+  std::size_t waitingCount(const std::string &name);
+  /// Returns how many entries are known to run, this one included.
+  unsigned entryCount() const;
   double predictedWork(const Exchange &exchange) const;
   void enqueue(const std::shared_ptr<Exchange> &exchange);
   void removeExchange(Exchange &exchange, const char *outcome, int status);
@@ -145,7 +149,6 @@
                                              const Exchange &exchange);
   std::uint32_t limitOf(const gateway::KnownTarget &target) const;
   bool hasColdAllowance(const std::string &name, const std::string &target);
-  unsigned entryCount() const;
   base::TimePoint rejectAt(const Exchange &exchange) const;
   void tick();
 
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -521,6 +521,10 @@
     fields["service"] = Service;
   if (!TargetId.empty())
     fields["target"] = TargetId;
+  if (!Service.empty() && Dispatches == 0) {
+    fields["waiting"] = Owner.waitingCount(Service);
+    fields["entries"] = Owner.entryCount();
+  }
   if (Dispatches > 0)
     fields["dispatches"] = Dispatches;
   if (Events.eventCount() > 0) {
--- a/src/libbergamotbase/jsonlog.cpp
+++ b/src/libbergamotbase/jsonlog.cpp
@@ -2,6 +2,7 @@
 
 #include "libbergamotbase/timetypes.h"
 
+#include <fcntl.h>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 #include <unistd.h>
@@ -13,6 +14,8 @@
 /// One write per line keeps lines of concurrent threads whole.
 class JsonLineSink : public google::LogSink {
 public:
+  explicit JsonLineSink(int fd) : Fd(fd) {}
+
   void send(google::LogSeverity severity, const char * /*fullFilename*/,
             const char *baseFilename, int line,
             const google::LogMessageTime & /*time*/, const char *message,
@@ -27,14 +30,16 @@
   }
 
 private:
-  static void writeAll(std::string_view text) {
+  void writeAll(std::string_view text) const {
     while (!text.empty()) {
-      const ssize_t n = ::write(STDERR_FILENO, text.data(), text.size());
+      const ssize_t n = ::write(Fd, text.data(), text.size());
       if (n <= 0)
         return;
       text.remove_prefix(static_cast<std::size_t>(n));
     }
   }
+
+  int Fd;
 };
 
 std::string dumpLossy(const nlohmann::json &value) {
@@ -57,8 +62,12 @@
 
 } // namespace
 
-void initJsonLog(const char *program) {
-  static JsonLineSink sink;
+void initJsonLog(const char *program, LogOutput output) {
+  const bool toOutput = output == LogOutput::StandardOutput;
+  if (toOutput)
+    (void)::fcntl(STDOUT_FILENO, F_SETFL,
+                  ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+  static JsonLineSink sink(toOutput ? STDOUT_FILENO : STDERR_FILENO);
   google::InitGoogleLogging(program);
   for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
     google::SetLogDestination(severity, "");
--- a/src/libbergamotbase/jsonlog.h
+++ b/src/libbergamotbase/jsonlog.h
@@ -20,10 +20,18 @@
   }
 };
 
-/// Sends all glog output of the process to standard error as JSON lines:
-/// time, level, source and either the message or the fields of a decision.
-/// VMs have no disks, so no log file is written. Call it once from main.
-void initJsonLog(const char *program);
+/// Where the log goes.
+enum class LogOutput {
+  StandardError,
+  /// Never waits for the reader: lines that don't fit its buffer are dropped.
+  StandardOutput,
+};
+
+/// Sends all glog output of the process to the output as JSON lines: time,
+/// level, source and either the message or the fields of a decision. VMs have
+/// no disks, so no log file is written. Call it once from main.
+void initJsonLog(const char *program,
+                 LogOutput output = LogOutput::StandardError);
 
 /// Writes one decision line. The event names the decision, e.g.
 /// "route.choose"; the fields are the inputs' summary and the result.
--- a/tests/entrypath/testpath.cpp
+++ b/tests/entrypath/testpath.cpp
@@ -102,7 +102,7 @@
 }
 
 TestTarget::TestTarget(boost::asio::io_context &loop, Script script)
-    : Loop(loop), Acceptor(loop, freeEndpoint()), OnRequest(std::move(script)) {
+    : Acceptor(loop, freeEndpoint()), OnRequest(std::move(script)) {
   accept();
 }
 
--- a/tests/entrypath/testpath.h
+++ b/tests/entrypath/testpath.h
@@ -51,7 +51,6 @@
   void accept();
   void serve(adaptertcp::TcpConnection::Socket socket);
 
-  boost::asio::io_context &Loop;
   boost::asio::ip::tcp::acceptor Acceptor;
   Script OnRequest;
   std::vector<Connection> Open;
