--- a/src/libbergamotgateway/enginelimit.cpp
+++ b/src/libbergamotgateway/enginelimit.cpp
@@ -36,14 +36,16 @@
 
 std::map<std::string, std::uint32_t> streamLimits(const RouteTable &table) {
   std::map<std::string, std::uint32_t> limits;
-  for (const auto &[name, service] : table.services()) {
+  for (const auto &it : table.services()) {
+    const std::string &name = it.first;
+    const Service &service = it.second;
     if (!service.Engine)
       continue;
     milliseconds shortest{0};
     for (const auto &route : table.routes()) {
       const bool leadsHere = std::any_of(
           route.Services.begin(), route.Services.end(),
-          [&](const ServiceShare &it) { return it.Service == name; });
+          [&](const ServiceShare &share) { return share.Service == name; });
       if (!leadsHere || route.GapObjective.count() == 0)
         continue;
       shortest = shortest.count() == 0 ? route.GapObjective
--- a/tests/tcp/test_tcp.cpp
+++ b/tests/tcp/test_tcp.cpp
@@ -57,15 +57,14 @@
 
 TEST_CASE("framing that two readers could understand differently is rejected") {
   // Guards against a second request smuggled inside the body of a first.
-  // NOLINTNEXTLINE(bugprone-suspicious-missing-comma): long texts wrap.
   const char *bad[] = {
       "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
       "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
-      "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      ("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
       "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
-      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
       "POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
       "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
       "POST / HTTP/1.1\r\nContent-Length: 1x\r\n\r\na",
