--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -183,7 +183,6 @@
   const Duration maxIdle =
       Route->mayRepeat() ? MaxIdleIdempotent : MaxIdleNonIdempotent;
   Connection = Owner.pool().take(TargetId, maxIdle, Owner.now());
-  Reused = Connection != nullptr;
   if (Connection)
     sendRequest();
   else
@@ -336,12 +335,12 @@
 void Exchange::completeResponse() {
   const ResponseHead &head = Parser.responseHead();
   if (ResponseFacts.Misdirected) {
-    keepConnection(false);
+    keepConnection();
     attemptFailed(AttemptFailure::Misdirected, "other_instance");
     return;
   }
   if (ResponseFacts.NotExecuted) {
-    keepConnection(false);
+    keepConnection();
     attemptFailed(AttemptFailure::Refused, "not_executed");
     return;
   }
@@ -362,12 +361,12 @@
     }
     commitHead();
     Owner.noteSuccess(TargetId);
-    keepConnection(false);
+    keepConnection();
     endAttempt();
     Caller->endResponse();
   } else if (ResponseStarted) {
     Owner.noteSuccess(TargetId);
-    keepConnection(false);
+    keepConnection();
     endAttempt();
     Caller->endResponse();
   } else {
@@ -375,7 +374,7 @@
     ResponseHead out = Parser.responseHead();
     out.Headers.removeConnectionFields();
     const std::string body = std::move(Parser.body());
-    keepConnection(false);
+    keepConnection();
     endAttempt();
     Caller->respond(out, body);
   }
@@ -392,7 +391,7 @@
     answer(502, "unproven_refusal");
     return;
   }
-  keepConnection(false);
+  keepConnection();
   endAttempt();
   const auto self = shared_from_this();
   finish("relayed_error", status);
@@ -400,11 +399,11 @@
     Caller->respond(out, body);
 }
 
-void Exchange::keepConnection(bool extraBytes) {
+void Exchange::keepConnection() {
   if (!Connection)
     return;
   const TimePoint now = Owner.now();
-  const bool reusable = Parser.isComplete() && !extraBytes &&
+  const bool reusable = Parser.isComplete() &&
                         Parser.responseHead().KeepAlive &&
                         Connection->unsentBytes() == 0;
   if (!reusable) {
@@ -461,7 +460,7 @@
        ExecutedAttempts, Dispatches, Route->MaxAttempts});
   switch (verdict) {
   case AttemptVerdict::TryAgain:
-    tryAgain(failure, detail);
+    tryAgain(failure);
     return;
   case AttemptVerdict::Reject:
     answer(503, detail);
@@ -481,7 +480,7 @@
   }
 }
 
-void Exchange::tryAgain(AttemptFailure failure, const char *detail) {
+void Exchange::tryAgain(AttemptFailure failure) {
   const bool draws = failure != AttemptFailure::NotSent;
   if (draws && !Owner.takeRepeat(Service)) {
     if (failure == AttemptFailure::ErrorResponse && !ResponseStarted)
@@ -490,7 +489,6 @@
       rejectWaiting("retry_budget");
     return;
   }
-  (void)detail;
   endAttempt();
   Owner.enqueue(shared_from_this());
 }
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -69,11 +69,11 @@
   void relayPlain();
   void commitHead();
   void completeResponse();
-  void keepConnection(bool extraBytes);
+  void keepConnection();
 
   void attemptFailed(gateway::AttemptFailure failure, const char *detail);
   void endAttempt();
-  void tryAgain(gateway::AttemptFailure failure, const char *detail);
+  void tryAgain(gateway::AttemptFailure failure);
   void relayError();
   void finish(const char *outcome, int status);
   void log(const char *event, const char *outcome, int status);
@@ -104,8 +104,6 @@
   base::TimePoint SentAt;
   bool Sent = false;
   bool HeadAccepted = false;
-  /// The connection was used before; the target may have closed it meanwhile.
-  bool Reused = false;
 
   gateway::EventSplitter Events;
   std::set<std::string> Tried;
--- a/src/libbergamotgateway/targetdirectory.cpp
+++ b/src/libbergamotgateway/targetdirectory.cpp
@@ -61,10 +61,6 @@
     Evacuated.erase(domain);
 }
 
-void TargetDirectory::setEvacuated(std::set<std::string> domains) {
-  Evacuated = std::move(domains);
-}
-
 const KnownTarget *TargetDirectory::target(const std::string &id) const {
   const auto it = Targets.find(id);
   return it == Targets.end() ? nullptr : &it->second;
--- a/src/libbergamotgateway/targetdirectory.h
+++ b/src/libbergamotgateway/targetdirectory.h
@@ -79,7 +79,6 @@
   void setColdUntil(const std::string &id, TimePoint until);
 
   void setEvacuated(const std::string &domain, bool evacuated);
-  void setEvacuated(std::set<std::string> domains);
   bool isEvacuated(const std::string &domain) const {
     return Evacuated.contains(domain);
   }
--- a/src/sidecar/coordinator.h
+++ b/src/sidecar/coordinator.h
@@ -53,8 +53,6 @@
               std::vector<std::shared_ptr<RankPort>> ranks);
 
   void start();
-  /// Returns whether the coordinator may have left the group waiting.
-  bool mayHold() const { return Change && Change->mayHold(); }
 
 private:
   struct Seat {
