sidecar: Release a held group without the coordinator's own rank

Now rank 1 holds, on an order that comes straight from the coordinator, and rank 0 is armed after all others. While another rank isn't armed, rank 0 can't be, so the sidecar of rank 1 undoes the change without it. It takes over when its engine has held a step for 300 ms.

The test finds three more ways to wait for rank 0 for ever: a coordinator now reads the other ranks while it waits, and takes a rank that was disarmed as not armed. Without the order of arms, or with rank 0 needed, it fails.

--- a/src/libbergamotexperts/mapchange.cpp
+++ b/src/libbergamotexperts/mapchange.cpp
@@ -9,7 +9,7 @@
 MapChange::MapChange(const MapChangeSettings &settings, std::uint64_t version,
                      std::vector<RankState> states, TimePoint now)
     : Settings(settings), Version(version), NextFence(version + 1),
-      Epoch(states.front().Epoch), PrepareBy(now + settings.PrepareTimeout) {
+      Epoch(states.back().Epoch), PrepareBy(now + settings.PrepareTimeout) {
   for (auto &it : states) {
     Rank rank;
     rank.State = std::move(it);
@@ -27,28 +27,71 @@
 
 MapChange MapChange::adopted(const MapChangeSettings &settings,
                              std::uint64_t version, GroupMap current,
-                             std::vector<RankState> states, TimePoint now) {
+                             std::vector<RankState> states, bool reachesFirst,
+                             TimePoint now) {
   MapChange change(settings, version, std::move(states), now);
   change.Current = std::move(current);
-  change.adopt();
+  change.adopt(reachesFirst);
   return change;
 }
 
 /// Goes on where the other coordinator stopped if the held step can still be
 /// released with all ranks armed, else undoes what it did.
-void MapChange::adopt() {
-  Step = Ranks.front().State.HeldStep.value_or(0);
+void MapChange::adopt(bool reachesFirst) {
+  Step = Ranks[holdRank()].State.HeldStep.value_or(0);
+  if (!reachesFirst)
+    Ranks.front().State = {};
   const auto armed =
       std::find_if(Ranks.begin(), Ranks.end(),
                    [](const Rank &it) { return it.State.Armed.has_value(); });
-  if (armed == Ranks.end()) {
+  if (armed != Ranks.end())
+    Version = armed->State.Armed->Version;
+  for (auto &it : Ranks)
+    it.Armed = it.State.Armed == ArmedSwitch{Version, Step};
+  const bool completes =
+      armed != Ranks.end() && (reachesFirst || othersArmed());
+  if (!completes) {
     startUndoing();
     return;
   }
-  Version = armed->State.Armed->Version;
   CurrentPhase = Phase::Arming;
-  for (auto &it : Ranks)
+  for (auto &it : Ranks) {
     it.Fresh = false;
+    it.Armed = false;
+  }
+}
+
+std::uint32_t MapChange::holdRank() const {
+  return Ranks.size() > HoldRank ? HoldRank : 0;
+}
+
+/// Returns whether all ranks but LastArmedRank are armed.
+bool MapChange::othersArmed() const {
+  for (std::uint32_t i = 0; i < Ranks.size(); ++i)
+    if (i != LastArmedRank && !Ranks[i].Armed)
+      return false;
+  return true;
+}
+
+/// Returns whether it is the rank's turn to be armed.
+bool MapChange::mayArm(std::uint32_t index) const {
+  if (index == LastArmedRank)
+    return othersArmed();
+  if (index != HoldRank)
+    return true;
+  for (std::uint32_t i = 0; i < Ranks.size(); ++i)
+    if (i != LastArmedRank && i != HoldRank && !Ranks[i].Armed)
+      return false;
+  return true;
+}
+
+/// Returns whether no rank is armed or can still be. LastArmedRank never is if
+/// another one can't be, so it doesn't count unless it is alone.
+bool MapChange::isUndone() const {
+  for (std::uint32_t i = 0; i < Ranks.size(); ++i)
+    if ((i != LastArmedRank || Ranks.size() == 1) && !Ranks[i].Fenced)
+      return false;
+  return true;
 }
 
 const char *MapChange::phaseName() const {
@@ -115,15 +158,15 @@
   case Phase::Reading:
     return std::nullopt;
   case Phase::Holding:
-    if (index != 0)
+    if (index != holdRank())
       return std::nullopt;
     return order(OrderKind::Hold);
   case Phase::Arming:
-    if (rank.Armed)
+    if (rank.Armed || !mayArm(index))
       return std::nullopt;
     return order(OrderKind::Arm);
   case Phase::Releasing:
-    if (index != 0)
+    if (index != holdRank())
       return std::nullopt;
     return order(OrderKind::Release);
   case Phase::Undoing:
@@ -142,8 +185,8 @@
 
 std::optional<RankOrder> MapChange::nextUndo(std::uint32_t index,
                                              const Rank &rank) {
-  if (allRanks(&Rank::Fenced)) {
-    if (index != 0)
+  if (isUndone()) {
+    if (index != holdRank())
       return std::nullopt;
     return order(OrderKind::Release);
   }
@@ -167,7 +210,13 @@
     const bool copies = CurrentPhase == Phase::Preparing && it.Copying &&
                         it.State.PreparedVersion != Version;
     const bool awaitsFence = it.Fence != 0 && !it.Fenced;
-    if (!it.Outstanding && (!it.Fresh || copies || awaitsFence))
+    // While rank 0 doesn't answer, the holding rank tells of a step that
+    // another coordinator has released.
+    const bool awaitsFirst =
+        (CurrentPhase == Phase::Arming || CurrentPhase == Phase::Undoing) &&
+        !ranks.empty() && ranks.front() == LastArmedRank;
+    const bool tellsStep = awaitsFirst && i == holdRank();
+    if (!it.Outstanding && (!it.Fresh || copies || awaitsFence || tellsStep))
       ranks.push_back(i);
   }
   return ranks;
@@ -196,8 +245,8 @@
     Result = Outcome::Superseded;
     return;
   }
-  if (state.Armed == ArmedSwitch{Version, Step})
-    rank.Armed = true;
+  // A rank that another coordinator has disarmed blocks this change.
+  rank.Armed = state.Armed == ArmedSwitch{Version, Step};
   if (rank.Fence != 0) {
     rank.Fenced = !state.Armed && state.PreparedVersion == rank.Fence;
     // Another coordinator's order may have replaced the fence.
@@ -205,14 +254,15 @@
       rank.Fence = 0;
   }
   NextFence = std::max(NextFence, state.PreparedVersion + 1);
-  if (index == 0)
-    onFirstRankState();
+  if (index == holdRank())
+    onHoldRankState();
   advance(now);
 }
 
-/// Finds out from rank 0's state what has become of a hold or a release.
-void MapChange::onFirstRankState() {
-  const RankState &state = Ranks.front().State;
+/// Finds out from the holding rank's state what has become of a hold or a
+/// release.
+void MapChange::onHoldRankState() {
+  const RankState &state = Ranks[holdRank()].State;
   const bool holds = state.HeldStep == Step;
   if (CurrentPhase == Phase::Holding) {
     if (holds)
@@ -294,6 +344,8 @@
   case Phase::Reading:
     if (allRanks(&Rank::Fresh))
       startHolding();
+    else if (now >= PrepareBy)
+      Result = Outcome::Abandoned;
     return;
   case Phase::Holding:
     return;
--- a/src/libbergamotexperts/mapchange.h
+++ b/src/libbergamotexperts/mapchange.h
@@ -10,6 +10,11 @@
 
 namespace bergamot::experts {
 
+/// The rank that is armed last, and that an undone change doesn't need.
+inline constexpr std::uint32_t LastArmedRank = 0;
+/// The rank that holds back the step, unless the group has only one.
+inline constexpr std::uint32_t HoldRank = 1;
+
 /// Limits of a change.
 struct MapChangeSettings {
   /// Steps between the last one that a rank reports and the one at which the
@@ -32,8 +37,8 @@
 /// one step, whatever becomes of the orders: they may be lost, carried out
 /// seconds late, or repeated, and other coordinators may act on the same group.
 ///
-/// All ranks first copy the experts of the new map (Prepare). Then rank 0 is
-/// told to hold back a step S, all ranks are armed for S, and rank 0 is
+/// All ranks first copy the experts of the new map (Prepare). Then rank 1 is
+/// told to hold back a step S, all ranks are armed for S, and rank 1 is
 /// released when each has confirmed. Nothing of this is taken back: a
 /// coordinator that finds a held step arms the ranks that are missing and
 /// releases it, so two coordinators do the same and late orders change nothing.
@@ -41,9 +46,15 @@
 /// Only if a rank can't be armed any more, because it has prepared a higher
 /// version meanwhile, is the change undone. Such a rank blocks the change for
 /// good, as versions only grow, so no coordinator can have released the step or
-/// ever will. All ranks are then disarmed, and each prepares a higher version
+/// ever will. The ranks are then disarmed, and each prepares a higher version
 /// of the present map, which voids arms that are still on their way, before the
 /// step is released.
+///
+/// The coordinator usually runs beside rank 0, whose engine can't be reached
+/// while that VM stands still. Rank 0 is therefore armed after all others have
+/// confirmed: as long as another rank isn't armed, rank 0 isn't either, so a
+/// change can be undone without it. Rank 1 is armed last but one, on its own,
+/// which leaves a single round trip in which rank 0's state matters.
 class MapChange {
 public:
   enum class Outcome {
@@ -64,10 +75,12 @@
   MapChange(const MapChangeSettings &settings, std::uint64_t version,
             GroupMap next, GroupMap current, std::vector<RankState> states,
             base::TimePoint now);
-  /// Takes over a held step that another coordinator has left.
+  /// Takes over a held step that another coordinator has left. `reachesFirst`
+  /// says whether rank 0 answers; if not, its state is ignored.
   static MapChange adopted(const MapChangeSettings &settings,
                            std::uint64_t version, GroupMap current,
-                           std::vector<RankState> states, base::TimePoint now);
+                           std::vector<RankState> states, bool reachesFirst,
+                           base::TimePoint now);
 
   /// Returns the orders to send now. Each rank has at most one in progress.
   std::vector<AddressedOrder> takeOrders(base::TimePoint now);
@@ -111,14 +124,18 @@
   std::optional<RankOrder> nextPrepare(const Rank &rank) const;
   std::optional<RankOrder> nextUndo(std::uint32_t index, const Rank &rank);
   RankOrder fenceOrder();
-  void adopt();
+  void adopt(bool reachesFirst);
+  std::uint32_t holdRank() const;
+  bool mayArm(std::uint32_t index) const;
+  bool othersArmed() const;
+  bool isUndone() const;
   void advance(base::TimePoint now);
   void startReading();
   void startHolding();
   void startUndoing();
   void advanceUndoing();
   bool allRanks(bool Rank::*flag) const;
-  void onFirstRankState();
+  void onHoldRankState();
 
   MapChangeSettings Settings;
   std::uint64_t Version;
@@ -130,6 +147,7 @@
   std::vector<Rank> Ranks;
   Phase CurrentPhase = Phase::Preparing;
   Outcome Result = Outcome::Running;
+  /// Also ends a change that waits for states before the group is held.
   base::TimePoint PrepareBy;
   unsigned Holds = 0;
   /// While undoing: a rank is known that can't be armed any more, so that the
--- a/src/sidecar/coordinator.cpp
+++ b/src/sidecar/coordinator.cpp
@@ -21,10 +21,10 @@
 
 /// Polls in a row that show a held or armed rank without a change of this
 /// coordinator before it takes the matter over: another one may be at work.
-constexpr unsigned PollsBeforeAdoption = 4;
+constexpr unsigned PollsBeforeAdoption = 2;
 /// Age up to which a rank's state is used to decide on a change. An engine that
 /// is called from another machine takes some hundred milliseconds to answer.
-constexpr milliseconds MaxStateAge{900};
+constexpr milliseconds MaxStateAge{1200};
 /// Time between questions about the progress of a copy.
 constexpr milliseconds CopyReadPeriod{80};
 /// A change that isn't finished by then is given up and looked at anew.
@@ -108,13 +108,18 @@
   }
 }
 
-/// Returns whether the states of all ranks are known and recent, and the group
-/// is open.
-bool Coordinator::knowsStates() const {
-  const TimePoint oldest = Clock::now() - MaxStateAge;
-  return std::all_of(Seats.begin(), Seats.end(), [&](const Seat &it) {
-    return it.State && it.State->GroupOpen && it.StateReadAt >= oldest;
-  });
+/// Returns whether a rank answers and its group is open.
+bool Coordinator::answers(const Seat &seat) const {
+  return seat.State && seat.State->GroupOpen &&
+         seat.StateReadAt >= Clock::now() - MaxStateAge;
+}
+
+/// Returns whether all ranks but experts::LastArmedRank answer.
+bool Coordinator::othersAnswer() const {
+  for (std::uint32_t i = 0; i < Seats.size(); ++i)
+    if (i != experts::LastArmedRank && !answers(Seats[i]))
+      return false;
+  return true;
 }
 
 /// Ends the poll early if all answers are there.
@@ -150,12 +155,12 @@
 }
 
 void Coordinator::evaluate() {
-  const bool allKnown =
-      std::all_of(Seats.begin(), Seats.end(), [](const Seat &it) {
-        return it.State && it.State->GroupOpen;
-      });
-  if (!allKnown)
+  if (!othersAnswer())
+    return;
+  if (!answers(Seats[experts::LastArmedRank])) {
+    considerAdoption();
     return;
+  }
   if (!hasCurrentMap()) {
     readExperts();
     return;
@@ -201,26 +206,44 @@
                                 });
 }
 
+/// Returns the map in use. A rank whose experts aren't known is taken to hold
+/// those that no other one does.
 GroupMap Coordinator::currentMap() const {
   GroupMap map(Settings.Sets);
-  for (std::uint32_t s = 0; s < Settings.Sets; ++s)
-    for (const auto &it : Seats)
-      map[s].push_back(s < it.Experts->Experts.size()
-                           ? it.Experts->Experts[s]
-                           : std::vector<std::uint32_t>());
+  for (std::uint32_t s = 0; s < Settings.Sets; ++s) {
+    std::vector<bool> isHeld(Settings.Experts, false);
+    for (const auto &it : Seats) {
+      const bool known = it.Experts && s < it.Experts->Experts.size();
+      map[s].push_back(known ? it.Experts->Experts[s]
+                             : std::vector<std::uint32_t>());
+      for (const std::uint32_t expert : map[s].back())
+        if (expert < isHeld.size())
+          isHeld[expert] = true;
+    }
+    const auto unknown = std::find_if(
+        Seats.begin(), Seats.end(), [](const Seat &it) { return !it.Experts; });
+    if (unknown == Seats.end())
+      continue;
+    auto &experts = map[s][static_cast<std::size_t>(unknown - Seats.begin())];
+    for (std::uint32_t e = 0; e < Settings.Experts; ++e)
+      if (!isHeld[e])
+        experts.push_back(e);
+  }
   return map;
 }
 
 std::vector<RankState> Coordinator::states() const {
   std::vector<RankState> all;
   for (const auto &it : Seats)
-    all.push_back(*it.State);
+    all.push_back(it.State.value_or(RankState()));
   return all;
 }
 
 std::uint64_t Coordinator::newVersion() {
   std::uint64_t highest = 0;
   for (const auto &it : Seats) {
+    if (!it.State)
+      continue;
     highest =
         std::max({highest, it.State->MapVersion, it.State->PreparedVersion});
     if (it.State->Armed)
@@ -233,19 +256,32 @@
 
 void Coordinator::considerAdoption() {
   const bool held = std::any_of(Seats.begin(), Seats.end(), [](const Seat &it) {
-    return it.State->HeldStep.has_value();
+    return it.State && it.State->HeldStep.has_value();
   });
   // Without a hold, armed ranks switch by themselves.
-  if (!held || ++UnsettledPolls < PollsBeforeAdoption)
+  if (!held) {
+    UnsettledPolls = 0;
+    return;
+  }
+  ++UnsettledPolls;
+  // Orders that undo a change contain the map in use.
+  const bool knowsExperts =
+      std::all_of(Seats.begin(), Seats.end(),
+                  [&](const Seat &it) { return it.Experts || !answers(it); });
+  if (!knowsExperts)
+    readExperts();
+  if (!knowsExperts || UnsettledPolls < PollsBeforeAdoption)
     return;
   UnsettledPolls = 0;
-  base::logDecision("map.adopt", {{"epoch", Seats.front().State->Epoch},
-                                  {"step", Seats.front().State->Step}});
+  const bool reachesFirst = answers(Seats[experts::LastArmedRank]);
+  base::logDecision("map.adopt", {{"epoch", Seats.back().State->Epoch},
+                                  {"step", Seats.back().State->Step},
+                                  {"reaches_first", reachesFirst}});
   ChangeStartedAt = Clock::now();
   ChangeEndsAt = ChangeStartedAt + MaxChangeTime;
   Planned = {};
   Change = MapChange::adopted(Settings.Change, newVersion(), currentMap(),
-                              states(), ChangeStartedAt);
+                              states(), reachesFirst, ChangeStartedAt);
   drive();
 }
 
--- a/src/sidecar/coordinator.h
+++ b/src/sidecar/coordinator.h
@@ -71,7 +71,8 @@
 
   void poll();
   void readStates(base::TimePoint deadline);
-  bool knowsStates() const;
+  bool answers(const Seat &seat) const;
+  bool othersAnswer() const;
   void addAnswer(std::uint64_t poll);
   void finishPoll();
   void evaluate();
@@ -99,7 +100,7 @@
   experts::GroupPlan Planned;
   std::mt19937_64 Random;
   base::TimePoint ChangeStartedAt;
-  /// Ends a change that makes no progress, e.g. as rank 0 can't be reached.
+  /// Ends a change that makes no progress, e.g. as a rank can't be reached.
   base::TimePoint ChangeEndsAt;
   /// States that were read earlier are out of date.
   base::TimePoint StatesFrom;
--- a/src/sidecar/duty.cpp
+++ b/src/sidecar/duty.cpp
@@ -12,6 +12,9 @@
 /// Each further rank waits longer, up to MaxWaits ranks.
 constexpr std::chrono::milliseconds WaitPerRank{250};
 constexpr std::uint32_t MaxWaits = 12;
+/// A change holds a step for some 50 ms, and for 150 ms more if the answer to
+/// an order is lost.
+constexpr std::chrono::milliseconds MaxHold{300};
 
 } // namespace
 
@@ -26,9 +29,16 @@
   Holds = false;
 }
 
+void Duty::setHeldStep(std::optional<std::uint64_t> step, base::TimePoint now) {
+  if (step != HeldStep)
+    HeldSince = now;
+  HeldStep = step;
+}
+
 bool Duty::isCoordinator(std::uint32_t ownRank, base::TimePoint now) {
   const auto wait = TakeOverAfter + std::min(ownRank, MaxWaits) * WaitPerRank;
-  if (!Holds && now >= LastCall + wait)
+  const bool holdsLong = HeldStep && now >= HeldSince + MaxHold;
+  if (!Holds && (holdsLong || now >= LastCall + wait))
     Holds = true;
   return Holds;
 }
--- a/src/sidecar/peerrank.cpp
+++ b/src/sidecar/peerrank.cpp
@@ -102,8 +102,11 @@
 
 void PeerRank::sendOrder(const experts::RankOrder &order, TimePoint deadline,
                          OrderCompletion done) {
-  if (isDirect()) {
-    Engine->sendOrder(order, directDeadline(deadline), std::move(done));
+  const bool holds = order.Kind == experts::OrderKind::Hold ||
+                     order.Kind == experts::OrderKind::Release;
+  if (holds || isDirect()) {
+    Engine->sendOrder(order, holds ? deadline : directDeadline(deadline),
+                      std::move(done));
     return;
   }
   call(Orders, paths::Order, encodeOrder(order), deadline,
--- a/src/sidecar/peerrank.h
+++ b/src/sidecar/peerrank.h
@@ -21,7 +21,9 @@
 
 /// A rank that is reached through the sidecar beside it, whose calls to its
 /// engine are fresh and free of charge. While the sidecar doesn't answer, the
-/// calls go to the engine itself.
+/// calls go to the engine itself. So do orders to hold or release a step, in
+/// which no further VM should take part: if it stood still, nobody could
+/// release the step.
 class PeerRank final : public RankPort {
 public:
   PeerRank(boost::asio::io_context &loop,
--- a/tests/mapchange/test_mapchange.cpp
+++ b/tests/mapchange/test_mapchange.cpp
@@ -89,6 +89,29 @@
     return false;
   }
 
+  /// Lets one coordinator act while rank 0 doesn't answer and the other ones
+  /// stand still. Their orders, and those to rank 0, stay on their way. Returns
+  /// false if the group is still held though another rank isn't armed for the
+  /// held step.
+  bool settlesWithoutFirst() {
+    const Disturbance disturbed = Disturbed;
+    Disturbed = {0, 0, 0, 1};
+    FirstIsSilent = true;
+    PausedFor[0] = 0;
+    bool settled = false;
+    for (int i = 0; i < 8000 && !settled; ++i) {
+      Now += 5ms;
+      for (std::uint32_t r = 1; r < 3; ++r)
+        Group.finishCopy(r);
+      deliverOwnOrders();
+      act(0);
+      settled = !Group.isHeld() && !(Changes[0] && Changes[0]->mayHold());
+    }
+    FirstIsSilent = false;
+    Disturbed = disturbed;
+    return settled || othersArmed();
+  }
+
   const GroupModel &group() const { return Group; }
   int applied() const { return Applied; }
 
@@ -114,6 +137,39 @@
           at(Now));
   }
 
+  /// Delivers the orders of coordinator 0, but for those to rank 0, whose
+  /// results never come.
+  void deliverOwnOrders() {
+    for (std::size_t n = Orders.size(); n > 0; --n) {
+      const Travelling order = Orders.front();
+      Orders.pop_front();
+      if (order.Lost || order.Coordinator != 0) {
+        Orders.push_back(order);
+        continue;
+      }
+      auto result = OrderResult::Unknown;
+      if (order.Rank == 0) {
+        Orders.push_back(order);
+        Orders.back().Lost = true;
+      } else {
+        result = Group.carryOut(order.Rank, order.Order)
+                     ? OrderResult::Accepted
+                     : OrderResult::Conflict;
+      }
+      if (Changes[0])
+        Changes[0]->setResult(order.Rank, result, at(Now));
+    }
+  }
+
+  bool othersArmed() const {
+    for (std::uint32_t r = 1; r < 3; ++r) {
+      const auto armed = Group.state(r).Armed;
+      if (!armed || armed->Step != Group.state(1).HeldStep)
+        return false;
+    }
+    return true;
+  }
+
   void giveUp() {
     for (auto &it : Orders) {
       if (it.Lost || !chance(Disturbed.Loss))
@@ -139,7 +195,8 @@
       return;
     }
     for (const std::uint32_t rank : change->ranksToRead())
-      change->setState(rank, Group.state(rank), at(Now));
+      if (rank != 0 || !FirstIsSilent)
+        change->setState(rank, Group.state(rank), at(Now));
     for (const auto &it : change->takeOrders(at(Now)))
       Orders.push_back({it.Rank, it.Order, index});
     if (change->outcome() == MapChange::Outcome::Running)
@@ -162,7 +219,7 @@
     bool held = false;
     std::uint64_t highest = 0;
     for (std::uint32_t r = 0; r < 3; ++r) {
-      states.push_back(Group.state(r));
+      states.push_back(r == 0 && FirstIsSilent ? RankState() : Group.state(r));
       armed = armed || states.back().Armed;
       held = held || states.back().HeldStep;
       highest = std::max(
@@ -176,9 +233,10 @@
         {{0, static_cast<std::uint32_t>(version & 0xffff)}, {1}, {2}}};
     auto &change = Changes[static_cast<std::size_t>(index)];
     if (held)
-      change = std::make_unique<MapChange>(
-          MapChange::adopted({}, version, current, states, at(Now)));
-    else if (!armed && Group.step() > LastStep[static_cast<std::size_t>(index)])
+      change = std::make_unique<MapChange>(MapChange::adopted(
+          {}, version, current, states, !FirstIsSilent, at(Now)));
+    else if (!armed && !FirstIsSilent &&
+             Group.step() > LastStep[static_cast<std::size_t>(index)])
       change = std::make_unique<MapChange>(MapChangeSettings(), version, next,
                                            current, states, at(Now));
   }
@@ -192,6 +250,7 @@
   std::deque<Travelling> Orders;
   std::chrono::milliseconds Now{0};
   int Applied = 0;
+  bool FirstIsSilent = false;
 };
 
 } // namespace
@@ -236,6 +295,28 @@
   }
 }
 
+TEST_CASE("a group is released though the VM of rank 0 stands still") {
+  // Guards against a group that waits for the coordinator's own rank, and
+  // against two maps once it wakes and goes on with what it knew.
+  int waiting = 0;
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    CAPTURE(seed);
+    RandomRun run(seed, {0.3, 0.05, 0, 3});
+    for (int round = 0; round < 3; ++round) {
+      run.play(300);
+      REQUIRE(run.settlesWithoutFirst());
+      REQUIRE(run.group().fault().empty());
+      waiting += run.group().isHeld() ? 1 : 0;
+    }
+    run.play(600);
+    REQUIRE(run.group().fault().empty());
+    REQUIRE(run.settles());
+    REQUIRE(run.group().fault().empty());
+  }
+  // Only a group whose other ranks are all armed waits for rank 0.
+  CHECK(waiting < 2000);
+}
+
 TEST_CASE("the model finds a group that is armed in part") {
   // Shows that the check of the other cases can fail.
   GroupModel group(2);
--- a/tests/sidecar/test_sidecar.cpp
+++ b/tests/sidecar/test_sidecar.cpp
@@ -51,6 +51,8 @@
     std::vector<double> Popularity = std::vector<double>(Experts, 1000);
     std::vector<double> Counts = std::vector<double>(Experts, 0);
     bool LosesOrders = false;
+    /// Rank 0 answers nothing, as its VM stands still.
+    bool FirstIsSilent = false;
     std::mt19937_64 Random{3};
   };
 
@@ -59,9 +61,13 @@
 
   void fetchState(base::TimePoint, StateCompletion done) override {
     Common.Group.finishCopy(Index);
+    if (isSilent())
+      return post([done] { done(std::nullopt); });
     post([state = Common.Group.state(Index), done] { done(state); });
   }
   void fetchCounts(base::TimePoint, CountsCompletion done) override {
+    if (isSilent())
+      return post([done] { done(std::nullopt); });
     RankCounts counts{1, Common.Group.step(), {}};
     for (std::uint32_t e = 0; e < Experts; ++e) {
       Common.Counts[e] += Common.Popularity[e];
@@ -73,12 +79,16 @@
     post([counts, done] { done(counts); });
   }
   void fetchExperts(base::TimePoint, ExpertsCompletion done) override {
+    if (isSilent())
+      return post([done] { done(std::nullopt); });
     const std::uint64_t version = Common.Group.state(Index).MapVersion;
     RankExperts experts{1, version, {Common.Maps[version][0][Index]}};
     post([experts, done] { done(experts); });
   }
   void sendOrder(const RankOrder &order, base::TimePoint,
                  OrderCompletion done) override {
+    if (isSilent())
+      return post([done] { done(OrderResult::Unknown); });
     if (order.Kind == experts::OrderKind::Prepare)
       Common.Maps[order.Version] = order.Map;
     const bool lost = Common.LosesOrders && Common.Random() % 3 == 0;
@@ -91,6 +101,7 @@
   }
 
 private:
+  bool isSilent() const { return Index == 0 && Common.FirstIsSilent; }
   template <typename Task> void post(Task task) {
     boost::asio::post(Loop, std::move(task));
   }
@@ -187,6 +198,30 @@
   }
 }
 
+TEST_CASE("a coordinator releases a group that a silent rank 0 held") {
+  // Guards against a group that stands still as long as the VM of its
+  // coordinator does.
+  ModelRank::Shared shared;
+  shared.FirstIsSilent = true;
+  const std::uint64_t held = shared.Group.step() + 1;
+  REQUIRE(shared.Group.carryOut(1, {experts::OrderKind::Hold, 0, held, 1, {}}));
+  Running group(shared);
+  group.run(300ms);
+  CHECK(shared.Group.step() > held);
+  CHECK(shared.Group.fault().empty());
+}
+
+TEST_CASE("the sidecar of a rank that holds a step for long takes over") {
+  Duty duty(at(0ms));
+  duty.addCall(0, 1, at(100ms));
+  duty.setHeldStep(7, at(200ms));
+  CHECK_FALSE(duty.isCoordinator(1, at(400ms)));
+  duty.setHeldStep(8, at(450ms));
+  CHECK_FALSE(duty.isCoordinator(1, at(600ms)));
+  duty.setHeldStep(8, at(750ms));
+  CHECK(duty.isCoordinator(1, at(750ms)));
+}
+
 TEST_CASE("the sidecar of the lowest rank that runs coordinates") {
   Duty first(at(0ms));
   Duty second(at(0ms));
