gateway, sidecar: Groups that stand still get single requests; refused copies end a change

Now a group without progress for 500 ms, after a slow refusal, or not heard of since the start, gets one request each 300 ms; while all groups of a service stand still, requests wait up to 2.5 s (0.4 of their time) instead of 0.35 of the objective, as many as the entry's part of the targets' room, and the rest is rejected at once.

A refusal now ends the change, and versions rise above the last one used, as what a rank copies isn't reported. Copying ends a change after 4 s, not 8, as popularity has jumped by then.

--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -35,6 +35,11 @@
 /// How long a stream that broke off may wait for another target: callers give
 /// up after a gap of two seconds.
 constexpr milliseconds ResumeWait{1500};
+/// How long a request may wait while all groups of its service stand still, and
+/// which part of its time at most. A group that forms anew after a power loss
+/// is back after some 2.2 s.
+constexpr milliseconds StandstillWait{2500};
+constexpr double StandstillPart = 0.4;
 /// Parts of the time left after which a rejected caller is told to come back.
 /// Callers follow it up to a third of that time; the range spreads them.
 constexpr double RetryAfterLowest = 0.08;
@@ -216,10 +221,19 @@
   ServiceState &state = service(name);
   if (exchange->tried().empty())
     state.Budget.addRequest(now());
+  if (state.Queue.size() >= roomOfEntry(name) && standsStill(name)) {
+    exchange->rejectWaiting("standstill");
+    return;
+  }
   state.Waiting.emplace(exchange->number(), exchange);
+  const Duration standstill = std::min<Duration>(
+      StandstillWait,
+      duration_cast<Duration>(StandstillPart *
+                              (exchange->deadline() - exchange->arrivedAt())));
   state.Queue.add({exchange->number(),
                    exchange->isResuming() ? 0 : exchange->priority(),
-                   exchange->arrivedAt(), rejectAt(*exchange)});
+                   exchange->arrivedAt(), rejectAt(*exchange),
+                   exchange->arrivedAt() + standstill});
   pump(name);
 }
 
@@ -238,11 +252,36 @@
   ServiceState &state = service(name);
   while (dispatchNext(name, state)) {
   }
-  rejectExpired(state);
+  rejectExpired(name, state);
+}
+
+/// Returns whether the service has targets, and none of them makes progress.
+bool Entry::standsStill(const std::string &name) const {
+  bool hasGroups = false;
+  for (const auto &[id, target] : Directory.targets()) {
+    if (target.Record.Service != name || !Directory.isUsable(target))
+      continue;
+    const auto &membership = target.Record.Membership;
+    if (!membership || Groups.isMoving(membership->Group, now()))
+      return false;
+    hasGroups = true;
+  }
+  return hasGroups;
 }
 
-void Entry::rejectExpired(ServiceState &state) {
-  for (const auto &it : state.Queue.takeExpired(now())) {
+/// Returns this entry's part of the room of a service's targets.
+std::size_t Entry::roomOfEntry(const std::string &name) const {
+  std::size_t room = 0;
+  for (const auto &[id, target] : Directory.targets())
+    if (target.Record.Service == name && Directory.isUsable(target))
+      room += limitOf(target);
+  return room / entryCount() + 1;
+}
+
+void Entry::rejectExpired(const std::string &name, ServiceState &state) {
+  if (state.Queue.isEmpty())
+    return;
+  for (const auto &it : state.Queue.takeExpired(now(), standsStill(name))) {
     const auto waiting = state.Waiting.extract(it.Number);
     if (!waiting.empty())
       waiting.mapped()->rejectWaiting("no_capacity");
@@ -263,6 +302,8 @@
   state.Queue.remove(exchange->number());
   state.Waiting.erase(exchange->number());
   RecentDispatches[target->Record.Id].add(now());
+  if (target->Record.Membership)
+    Groups.noteSent(target->Record.Membership->Group, now());
   exchange->dispatchTo(*target);
   return true;
 }
@@ -276,6 +317,9 @@
     if (target.Record.Service != name || !Directory.isUsable(target) ||
         !hasColdAllowance(name, id))
       continue;
+    const auto &membership = target.Record.Membership;
+    if (membership && !Groups.maySend(membership->Group, at))
+      continue;
     const gateway::TargetWork work = Loads.total(id, at);
     gateway::Candidate it{id,
                           work.Requests,
@@ -358,11 +402,15 @@
     Directory.setColdUntil(target, now() + *response.ColdFor);
 }
 
-void Entry::noteEvent(const Exchange &exchange, const std::string &target,
-                      TimePoint now) {
-  (void)exchange;
-  (void)target;
-  (void)now;
+void Entry::noteProgress(const std::string &service, const std::string &group) {
+  if (group.empty())
+    return;
+  const bool wasMoving = Groups.isMoving(group, now());
+  Groups.noteProgress(group);
+  if (wasMoving)
+    return;
+  base::logDecision("group.moves", {{"group", group}});
+  schedulePump(service);
 }
 
 void Entry::noteSuccess(const std::string &target) {
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -7,6 +7,7 @@
 #include "libbergamotbase/metrics.h"
 #include "libbergamotgateway/attemptpolicy.h"
 #include "libbergamotgateway/enginelimit.h"
+#include "libbergamotgateway/groupprogress.h"
 #include "libbergamotgateway/loadboard.h"
 #include "libbergamotgateway/placement.h"
 #include "libbergamotgateway/ratewindow.h"
@@ -119,8 +120,9 @@
   void addInFlight(const Exchange &exchange, const std::string &target);
   void removeInFlight(const Exchange &exchange, const std::string &target);
   void noteResponse(const std::string &target, const TargetResponse &response);
-  void noteEvent(const Exchange &exchange, const std::string &target,
-                 base::TimePoint now);
+  gateway::GroupProgress &groups() { return Groups; }
+  /// Takes a sign that a group makes progress; what waits for it goes on.
+  void noteProgress(const std::string &service, const std::string &group);
   void noteSuccess(const std::string &target);
   void noteFailure(const std::string &target, gateway::AttemptFailure failure);
   bool takeRepeat(const std::string &service);
@@ -143,7 +145,9 @@
   ServiceState &service(const std::string &name);
   void schedulePump(const std::string &name);
   void pump(const std::string &name);
-  void rejectExpired(ServiceState &state);
+  void rejectExpired(const std::string &name, ServiceState &state);
+  bool standsStill(const std::string &name) const;
+  std::size_t roomOfEntry(const std::string &name) const;
   bool dispatchNext(const std::string &name, ServiceState &state);
   std::vector<gateway::Candidate> candidates(const std::string &name,
                                              const Exchange &exchange);
@@ -165,6 +169,7 @@
   gateway::TargetDirectory Directory;
   gateway::LoadBoard Loads;
   gateway::TargetHealth Health;
+  gateway::GroupProgress Groups;
   std::map<std::string, gateway::RateWindow> RecentDispatches;
   std::map<std::string, ServiceState> Services;
   std::unordered_set<std::shared_ptr<CallerConnection>> Callers;
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -175,6 +175,7 @@
 void Exchange::dispatchTo(const gateway::KnownTarget &target) {
   TargetId = target.Record.Id;
   TargetAddress = target.Record.Address;
+  TargetGroup = target.Record.Membership ? target.Record.Membership->Group : "";
   ++AttemptNumber;
   Sent = false;
   HeadAccepted = false;
@@ -304,7 +305,7 @@
   else
     FirstEventAt = now;
   LastEventAt = now;
-  Owner.noteEvent(*this, TargetId, now);
+  Owner.noteProgress(Service, TargetGroup);
   commitHead();
   Caller->sendBody(events);
   if (Caller->unsentBytes() > MaxUnsentBytes)
@@ -340,6 +341,8 @@
     return;
   }
   if (ResponseFacts.NotExecuted) {
+    if (!TargetGroup.empty())
+      Owner.groups().noteRefusal(TargetGroup, SentAt, Owner.now());
     keepConnection();
     attemptFailed(AttemptFailure::Refused, "not_executed");
     return;
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -97,6 +97,8 @@
   /// The present attempt.
   std::string TargetId;
   std::string TargetAddress;
+  /// The target's group of ranks; empty if it has none.
+  std::string TargetGroup;
   std::shared_ptr<adaptertcp::TcpConnection> Connection;
   adaptertcp::MessageParser Parser{adaptertcp::MessageParser::Kind::Response};
   TargetResponse ResponseFacts;
--- a/src/entrypath/topicfollower.cpp
+++ b/src/entrypath/topicfollower.cpp
@@ -40,7 +40,7 @@
 void TopicFollower::onNewest(const KeyedPage &page) {
   setReachable(page.Result == KeyedPage::Outcome::Read);
   if (page.Result != KeyedPage::Outcome::Read) {
-    scheduleRead(Settings.RetryPause);
+    scheduleRetry();
     return;
   }
   if (!FirstPageEnd)
@@ -94,7 +94,7 @@
   if (page.Result != KeyedPage::Outcome::Read) {
     // What a failed read has missed can't be known.
     NeedsFullRead = true;
-    scheduleRead(Settings.RetryPause);
+    scheduleRetry();
     return;
   }
   for (const auto &it : page.Records) {
@@ -112,7 +112,15 @@
   });
 }
 
+void TopicFollower::scheduleRetry() {
+  NextRetryPause = std::clamp(2 * NextRetryPause, Settings.RetryPause,
+                              Settings.MaxRetryPause);
+  scheduleRead(NextRetryPause);
+}
+
 void TopicFollower::setReachable(bool reachable) {
+  if (reachable)
+    NextRetryPause = milliseconds(0);
   if (!reachable || !Reachable)
     ReliableFrom = Clock::now() + UnreliableAfterOutage;
   if (reachable == Reachable)
--- a/src/entrypath/topicfollower.h
+++ b/src/entrypath/topicfollower.h
@@ -24,8 +24,10 @@
   std::chrono::milliseconds ReadMargin{700};
   /// Pause between reads, for a topic that changes all the time.
   std::chrono::milliseconds Pause{0};
-  /// Pause after a failed read.
+  /// Pause after a failed read; doubles with each further failure up to
+  /// MaxRetryPause. Every call to the store is charged, failed ones too.
   std::chrono::milliseconds RetryPause{150};
+  std::chrono::milliseconds MaxRetryPause{600};
   /// A full read after this time repairs whatever a lost change has left.
   std::chrono::milliseconds FullReadPeriod{15000};
 };
@@ -69,6 +71,7 @@
   void onRead(const KeyedPage &page);
   void scheduleRead(std::chrono::milliseconds pause);
   void setReachable(bool reachable);
+  void scheduleRetry();
   bool isReliable() const;
   void apply(const KeyedRecord &record);
   void removeMissing();
@@ -89,6 +92,7 @@
   base::TimePoint ReliableFrom;
   bool Loaded = false;
   bool Reachable = false;
+  std::chrono::milliseconds NextRetryPause{0};
   bool NeedsFullRead = true;
 };
 
--- a/src/libbergamotexperts/groupplanner.h
+++ b/src/libbergamotexperts/groupplanner.h
@@ -46,8 +46,9 @@
                     const GroupPlanLimits &limits);
 
 /// Returns how many experts a rank may copy in one change, at least 1.
-/// `copyTime` is the time for one; 0 if it isn't known. Load pattern: popularity
-/// jumps every four seconds, and passes are slower while experts are copied.
+/// `copyTime` is the time for one; 0 if it isn't known. Load pattern:
+/// popularity jumps every four seconds, and passes are slower while experts are
+/// copied.
 std::uint32_t copiesPerChange(base::Duration copyTime);
 
 /// Returns the skew of a map under the loads, see GroupPlan.
--- a/src/libbergamotexperts/mapchange.cpp
+++ b/src/libbergamotexperts/mapchange.cpp
@@ -210,13 +210,12 @@
     const bool copies = CurrentPhase == Phase::Preparing && it.Copying &&
                         it.State.PreparedVersion != Version;
     const bool awaitsFence = it.Fence != 0 && !it.Fenced;
-    // While rank 0 doesn't answer, the holding rank tells of a step that
-    // another coordinator has released.
+    // While rank 0 doesn't answer, the others tell of what another coordinator
+    // does: it may release the step, or disarm a rank.
     const bool awaitsFirst =
         (CurrentPhase == Phase::Arming || CurrentPhase == Phase::Undoing) &&
         !ranks.empty() && ranks.front() == LastArmedRank;
-    const bool tellsStep = awaitsFirst && i == holdRank();
-    if (!it.Outstanding && (!it.Fresh || copies || awaitsFence || tellsStep))
+    if (!it.Outstanding && (!it.Fresh || copies || awaitsFence || awaitsFirst))
       ranks.push_back(i);
   }
   return ranks;
@@ -245,6 +244,11 @@
     Result = Outcome::Superseded;
     return;
   }
+  if (CurrentPhase == Phase::Preparing &&
+      (state.PreparedVersion > Version || state.Armed)) {
+    Result = Outcome::Superseded;
+    return;
+  }
   // A rank that another coordinator has disarmed blocks this change.
   rank.Armed = state.Armed == ArmedSwitch{Version, Step};
   if (rank.Fence != 0) {
@@ -296,7 +300,7 @@
   case OrderKind::Prepare:
     rank.Fresh = false;
     if (CurrentPhase == Phase::Preparing)
-      rank.Copying = accepted;
+      onPrepareResult(rank, result);
     else if (CurrentPhase == Phase::Undoing && accepted)
       rank.Fence = sent.Version;
     break;
@@ -324,6 +328,16 @@
   advance(now);
 }
 
+/// A rank refuses to copy if it has had a higher version, as when another
+/// coordinator has begun a change: this one can't succeed any more.
+void MapChange::onPrepareResult(Rank &rank, OrderResult result) {
+  const bool refused = result == OrderResult::Conflict;
+  if (refused && !rank.MayCopy)
+    Result = Outcome::Superseded;
+  rank.Copying = result == OrderResult::Accepted || refused;
+  rank.MayCopy = rank.MayCopy || result == OrderResult::Unknown;
+}
+
 void MapChange::advance(TimePoint now) {
   if (Result != Outcome::Running)
     return;
--- a/src/libbergamotexperts/mapchange.h
+++ b/src/libbergamotexperts/mapchange.h
@@ -21,8 +21,9 @@
   /// group switches. The group stands still if the orders aren't confirmed
   /// within these steps.
   std::uint64_t StepMargin = 3;
-  /// Copying that takes longer ends the change, which is harmless.
-  base::Duration PrepareTimeout = std::chrono::seconds(8);
+  /// Copying that takes longer ends the change, which is harmless. It takes
+  /// 0.4 s, and popularity jumps every four seconds on the deployments.
+  base::Duration PrepareTimeout = std::chrono::seconds(4);
   /// Tries to find a step that hasn't begun when the hold arrives.
   unsigned MaxHolds = 4;
 };
@@ -110,6 +111,8 @@
     bool Fresh = true;
     std::optional<RankOrder> Outstanding;
     bool Copying = false;
+    /// An order to copy had no response, so it may have been carried out.
+    bool MayCopy = false;
     bool Armed = false;
     /// While undoing: the version that voids earlier arms, once accepted.
     std::uint64_t Fence = 0;
@@ -136,6 +139,7 @@
   void advanceUndoing();
   bool allRanks(bool Rank::*flag) const;
   void onHoldRankState();
+  void onPrepareResult(Rank &rank, OrderResult result);
 
   MapChangeSettings Settings;
   std::uint64_t Version;
--- /dev/null
+++ b/src/libbergamotgateway/groupprogress.h
@@ -0,0 +1,46 @@
+#ifndef BERGAMOT_LIBBERGAMOTGATEWAY_GROUPPROGRESS_H
+#define BERGAMOT_LIBBERGAMOTGATEWAY_GROUPPROGRESS_H
+
+#include "libbergamotbase/timetypes.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace bergamot::gateway {
+
+/// Tells which groups of ranks make progress. Load pattern: after a power loss
+/// a group forms anew for some two seconds. What is sent to it meanwhile comes
+/// back refused after a stall of 1.5 s and has used up a try of its caller and
+/// of the retry budget. A group that stands still, and one of which nothing is
+/// known yet, therefore gets single requests until one of them moves.
+class GroupProgress {
+public:
+  /// Returns whether requests to the group are expected to be served now.
+  bool isMoving(const std::string &group, base::TimePoint now) const;
+  /// Returns whether a request may be sent: the group moves, or it is time to
+  /// find out whether it does.
+  bool maySend(const std::string &group, base::TimePoint now) const;
+
+  void noteSent(const std::string &group, base::TimePoint now);
+  /// Takes an event or a response of one of the group's ranks.
+  void noteProgress(const std::string &group);
+  /// Takes a refusal of a request that was sent at `sentAt`.
+  void noteRefusal(const std::string &group, base::TimePoint sentAt,
+                   base::TimePoint now);
+
+private:
+  struct State {
+    bool HasMoved = false;
+    bool Stalled = false;
+    /// The first request since the last progress.
+    std::optional<base::TimePoint> PendingSince;
+    base::TimePoint LastSentAt;
+  };
+
+  std::map<std::string, State> ByGroup;
+};
+
+} // namespace bergamot::gateway
+
+#endif
--- a/src/libbergamotgateway/waitqueue.cpp
+++ b/src/libbergamotgateway/waitqueue.cpp
@@ -1,5 +1,7 @@
 #include "libbergamotgateway/waitqueue.h"
 
+#include <algorithm>
+
 namespace bergamot::gateway {
 
 void WaitQueue::add(const WaitingRequest &request) {
@@ -20,11 +22,16 @@
   return Waiting.empty() ? nullptr : &Waiting.begin()->second;
 }
 
-std::vector<WaitingRequest> WaitQueue::takeExpired(TimePoint now) {
+std::vector<WaitingRequest> WaitQueue::takeExpired(TimePoint now,
+                                                   bool standstill) {
   std::vector<WaitingRequest> expired;
-  for (const auto &[rank, request] : Waiting)
-    if (request.RejectAt <= now)
+  for (const auto &[rank, request] : Waiting) {
+    const TimePoint at =
+        standstill ? std::max(request.RejectAt, request.RejectAtStandstill)
+                   : request.RejectAt;
+    if (at <= now)
       expired.push_back(request);
+  }
   for (const auto &it : expired)
     remove(it.Number);
   return expired;
--- a/src/libbergamotgateway/waitqueue.h
+++ b/src/libbergamotgateway/waitqueue.h
@@ -21,6 +21,9 @@
   /// The request is rejected if it still waits at this time: what is left
   /// then is too little to be served within its objective.
   TimePoint RejectAt;
+  /// The same while all targets of the service stand still, as after a power
+  /// loss: the wait is for their return then, not for room.
+  TimePoint RejectAtStandstill;
 };
 
 /// The requests of one service that wait at this entry. Urgent ones go first,
@@ -31,8 +34,10 @@
   void remove(std::uint64_t number);
   /// Returns the request that goes next; null if none waits.
   const WaitingRequest *next() const;
-  /// Removes and returns the requests that have waited too long.
-  std::vector<WaitingRequest> takeExpired(TimePoint now);
+  /// Removes and returns the requests that have waited too long. `standstill`
+  /// says that no target of the service makes progress.
+  std::vector<WaitingRequest> takeExpired(TimePoint now,
+                                          bool standstill = false);
   /// Returns how many requests would go before one of this priority.
   std::size_t countBefore(std::uint32_t priority) const;
   std::size_t size() const { return Waiting.size(); }
--- a/src/sidecar/coordinator.cpp
+++ b/src/sidecar/coordinator.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds MaxStateAge{1200};
 /// Time between questions about the progress of a copy.
 constexpr milliseconds CopyReadPeriod{80};
+/// The same while the group may be held, which is soon over.
+constexpr milliseconds HeldReadPeriod{30};
 /// A change that isn't finished by then is given up and looked at anew.
 constexpr std::chrono::seconds MaxChangeTime{14};
 /// Low bits of a version are for the orders that undo a change.
@@ -239,8 +241,10 @@
   return all;
 }
 
+/// Returns a version above all that the ranks report and this coordinator has
+/// used: what a rank copies, perhaps for another coordinator, isn't reported.
 std::uint64_t Coordinator::newVersion() {
-  std::uint64_t highest = 0;
+  std::uint64_t highest = LastVersion;
   for (const auto &it : Seats) {
     if (!it.State)
       continue;
@@ -251,7 +255,8 @@
   }
   constexpr unsigned Shift = FenceBits + RandomBits;
   const std::uint64_t random = Random() & ((1ULL << RandomBits) - 1);
-  return ((highest >> Shift) + 1) << Shift | random << FenceBits;
+  LastVersion = ((highest >> Shift) + 1) << Shift | random << FenceBits;
+  return LastVersion;
 }
 
 void Coordinator::considerAdoption() {
@@ -332,12 +337,12 @@
   }
   for (const std::uint32_t rank : Change->ranksToRead()) {
     Seat &seat = Seats[rank];
-    const bool tooSoon = Change->isPreparing() && now < seat.NextReadAt;
-    if (seat.Reading || tooSoon)
+    const bool repeats = Change->isPreparing() || Change->mayHold();
+    if (seat.Reading || (repeats && now < seat.NextReadAt))
       continue;
     seat.Reading = true;
-    if (Change->isPreparing())
-      seat.NextReadAt = now + CopyReadPeriod;
+    seat.NextReadAt =
+        now + (Change->isPreparing() ? CopyReadPeriod : HeldReadPeriod);
     seat.Port->fetchState(now + Settings.OrderTimeout,
                           [this, rank, alive = std::weak_ptr<int>(Alive)](
                               const std::optional<RankState> &state) {
--- a/src/sidecar/coordinator.h
+++ b/src/sidecar/coordinator.h
@@ -105,6 +105,7 @@
   /// States that were read earlier are out of date.
   base::TimePoint StatesFrom;
   unsigned UnsettledPolls = 0;
+  std::uint64_t LastVersion = 0;
   std::uint64_t PollNumber = 0;
   std::size_t MissingAnswers = 0;
   /// Skew of the map in use under the present estimate.
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -1,6 +1,7 @@
 #include "libbergamotgateway/attemptpolicy.h"
 #include "libbergamotgateway/enginelimit.h"
 #include "libbergamotgateway/eventsplitter.h"
+#include "libbergamotgateway/groupprogress.h"
 #include "libbergamotgateway/loadboard.h"
 #include "libbergamotgateway/placement.h"
 #include "libbergamotgateway/retrybudget.h"
@@ -328,3 +329,46 @@
   CHECK(streamLimit(engine, 0ms) == 12);
   CHECK(streamLimit(engine, 1ms) == 1);
 }
+
+TEST_CASE("a group that stands still gets single requests until it moves") {
+  // Load pattern: a power loss; the group refuses all it has after 1.5 s and is
+  // open again at 1.8 s. Guards against using up the callers' tries meanwhile.
+  GroupProgress groups;
+  int sent = 0;
+  for (auto t = 0ms; t < 1800ms; t += 10ms) {
+    if (t == 1500ms)
+      groups.noteRefusal("g", at(0ms), at(t));
+    if (!groups.maySend("g", at(t)))
+      continue;
+    groups.noteSent("g", at(t));
+    ++sent;
+  }
+  CHECK(sent == 6); // The naive version sends all 180.
+  CHECK_FALSE(groups.isMoving("g", at(1800ms)));
+  groups.noteProgress("g");
+  CHECK(groups.isMoving("g", at(1800ms)));
+  for (auto t = 1800ms; t < 2200ms; t += 10ms) {
+    REQUIRE(groups.maySend("g", at(t)));
+    groups.noteSent("g", at(t));
+  }
+  // Without an event for 500 ms, the group has stopped again.
+  CHECK_FALSE(groups.isMoving("g", at(2300ms)));
+  CHECK(groups.isMoving("other", at(2300ms)));
+}
+
+TEST_CASE("a quick refusal is for want of room, not of progress") {
+  GroupProgress groups;
+  groups.noteSent("g", at(0ms));
+  groups.noteProgress("g");
+  groups.noteRefusal("g", at(10ms), at(20ms));
+  CHECK(groups.isMoving("g", at(30ms)));
+}
+
+TEST_CASE("requests wait longer while their targets stand still") {
+  WaitQueue queue;
+  queue.add({1, 1, at(0ms), at(175ms), at(2500ms)});
+  CHECK(queue.takeExpired(at(2000ms), true).empty());
+  CHECK(queue.takeExpired(at(2000ms), false).size() == 1);
+  queue.add({2, 1, at(0ms), at(175ms), at(2500ms)});
+  CHECK(queue.takeExpired(at(2500ms), true).size() == 1);
+}
--- a/tests/mapchange/test_mapchange.cpp
+++ b/tests/mapchange/test_mapchange.cpp
@@ -317,6 +317,53 @@
   CHECK(waiting < 2000);
 }
 
+TEST_CASE("a change ends at once if a rank has had a higher version") {
+  // Guards against a coordinator that asks for copies in vain for seconds, as
+  // another one has begun a change with a higher version.
+  GroupModel group(3);
+  const GroupMap map = {{{0}, {1}, {2}}};
+  REQUIRE(group.carryOut(1, {OrderKind::Prepare, 500, 0, 1, map}));
+  std::vector<RankState> states;
+  for (std::uint32_t r = 0; r < 3; ++r)
+    states.push_back(group.state(r));
+  MapChange change({}, 400, map, map, states, at(0ms));
+  for (const auto &it : change.takeOrders(at(1ms)))
+    change.setResult(it.Rank,
+                     group.carryOut(it.Rank, it.Order) ? OrderResult::Accepted
+                                                       : OrderResult::Conflict,
+                     at(2ms));
+  CHECK(change.outcome() == MapChange::Outcome::Superseded);
+}
+
+TEST_CASE("a copy whose order had no response is waited for") {
+  // Guards against taking the refusal of a repeated order for another
+  // coordinator's version.
+  GroupModel group(3);
+  const GroupMap map = {{{0}, {1}, {2}}};
+  std::vector<RankState> states;
+  for (std::uint32_t r = 0; r < 3; ++r)
+    states.push_back(group.state(r));
+  MapChange change({}, 400, map, map, states, at(0ms));
+  for (int turn = 1; turn <= 3; ++turn) {
+    for (const auto &it : change.takeOrders(at(10ms * turn))) {
+      const bool accepted = group.carryOut(it.Rank, it.Order);
+      const bool lost = turn == 1 && it.Rank == 2;
+      change.setResult(it.Rank,
+                       lost       ? OrderResult::Unknown
+                       : accepted ? OrderResult::Accepted
+                                  : OrderResult::Conflict,
+                       at(10ms * turn));
+    }
+    if (turn == 3)
+      for (std::uint32_t r = 0; r < 3; ++r)
+        group.finishCopy(r);
+    for (const std::uint32_t rank : change.ranksToRead())
+      change.setState(rank, group.state(rank), at(10ms * turn));
+  }
+  CHECK(change.outcome() == MapChange::Outcome::Running);
+  CHECK_FALSE(change.isPreparing());
+}
+
 TEST_CASE("the model finds a group that is armed in part") {
   // Shows that the check of the other cases can fail.
   GroupModel group(2);
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -24,6 +24,7 @@
     std::vector<KeyedRecord> Records;
     bool Up = true;
     bool Compacted = false;
+    int Reads = 0;
   };
 
   FakeLog(boost::asio::io_context &loop, Topic &topic)
@@ -31,6 +32,7 @@
 
   void newest(const std::string &after, base::TimePoint,
               Completion completion) override {
+    ++Source.Reads;
     KeyedPage page = base();
     std::map<std::string, KeyedRecord> byKey;
     for (const auto &it : Source.Records)
@@ -42,6 +44,7 @@
   }
   void read(std::uint64_t from, base::TimePoint, base::TimePoint,
             Completion completion) override {
+    ++Source.Reads;
     KeyedPage page = base();
     if (Source.Compacted && Source.Up)
       page.Result = KeyedPage::Outcome::Compacted;
@@ -84,6 +87,7 @@
     it.Topic = "t";
     it.Pause = 5ms;
     it.RetryPause = 5ms;
+    it.MaxRetryPause = 20ms;
     return it;
   }
   void run() { Loop.run_for(60ms); }
@@ -141,6 +145,17 @@
   CHECK(follow.Values["a"] == "2");
 }
 
+TEST_CASE("a follower calls a failing store less and less often") {
+  // Load pattern: the store refuses a third of the entries for nine seconds;
+  // each call is charged.
+  FakeLog::Topic topic;
+  topic.Up = false;
+  Follow follow(topic);
+  follow.Loop.run_for(200ms);
+  CHECK(topic.Reads >= 3);
+  CHECK(topic.Reads <= 12); // 40 with a constant pause.
+}
+
 TEST_CASE("a removal right after an outage isn't reliable") {
   FakeLog::Topic topic;
   topic.Records = {{"a", "1", 0}};
--- a/tests/sidecar/test_sidecar.cpp
+++ b/tests/sidecar/test_sidecar.cpp
@@ -53,6 +53,8 @@
     bool LosesOrders = false;
     /// Rank 0 answers nothing, as its VM stands still.
     bool FirstIsSilent = false;
+    /// Copies that were begun before the first order take for ever.
+    bool FinishesCopies = true;
     std::mt19937_64 Random{3};
   };
 
@@ -60,7 +62,8 @@
       : Loop(loop), Common(shared), Index(rank) {}
 
   void fetchState(base::TimePoint, StateCompletion done) override {
-    Common.Group.finishCopy(Index);
+    if (Common.FinishesCopies)
+      Common.Group.finishCopy(Index);
     if (isSilent())
       return post([done] { done(std::nullopt); });
     post([state = Common.Group.state(Index), done] { done(state); });
@@ -93,6 +96,7 @@
       Common.Maps[order.Version] = order.Map;
     const bool lost = Common.LosesOrders && Common.Random() % 3 == 0;
     const bool accepted = Common.Group.carryOut(Index, order);
+    Common.FinishesCopies = Common.FinishesCopies || accepted;
     post([=] {
       done(lost       ? OrderResult::Unknown
            : accepted ? OrderResult::Accepted
@@ -133,6 +137,12 @@
     Acting = std::make_unique<Coordinator>(Loop, quickSettings(), ports);
     Acting->start();
   }
+  /// Lets another coordinator act on the same group.
+  void addSecond() {
+    auto first = std::move(Acting);
+    start();
+    Second = std::move(first);
+  }
   void run(std::chrono::milliseconds time) {
     const auto end = std::chrono::steady_clock::now() + time;
     while (std::chrono::steady_clock::now() < end) {
@@ -149,6 +159,7 @@
   boost::asio::io_context Loop;
   ModelRank::Shared &Common;
   std::unique_ptr<Coordinator> Acting;
+  std::unique_ptr<Coordinator> Second;
   unsigned Turns = 0;
 };
 
@@ -211,6 +222,37 @@
   CHECK(shared.Group.fault().empty());
 }
 
+TEST_CASE("copies for a coordinator that is gone don't block the next one") {
+  // Guards against a group that stays uneven for seconds after a power loss: a
+  // version that is being copied isn't reported, and lower ones are refused.
+  ModelRank::Shared shared;
+  shared.FinishesCopies = false;
+  constexpr std::uint64_t FirstVersions = (std::uint64_t(2) << 28) - 256;
+  for (std::uint32_t r = 0; r < Ranks; ++r)
+    REQUIRE(shared.Group.carryOut(
+        r, {experts::OrderKind::Prepare, FirstVersions, 0, 1, initialMap()}));
+  Running group(shared);
+  group.run(60ms);
+  shared.Popularity[5] = 9000;
+  group.run(700ms);
+  CHECK(group.skew() < 1.5);
+  CHECK(shared.Group.fault().empty());
+}
+
+TEST_CASE("two coordinators may act on one group") {
+  for (int round = 0; round < 5; ++round) {
+    ModelRank::Shared shared;
+    Running group(shared);
+    group.addSecond();
+    group.run(60ms);
+    shared.Popularity[static_cast<std::size_t>(round) % Experts] = 9000;
+    group.run(700ms);
+    CAPTURE(round);
+    CHECK(group.skew() < 1.5);
+    CHECK(shared.Group.fault().empty());
+  }
+}
+
 TEST_CASE("the sidecar of a rank that holds a step for long takes over") {
   Duty duty(at(0ms));
   duty.addCall(0, 1, at(100ms));
