sidecar: Plan by the ranks' pace

Ranks now report their pace, and a plan weighs a rank's tokens by it, so that the experts of a slow rank get copies elsewhere and leave it.

--- a/src/libbergamotexperts/groupplanner.cpp
+++ b/src/libbergamotexperts/groupplanner.cpp
@@ -44,9 +44,10 @@
 class SetState {
 public:
   SetState(const std::vector<std::vector<std::uint32_t>> &ranks,
-           const std::vector<double> &loads)
-      : Held(ranks), Loads(loads), RankLoads(ranks.size(), 0),
+           const std::vector<double> &loads, const std::vector<double> &pace)
+      : Held(ranks), Loads(loads), Pace(pace), RankLoads(ranks.size(), 0),
         New(ranks.size(), 0), Holders(loads.size()) {
+    Pace.resize(ranks.size(), 1);
     for (std::uint32_t r = 0; r < Held.size(); ++r)
       for (const std::uint32_t e : Held[r])
         Holders[e].push_back(r);
@@ -54,7 +55,7 @@
     for (std::uint32_t e = 0; e < Loads.size(); ++e) {
       total += Loads[e];
       for (const std::uint32_t r : Holders[e])
-        RankLoads[r] += share(e);
+        RankLoads[r] += Pace[r] * share(e);
     }
     Mean = total / static_cast<double>(Held.size());
     if (Mean <= 0)
@@ -140,14 +141,14 @@
   }
   void setHolders(std::uint32_t expert, std::uint32_t rank, bool add) {
     for (const std::uint32_t r : Holders[expert])
-      RankLoads[r] -= share(expert);
+      RankLoads[r] -= Pace[r] * share(expert);
     auto &holders = Holders[expert];
     if (add)
       holders.push_back(rank);
     else
       holders.erase(std::find(holders.begin(), holders.end(), rank));
     for (const std::uint32_t r : Holders[expert])
-      RankLoads[r] += share(expert);
+      RankLoads[r] += Pace[r] * share(expert);
   }
   void add(std::uint32_t rank, std::uint32_t expert) {
     setHolders(expert, rank, true);
@@ -163,6 +164,8 @@
   std::vector<std::vector<std::uint32_t>> Held;
   std::vector<std::vector<std::uint32_t>> Original;
   const std::vector<double> &Loads;
+  std::vector<double> Pace;
+  /// Time of each rank's tokens, in tokens of a sound rank.
   std::vector<double> RankLoads;
   std::vector<std::uint32_t> New;
   std::vector<std::vector<std::uint32_t>> Holders;
@@ -233,10 +236,11 @@
   return sets.empty() ? 1 : sum / static_cast<double>(sets.size());
 }
 
-std::vector<SetState> makeSets(const GroupMap &map, const ExpertLoads &loads) {
+std::vector<SetState> makeSets(const GroupMap &map, const ExpertLoads &loads,
+                               const std::vector<double> &pace) {
   std::vector<SetState> sets;
   for (std::size_t s = 0; s < map.size(); ++s)
-    sets.emplace_back(map[s], loads[s]);
+    sets.emplace_back(map[s], loads[s], pace);
   return sets;
 }
 
@@ -257,13 +261,14 @@
       std::max<std::int64_t>(1, base::Duration(CopyBudget) / copyTime));
 }
 
-double groupSkew(const GroupMap &map, const ExpertLoads &loads) {
-  return meanSkew(makeSets(map, loads));
+double groupSkew(const GroupMap &map, const ExpertLoads &loads,
+                 const std::vector<double> &rankPace) {
+  return meanSkew(makeSets(map, loads, rankPace));
 }
 
 GroupPlan planGroup(const GroupMap &current, const ExpertLoads &loads,
                     const GroupPlanLimits &limits) {
-  auto sets = makeSets(current, loads);
+  auto sets = makeSets(current, loads, limits.RankPace);
   GroupPlan plan;
   plan.SkewBefore = meanSkew(sets);
   std::vector<std::uint32_t> copies = newPerRank(sets);
--- a/src/libbergamotexperts/groupplanner.h
+++ b/src/libbergamotexperts/groupplanner.h
@@ -20,13 +20,17 @@
   /// New experts per rank in one change, over all sets; bounds the time of
   /// copying, in which passes are slower.
   std::uint32_t MaxNewPerRank = 1;
+  /// Time that each rank's work takes against that of a sound one; all 1 if
+  /// empty. Load pattern: as all ranks step together, one slow rank slows its
+  /// whole group, so its experts' tokens go to the others.
+  std::vector<double> RankPace;
   /// A placement is added only if it lowers the sum of the sets' skews by
   /// this much.
   double MinGain = 0.01;
 };
 
-/// A map with its predicted effect. A set's skew is the load of its most
-/// loaded rank against the mean; the group's is the mean over its sets, by
+/// A map with its predicted effect. A set's skew is the time of its most
+/// loaded rank against the mean load; the group's is the mean over its sets, by
 /// which the expert part of a step's time grows.
 struct GroupPlan {
   GroupMap Map;
@@ -51,8 +55,9 @@
 /// copied.
 std::uint32_t copiesPerChange(base::Duration copyTime);
 
-/// Returns the skew of a map under the loads, see GroupPlan.
-double groupSkew(const GroupMap &map, const ExpertLoads &loads);
+/// Returns the skew of a map under the loads, see GroupPlan and RankPace.
+double groupSkew(const GroupMap &map, const ExpertLoads &loads,
+                 const std::vector<double> &rankPace = {});
 
 } // namespace bergamot::experts
 
--- a/src/libbergamotexperts/rankstate.h
+++ b/src/libbergamotexperts/rankstate.h
@@ -37,6 +37,9 @@
   std::optional<ArmedSwitch> Armed;
   /// The step that the rank holds back; unset if none.
   std::optional<std::uint64_t> HeldStep;
+  /// Time that the rank's work takes against that of a sound one; above 1 for a
+  /// slow one.
+  double Pace = 1;
 };
 
 /// What a rank is told to do. See mapchange.h for the protocol.
--- a/src/sidecar/coordinator.cpp
+++ b/src/sidecar/coordinator.cpp
@@ -31,6 +31,9 @@
 constexpr milliseconds HeldReadPeriod{30};
 /// A change that isn't finished by then is given up and looked at anew.
 constexpr std::chrono::seconds MaxChangeTime{14};
+/// Pace from which a rank counts as slow; the slow engines of the deployments
+/// have 1.6 to 12.
+constexpr double MinSlowPace = 1.2;
 /// Low bits of a version are for the orders that undo a change.
 constexpr unsigned FenceBits = 8;
 /// Random bits make versions of different coordinators, or of one before and
@@ -146,7 +149,7 @@
   if (knowsMap) {
     const GroupMap map = currentMap();
     const bool jumped = Estimate.finishUpdate(map);
-    Skew = experts::groupSkew(map, Estimate.loads());
+    Skew = experts::groupSkew(map, Estimate.loads(), paces());
     if (jumped)
       base::logDecision("popularity.jumped", {{"skew", Skew}});
   }
@@ -180,7 +183,8 @@
 void Coordinator::replaceStalePlan() {
   if (!Change->isPreparing() || Planned.Map.empty())
     return;
-  const double skew = experts::groupSkew(Planned.Map, Estimate.loads());
+  const double skew =
+      experts::groupSkew(Planned.Map, Estimate.loads(), paces());
   if (skew < Settings.StalePlanGrowth * Planned.SkewAfter)
     return;
   base::logDecision("map.plan_stale", {{"version", Change->version()},
@@ -241,6 +245,14 @@
   return all;
 }
 
+/// Returns the ranks' paces; small differences are no slowness.
+std::vector<double> Coordinator::paces() const {
+  std::vector<double> paces;
+  for (const auto &it : Seats)
+    paces.push_back(it.Pace < MinSlowPace ? 1 : it.Pace);
+  return paces;
+}
+
 /// Returns a version above all that the ranks report and this coordinator has
 /// used: what a rank copies, perhaps for another coordinator, isn't reported.
 std::uint64_t Coordinator::newVersion() {
@@ -294,7 +306,9 @@
   if (Estimate.weight() < Settings.MinWeight)
     return;
   const GroupMap current = currentMap();
-  auto plan = experts::planGroup(current, Estimate.loads(), Settings.Limits);
+  experts::GroupPlanLimits limits = Settings.Limits;
+  limits.RankPace = paces();
+  auto plan = experts::planGroup(current, Estimate.loads(), limits);
   const double drop = 1 - plan.SkewAfter / plan.SkewBefore;
   if (drop < Settings.MinSkewDrop)
     return;
--- a/src/sidecar/coordinator.h
+++ b/src/sidecar/coordinator.h
@@ -62,10 +62,12 @@
     std::optional<RankExperts> Experts;
     bool Reading = false;
     base::TimePoint NextReadAt;
+    double Pace = 1;
 
     void setState(const experts::RankState &state, base::TimePoint readAt) {
       State = state;
       StateReadAt = readAt;
+      Pace = state.Pace;
     }
   };
 
@@ -82,6 +84,7 @@
   bool hasCurrentMap() const;
   experts::GroupMap currentMap() const;
   std::vector<experts::RankState> states() const;
+  std::vector<double> paces() const;
   std::uint64_t newVersion();
   void considerAdoption();
   void considerChange();
--- a/tests/sidecar/test_sidecar.cpp
+++ b/tests/sidecar/test_sidecar.cpp
@@ -341,6 +341,30 @@
   }
 }
 
+TEST_CASE("a slow rank's tokens go to the others") {
+  // Load pattern: one rank takes five times as long for several seconds, and
+  // all ranks of its group wait for it in each step.
+  GroupMap map(3);
+  experts::ExpertLoads loads(3, std::vector<double>(96));
+  std::mt19937_64 random(9);
+  for (std::size_t s = 0; s < map.size(); ++s) {
+    map[s].resize(12);
+    for (std::uint32_t e = 0; e < 96; ++e) {
+      map[s][e % 12].push_back(e);
+      loads[s][e] = 1 + static_cast<double>(random() % 3);
+    }
+  }
+  experts::GroupPlanLimits limits;
+  limits.PlacesPerRank = 11;
+  limits.MaxNewPerSet = 4;
+  limits.RankPace.assign(12, 1);
+  limits.RankPace[4] = 5;
+  CHECK(experts::groupSkew(map, loads, limits.RankPace) > 4);
+  for (int change = 0; change < 3; ++change)
+    map = experts::planGroup(map, loads, limits).Map;
+  CHECK(experts::groupSkew(map, loads, limits.RankPace) < 1.6);
+}
+
 TEST_CASE("small experts are copied several at a time") {
   // Load pattern: popularity jumps every four seconds over 16 sets of experts;
   // one copy a rank takes three changes, each with its orders and steps.
@@ -378,11 +402,13 @@
   state.MapVersion = 1ULL << 40;
   state.Armed = experts::ArmedSwitch{9, 80};
   state.HeldStep = 80;
+  state.Pace = 2.5;
   const auto decoded = decodeState(encodeState(state));
   REQUIRE(decoded);
   CHECK(decoded->MapVersion == 1ULL << 40);
   CHECK(decoded->Armed == state.Armed);
   CHECK(decoded->HeldStep == 80);
+  CHECK(decoded->Pace == 2.5);
   RankOrder order{experts::OrderKind::Prepare, 5, 6, 7, {{{0, 2}, {1}}}};
   const auto decodedOrder = decodeOrder(encodeOrder(order));
   REQUIRE(decodedOrder);
