platform, gateway: Entries place by the ranks' pace

Cause: entries don't see which rank of a group is slow, since all ranks step together, and a prompt that a slow rank reads holds up every stream. Sidecars now report a pace of 1.2 or more in the system's topic; entries lower the rank's limit by it, to none from a pace of 4 if the other ranks can take its part.

--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -336,7 +336,12 @@
 std::uint32_t Entry::limitOf(const gateway::KnownTarget &target) const {
   const std::uint32_t slots = std::max(1U, target.Record.Slots);
   const auto it = StreamLimits.find(target.Record.Service);
-  return it == StreamLimits.end() ? slots : std::min(slots, it->second);
+  const std::uint32_t limit =
+      it == StreamLimits.end() ? slots : std::min(slots, it->second);
+  const auto &place = target.Record.Membership;
+  return place ? Paces.limit(place->Group, place->Rank, place->GroupSize, limit,
+                             now())
+               : limit;
 }
 
 unsigned Entry::entryCount() const {
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -10,6 +10,7 @@
 #include "libbergamotgateway/groupprogress.h"
 #include "libbergamotgateway/loadboard.h"
 #include "libbergamotgateway/placement.h"
+#include "libbergamotgateway/rankpaces.h"
 #include "libbergamotgateway/ratewindow.h"
 #include "libbergamotgateway/retrybudget.h"
 #include "libbergamotgateway/routetable.h"
@@ -82,6 +83,7 @@
   void setPeerWork(const std::string &entry, gateway::WorkByTarget work);
 
   gateway::TargetDirectory &directory() { return Directory; }
+  gateway::RankPaces &paces() { return Paces; }
   const gateway::LoadBoard &loadBoard() const { return Loads; }
   std::shared_ptr<const gateway::RouteTable> routeTable() const {
     return Table;
@@ -170,6 +172,7 @@
   gateway::LoadBoard Loads;
   gateway::TargetHealth Health;
   gateway::GroupProgress Groups;
+  gateway::RankPaces Paces;
   std::map<std::string, gateway::RateWindow> RecentDispatches;
   std::map<std::string, ServiceState> Services;
   std::unordered_set<std::shared_ptr<CallerConnection>> Callers;
--- a/src/libbergamotexperts/rankstate.h
+++ b/src/libbergamotexperts/rankstate.h
@@ -20,6 +20,10 @@
   bool operator==(const ArmedSwitch &) const = default;
 };
 
+/// Pace from which a rank counts as slow; the slow engines of the deployments
+/// have 1.6 to 12.
+inline constexpr double MinSlowPace = 1.2;
+
 /// What a rank says of itself.
 struct RankState {
   std::string Group;
--- a/src/sidecar/coordinator.cpp
+++ b/src/sidecar/coordinator.cpp
@@ -31,9 +31,6 @@
 constexpr milliseconds HeldReadPeriod{30};
 /// A change that isn't finished by then is given up and looked at anew.
 constexpr std::chrono::seconds MaxChangeTime{14};
-/// Pace from which a rank counts as slow; the slow engines of the deployments
-/// have 1.6 to 12.
-constexpr double MinSlowPace = 1.2;
 /// Low bits of a version are for the orders that undo a change.
 constexpr unsigned FenceBits = 8;
 /// Random bits make versions of different coordinators, or of one before and
@@ -249,7 +246,7 @@
 std::vector<double> Coordinator::paces() const {
   std::vector<double> paces;
   for (const auto &it : Seats)
-    paces.push_back(it.Pace < MinSlowPace ? 1 : it.Pace);
+    paces.push_back(it.Pace < experts::MinSlowPace ? 1 : it.Pace);
   return paces;
 }
 
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -4,6 +4,7 @@
 #include "libbergamotgateway/groupprogress.h"
 #include "libbergamotgateway/loadboard.h"
 #include "libbergamotgateway/placement.h"
+#include "libbergamotgateway/rankpaces.h"
 #include "libbergamotgateway/retrybudget.h"
 #include "libbergamotgateway/routetable.h"
 #include "libbergamotgateway/targetdirectory.h"
@@ -372,3 +373,24 @@
   queue.add({2, 1, at(0ms), at(175ms), at(2500ms)});
   CHECK(queue.takeExpired(at(2500ms), true).size() == 1);
 }
+
+TEST_CASE("slow ranks get fewer requests, very slow ones none") {
+  // Load pattern: one engine of a group takes two to twelve times as long.
+  RankPaces paces;
+  const auto limit = [&](std::uint32_t rank, std::chrono::milliseconds t) {
+    return paces.limit("g", rank, 12, 6, at(t));
+  };
+  CHECK(limit(3, 0ms) == 6);
+  paces.setPace("g", 3, 2, at(1000ms));
+  CHECK(limit(3, 0ms) == 3);
+  CHECK(limit(4, 0ms) == 6);
+  paces.setPace("g", 3, 12, at(1000ms));
+  CHECK(limit(3, 0ms) == 0);
+  CHECK(limit(3, 1000ms) == 6);
+  // Guards against a group without room as all its ranks are slow.
+  for (std::uint32_t r = 0; r < 12; ++r)
+    paces.setPace("g", r, 12, at(9000ms));
+  CHECK(limit(3, 2000ms) == 1);
+  paces.setPace("g", 3, 1, at(9000ms));
+  CHECK(limit(3, 2000ms) == 6);
+}
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -235,6 +235,19 @@
   CHECK_FALSE(decodeConfiguration("{}"));
 }
 
+TEST_CASE("a rank's pace survives its record; damaged ones are left out") {
+  const RankPaceRecord record{"g0-1", 7, 2.5};
+  const auto decoded = decodePace(paceKey(record), encodePace(record, 3));
+  REQUIRE(decoded);
+  CHECK(decoded->Group == "g0-1");
+  CHECK(decoded->Rank == 7);
+  CHECK(decoded->Pace == 2.5);
+  CHECK_FALSE(decodePace("pace/", encodePace(record, 3)));
+  CHECK_FALSE(decodePace("pace/g/x", encodePace(record, 3)));
+  CHECK_FALSE(decodePace(paceKey(record), "no"));
+  CHECK_FALSE(decodePace(paceKey(record), R"({"pace":"2"})"));
+}
+
 TEST_CASE("records of other writers name no target") {
   const std::string good =
       R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":6,"state":"ready"})";
