--- a/tests/entrypath/test_entrypath.cpp
+++ b/tests/entrypath/test_entrypath.cpp
@@ -254,10 +254,9 @@
           held.back()();
       },
       8, "g");
-  std::vector<std::shared_ptr<Received>> callers;
-  for (int i = 0; i < 6; ++i)
-    callers.push_back(
-        path.send(requestText("stream", "r" + std::to_string(i))));
+  std::vector<std::shared_ptr<Received>> callers(6);
+  for (std::size_t i = 0; i < callers.size(); ++i)
+    callers[i] = path.send(requestText("stream", "r" + std::to_string(i)));
   path.run(220ms);
   CHECK(target.requestCount() >= 1);
   CHECK(target.requestCount() <= 3);
@@ -277,9 +276,9 @@
   path.entry().groups().noteProgress("g");
   path.entry().paces().setPace("g", 0, 2,
                                path.entry().now() + std::chrono::hours(1));
-  std::vector<std::shared_ptr<Received>> callers;
-  for (int i = 0; i < 4; ++i)
-    callers.push_back(path.send(requestText("once", "r" + std::to_string(i))));
+  std::vector<std::shared_ptr<Received>> callers(4);
+  for (std::size_t i = 0; i < callers.size(); ++i)
+    callers[i] = path.send(requestText("once", "r" + std::to_string(i)));
   REQUIRE(path.runUntil([&] {
     return std::count_if(callers.begin(), callers.end(), [](const auto &it) {
              return it->has("HTTP/1.1 503");
