entrypath: Resume streams whose rank has fallen silent

Since a held group is released without rank 0, the group goes on, but this engine's events don't come and closes don't reach it; the callers leave after two seconds, and further requests were placed there, as it had room again.

Now a stream that hears nothing for 1.2 s while its group moves is resumed at another rank, if it may be and the retry budget has a repeat left, and the silent target gets nothing for 1.5 s.

Ruled out: entries that pass the close on late (caller_left and the abort are in the same millisecond in the logs).

--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -47,6 +47,10 @@
   /// Time after an outage of the platform's store within which the records of
   /// live targets return.
   base::Duration LapseGrace = std::chrono::milliseconds(2000);
+  /// Silence after which a stream is resumed at another rank, if its group
+  /// moves: longer than the passes of a group with a rank that is 12 times
+  /// slower (700 ms), and short of the two seconds after which callers leave.
+  base::Duration SilentAfter = std::chrono::milliseconds(1200);
   unsigned LogLinesPerSecond = 40;
   std::uint64_t Seed = 1;
 };
@@ -128,6 +132,9 @@
   void noteSuccess(const std::string &target);
   void noteFailure(const std::string &target, gateway::AttemptFailure failure);
   bool takeRepeat(const std::string &service);
+  bool hasRepeat(const std::string &service);
+  /// Keeps requests away from a target that has fallen silent.
+  void noteSilence(const std::string &target);
   void keepConnection(const std::string &target,
                       TargetPool::Connection connection,
                       const TargetResponse &response, base::TimePoint now);
@@ -173,6 +180,8 @@
   gateway::TargetHealth Health;
   gateway::GroupProgress Groups;
   gateway::RankPaces Paces;
+  /// Targets that have fallen silent, and when they may be tried again.
+  std::map<std::string, base::TimePoint> SilentUntil;
   std::map<std::string, gateway::RateWindow> RecentDispatches;
   std::map<std::string, ServiceState> Services;
   std::unordered_set<std::shared_ptr<CallerConnection>> Callers;
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -38,6 +38,9 @@
 constexpr double RetryAfterHighest = 0.30;
 /// Another entry can take the request of one that ends.
 constexpr auto LeavingRetryAfter = "0.02";
+/// Time without requests for a target that has fallen silent. A VM that stands
+/// still does so for some four seconds.
+constexpr milliseconds SilentRest{1500};
 /// Part of the allowance of a cold target that is used, since arrivals of
 /// several entries bunch on the way.
 constexpr double ColdPart = 0.9;
@@ -182,6 +185,9 @@
     if (target.Record.Service != name || !Directory.isUsable(target) ||
         !hasColdAllowance(name, id))
       continue;
+    const auto silent = SilentUntil.find(id);
+    if (silent != SilentUntil.end() && at < silent->second)
+      continue;
     const auto &membership = target.Record.Membership;
     if (membership && !Groups.maySend(membership->Group, at))
       continue;
@@ -293,6 +299,16 @@
     Health.addResult(target, true, now());
 }
 
+bool Entry::hasRepeat(const std::string &name) {
+  const unsigned entries = std::max(entryCount(), Settings.MaxEntries);
+  return service(name).Budget.hasRepeat(entries, now());
+}
+
+void Entry::noteSilence(const std::string &target) {
+  SilentUntil[target] = now() + SilentRest;
+  base::logDecision("target.silent", {{"target", target}});
+}
+
 bool Entry::takeRepeat(const std::string &name) {
   const unsigned entries = std::max(entryCount(), Settings.MaxEntries);
   return service(name).Budget.takeRepeat(entries, now());
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -24,7 +24,8 @@
                    TimePoint arrivedAt)
     : Owner(entry), Caller(&caller), Head(std::move(head)),
       Body(std::move(body)), Number(entry.nextExchangeNumber()),
-      ArrivedAt(arrivedAt), DeadlineTimer(entry.loop()) {}
+      ArrivedAt(arrivedAt), DeadlineTimer(entry.loop()),
+      SilenceTimer(entry.loop()) {}
 
 Exchange::~Exchange() = default;
 
@@ -139,6 +140,7 @@
     return;
   Finished = true;
   DeadlineTimer.cancel();
+  SilenceTimer.cancel();
   log("request.end", outcome, status);
   Owner.removeExchange(*this, outcome, status);
 }
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -61,6 +61,9 @@
 
   void openConnection(const std::string &address);
   void sendRequest();
+  void watchSilence(base::TimePoint at);
+  void checkSilence();
+  bool mayLeaveSilentTarget() const;
   void onTargetData(std::string_view bytes);
   void onTargetClose(adaptertcp::CloseReason reason);
   bool acceptHead();
@@ -104,6 +107,9 @@
   TargetResponse ResponseFacts;
   std::uint64_t AttemptNumber = 0;
   base::TimePoint SentAt;
+  /// When the target has last sent something; SentAt before that.
+  base::TimePoint HeardAt;
+  boost::asio::steady_timer SilenceTimer;
   bool Sent = false;
   bool HeadAccepted = false;
 
--- a/src/libbergamotgateway/retrybudget.cpp
+++ b/src/libbergamotgateway/retrybudget.cpp
@@ -16,11 +16,15 @@
   Requests.push_back(now);
 }
 
-bool RetryBudget::takeRepeat(unsigned entries, base::TimePoint now) {
+bool RetryBudget::hasRepeat(unsigned entries, base::TimePoint now) {
   expire(now);
   const double most = Bound.Ratio * static_cast<double>(Requests.size()) +
                       Bound.Slack / std::max(1U, entries);
-  if (static_cast<double>(Repeats.size()) + 1 > most)
+  return static_cast<double>(Repeats.size()) + 1 <= most;
+}
+
+bool RetryBudget::takeRepeat(unsigned entries, base::TimePoint now) {
+  if (!hasRepeat(entries, now))
     return false;
   Repeats.push_back(now);
   return true;
--- a/src/libbergamotgateway/retrybudget.h
+++ b/src/libbergamotgateway/retrybudget.h
@@ -26,6 +26,8 @@
   explicit RetryBudget(const RetryBound &bound) : Bound(bound) {}
 
   void addRequest(base::TimePoint now);
+  /// Returns whether a repeat is left in the budget.
+  bool hasRepeat(unsigned entries, base::TimePoint now);
   /// Takes one repeat from the budget; returns false if there is none left.
   bool takeRepeat(unsigned entries, base::TimePoint now);
 
--- a/tests/entrypath/test_entrypath.cpp
+++ b/tests/entrypath/test_entrypath.cpp
@@ -196,6 +196,33 @@
   }
 }
 
+TEST_CASE("a stream goes on elsewhere if its rank falls silent") {
+  // Load pattern: the VM beside one engine stands still; its group goes on, but
+  // the engine's events don't come. Guards against callers that leave after two
+  // seconds, whose work can't be ended, and against placing more there.
+  TestPath path;
+  const auto silent = [](const auto &head, const auto &, const auto &it) {
+    it->send(streamHead(head) + event(1));
+  };
+  const auto sound = [](const auto &head, const auto &, const auto &it) {
+    const bool resumes = head.Headers.value("X-After").has_value();
+    it->send(streamHead(head) + (resumes ? "" : event(1)) + event(2) +
+             "0\r\n\r\n");
+  };
+  auto &first = path.addTarget("t1", silent, 1, "g");
+  const auto stuck = path.send(requestText("stream", "r1"));
+  REQUIRE(path.runUntil([&] { return stuck->has("id: 1"); }));
+  path.addTarget("t2", sound, 1, "g");
+  // Other streams show that the group goes on.
+  for (int i = 2; i < 40 && !stuck->has("0\r\n\r\n"); ++i) {
+    path.send(requestText("stream", "r" + std::to_string(i)));
+    path.run(20ms);
+  }
+  CHECK(stuck->has("id: 2"));
+  CHECK(stuck->has("0\r\n\r\n"));
+  CHECK(first.requestCount() == 1);
+}
+
 TEST_CASE("a stream that can't be resumed ends visibly incomplete") {
   TestPath path;
   auto &target =
--- a/tests/entrypath/testpath.cpp
+++ b/tests/entrypath/testpath.cpp
@@ -165,6 +165,7 @@
   settings.Domain = "d";
   settings.Listen = freeEndpoint();
   settings.Retries = {0.2, 80, 10s};
+  settings.SilentAfter = 150ms;
   Path = std::make_unique<Entry>(Loop, settings, Names, Metrics);
   Path->setRouteTable(table());
   Path->listen();
