--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -305,8 +305,10 @@
 }
 
 void Entry::noteSilence(const std::string &target) {
-  SilentUntil[target] = now() + SilentRest;
-  base::logDecision("target.silent", {{"target", target}});
+  TimePoint &until = SilentUntil[target];
+  if (until <= now())
+    base::logDecision("target.silent", {{"target", target}});
+  until = now() + SilentRest;
 }
 
 bool Entry::takeRepeat(const std::string &name) {
