mapchange: Two coordinators that undo one change don't replace each other's fences

Cause of a failure that showed twice in nine runs of "two coordinators may act on one group" (no step for 3 s, log: map.adopt without an end): both undo the change that one of them has left; each replaces the other's fences with higher versions and waits until all its own are in place. Now the one that sees a higher version than its own fence leaves it to the other. Ruled out: load (the loop of events went on).

--- a/src/libbergamotexperts/mapchange.cpp
+++ b/src/libbergamotexperts/mapchange.cpp
@@ -144,6 +144,8 @@
     auto next = nextOrder(i);
     if (!next)
       continue;
+    if (CurrentPhase == Phase::Undoing && next->Kind == OrderKind::Prepare)
+      Ranks[i].TriedFence = next->Version;
     Ranks[i].Outstanding = *next;
     orders.push_back({i, std::move(*next)});
   }
@@ -249,6 +251,14 @@
     Result = Outcome::Superseded;
     return;
   }
+  if (CurrentPhase == Phase::Undoing && rank.TriedFence != 0 &&
+      state.PreparedVersion > rank.TriedFence) {
+    // Another coordinator undoes the change too. Of several, the one with the
+    // highest versions goes on; otherwise they would replace each other's
+    // fences for ever.
+    Result = Outcome::Superseded;
+    return;
+  }
   // A rank that another coordinator has disarmed blocks this change.
   rank.Armed = state.Armed == ArmedSwitch{Version, Step};
   if (rank.Fence != 0) {
--- a/src/libbergamotexperts/mapchange.h
+++ b/src/libbergamotexperts/mapchange.h
@@ -19,7 +19,8 @@
 struct MapChangeSettings {
   /// Steps between the last one that a rank reports and the one at which the
   /// group switches. The group stands still if the orders aren't confirmed
-  /// within these steps.
+  /// within these steps: with 1, the groups of a grown site were held for 4.8 s
+  /// of 56 s, with 3 for 0.9 s.
   std::uint64_t StepMargin = 3;
   /// Copying that takes longer ends the change, which is harmless. It takes
   /// 0.4 s, and popularity jumps every four seconds on the deployments.
@@ -117,6 +118,8 @@
     /// While undoing: the version that voids earlier arms, once accepted.
     std::uint64_t Fence = 0;
     bool Fenced = false;
+    /// The version of the last such order.
+    std::uint64_t TriedFence = 0;
   };
 
   MapChange(const MapChangeSettings &settings, std::uint64_t version,
