--- a/src/adaptertcp/httpcaller.cpp
+++ b/src/adaptertcp/httpcaller.cpp
@@ -21,9 +21,7 @@
   Timer.expires_at(deadline);
   Timer.async_wait([self = shared_from_this(), number](const error_code &ec) {
     if (!ec && number == self->CallNumber && self->Pending) {
-      if (self->Connection)
-        self->Connection->close();
-      self->Connection.reset();
+      self->dropConnection();
       self->complete({self->Sent ? CallResult::Outcome::Unknown
                                  : CallResult::Outcome::NotSent,
                       {},
@@ -65,8 +63,7 @@
 void HttpCaller::onData(std::string_view bytes) {
   if (!Pending) {
     // Nothing was asked; whatever this is must not answer the next call.
-    Connection->close();
-    Connection.reset();
+    dropConnection();
     return;
   }
   const std::size_t n = Parser.push(bytes);
@@ -76,18 +73,14 @@
   }
   if (!Parser.isComplete())
     return;
-  if (n < bytes.size() || !Parser.responseHead().KeepAlive) {
-    Connection->close();
-    Connection.reset();
-  }
+  if (n < bytes.size() || !Parser.responseHead().KeepAlive)
+    dropConnection();
   complete({CallResult::Outcome::Answered, std::move(Parser.responseHead()),
             std::move(Parser.body())});
 }
 
 void HttpCaller::onClose(CloseReason reason) {
-  if (Connection)
-    Connection->close();
-  Connection.reset();
+  dropConnection();
   if (!Pending)
     return;
   if (reason == CloseReason::EndOfStream)
@@ -100,6 +93,12 @@
   complete({CallResult::Outcome::Unknown, {}, {}});
 }
 
+void HttpCaller::dropConnection() {
+  if (Connection)
+    Connection->close();
+  Connection.reset();
+}
+
 void HttpCaller::complete(CallResult result) {
   Timer.cancel();
   boost::asio::post(Loop, [self = shared_from_this(), cancels = Cancels,
@@ -116,9 +115,15 @@
   ++Cancels;
   Pending = nullptr;
   Timer.cancel();
-  if (Connection)
-    Connection->close();
-  Connection.reset();
+  dropConnection();
+}
+
+std::shared_ptr<HttpCaller> &
+freeCaller(std::shared_ptr<HttpCaller> &kept, boost::asio::io_context &loop,
+           const boost::asio::ip::tcp::endpoint &peer) {
+  if (!kept || kept->isBusy())
+    kept = std::make_shared<HttpCaller>(loop, peer);
+  return kept;
 }
 
 } // namespace bergamot::adaptertcp
--- a/src/adaptertcp/httpcaller.h
+++ b/src/adaptertcp/httpcaller.h
@@ -58,6 +58,7 @@
   void sendRequest();
   void onData(std::string_view bytes);
   void onClose(CloseReason reason);
+  void dropConnection();
   void complete(CallResult result);
 
   boost::asio::io_context &Loop;
@@ -72,6 +73,12 @@
   bool Sent = false;
 };
 
+/// Makes sure that a call can be started: a call in progress keeps its caller,
+/// and `kept` gets a new one. Returns `kept`.
+std::shared_ptr<HttpCaller> &
+freeCaller(std::shared_ptr<HttpCaller> &kept, boost::asio::io_context &loop,
+           const boost::asio::ip::tcp::endpoint &peer);
+
 } // namespace bergamot::adaptertcp
 
 #endif
--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -98,9 +98,7 @@
   ResponseHead head;
   head.Status = status;
   Connection->send(adaptertcp::responseText(head, Framing::Length, 0, false));
-  Closed = true;
-  Owner.removeCaller(*this);
-  Connection->closeAfterSending();
+  closeAfterSending();
 }
 
 void CallerConnection::respond(const ResponseHead &head,
@@ -149,19 +147,15 @@
 void CallerConnection::cutResponse() {
   if (Closed)
     return;
-  Closed = true;
   Current.reset();
-  Owner.removeCaller(*this);
-  Connection->closeAfterSending();
+  closeAfterSending();
 }
 
 void CallerConnection::finishExchange() {
   Current.reset();
   LastActiveAt = Owner.now();
   if (!KeepAlive) {
-    Closed = true;
-    Owner.removeCaller(*this);
-    Connection->closeAfterSending();
+    closeAfterSending();
     return;
   }
   Connection->setReading(true);
@@ -173,6 +167,12 @@
   });
 }
 
+void CallerConnection::closeAfterSending() {
+  Closed = true;
+  Owner.removeCaller(*this);
+  Connection->closeAfterSending();
+}
+
 void CallerConnection::drop() {
   const auto self = shared_from_this();
   Connection->close();
@@ -205,17 +205,13 @@
   }
   if (!idleTooLong)
     return;
-  Closed = true;
-  Owner.removeCaller(*this);
-  Connection->closeAfterSending();
+  closeAfterSending();
 }
 
 void CallerConnection::closeIfIdle() {
   if (!isIdle() || Closed)
     return;
-  Closed = true;
-  Owner.removeCaller(*this);
-  Connection->closeAfterSending();
+  closeAfterSending();
 }
 
 } // namespace bergamot::entrypath
--- a/src/entrypath/callerconnection.h
+++ b/src/entrypath/callerconnection.h
@@ -49,6 +49,7 @@
   void reject(int status);
   void onRequestComplete();
   void finishExchange();
+  void closeAfterSending();
 
   Entry &Owner;
   std::shared_ptr<adaptertcp::TcpConnection> Connection;
--- a/src/entrypath/dialect.h
+++ b/src/entrypath/dialect.h
@@ -42,9 +42,6 @@
   std::optional<std::chrono::milliseconds> ColdFor;
   /// How long the target keeps an idle connection.
   std::optional<std::chrono::milliseconds> KeepAliveFor;
-  /// Running and waiting requests at the target.
-  std::optional<std::uint32_t> Running;
-  std::optional<std::uint32_t> Waiting;
 };
 
 /// What the system tells a target with one attempt.
--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -85,8 +85,6 @@
     if (at >= NextSweepAt) {
       NextSweepAt = at + SweepPeriod;
       Directory.removeLapsed(at);
-      std::erase_if(SilentUntil,
-                    [at](const auto &it) { return it.second <= at; });
       Pool.removeStale(at, [this](const std::string &id) {
         return Directory.target(id) != nullptr;
       });
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -161,7 +161,8 @@
   std::vector<gateway::Candidate> candidates(const std::string &name,
                                              const Exchange &exchange);
   std::uint32_t limitOf(const gateway::KnownTarget &target) const;
-  bool hasColdAllowance(const std::string &name, const std::string &target);
+  std::optional<double> mostPerSecond(const std::string &name) const;
+  unsigned sharingEntries() const;
   base::TimePoint rejectAt(const Exchange &exchange) const;
   void tick();
 
@@ -180,8 +181,6 @@
   gateway::TargetHealth Health;
   gateway::GroupProgress Groups;
   gateway::RankPaces Paces;
-  /// Targets that have fallen silent, and when they may be tried again.
-  std::map<std::string, base::TimePoint> SilentUntil;
   std::map<std::string, gateway::RateWindow> RecentDispatches;
   std::map<std::string, ServiceState> Services;
   std::unordered_set<std::shared_ptr<CallerConnection>> Callers;
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -89,7 +89,7 @@
   ServiceState &state = service(name);
   if (exchange->tried().empty())
     state.Budget.addRequest(now());
-  if (state.Queue.size() >= roomOfEntry(name) && standsStill(name)) {
+  if (standsStill(name) && state.Queue.size() >= roomOfEntry(name)) {
     exchange->rejectWaiting("standstill");
     return;
   }
@@ -179,14 +179,14 @@
 std::vector<gateway::Candidate> Entry::candidates(const std::string &name,
                                                   const Exchange &exchange) {
   const TimePoint at = now();
+  const auto most = mostPerSecond(name);
   std::vector<gateway::Candidate> choices;
   std::vector<gateway::Candidate> triedBefore;
   for (const auto &[id, target] : Directory.targets()) {
     if (target.Record.Service != name || !Directory.isUsable(target) ||
-        !hasColdAllowance(name, id))
+        Health.isSilent(id, at))
       continue;
-    const auto silent = SilentUntil.find(id);
-    if (silent != SilentUntil.end() && at < silent->second)
+    if (most && static_cast<double>(RecentDispatches[id].count(at)) + 1 > *most)
       continue;
     const auto &membership = target.Record.Membership;
     if (membership && !Groups.maySend(membership->Group, at))
@@ -215,16 +215,15 @@
                : limit;
 }
 
-bool Entry::hasColdAllowance(const std::string &name,
-                             const std::string &target) {
+/// Returns how many requests per second this entry may send to one target of
+/// the service; unset if there is no limit. A target may be cold before anyone
+/// has heard of it, so the limit applies to warm ones too; it is far above what
+/// a warm one gets.
+std::optional<double> Entry::mostPerSecond(const std::string &name) const {
   const gateway::Service *it = Table ? Table->service(name) : nullptr;
   if (!it || it->ColdRequestsPerSecond <= 0)
-    return true;
-  // A target may be cold before anyone has heard of it, so the limit applies
-  // to warm ones too; it is far above what a warm one gets.
-  const double most =
-      std::max(1.0, ColdPart * it->ColdRequestsPerSecond / entryCount());
-  return static_cast<double>(RecentDispatches[target].count(now())) + 1 <= most;
+    return std::nullopt;
+  return std::max(1.0, ColdPart * it->ColdRequestsPerSecond / entryCount());
 }
 
 void Entry::removeExchange(Exchange &exchange, const char *outcome,
@@ -299,21 +298,25 @@
     Health.addResult(target, true, now());
 }
 
-bool Entry::hasRepeat(const std::string &name) {
-  const unsigned entries = std::max(entryCount(), Settings.MaxEntries);
-  return service(name).Budget.hasRepeat(entries, now());
-}
-
 void Entry::noteSilence(const std::string &target) {
-  TimePoint &until = SilentUntil[target];
-  if (until <= now())
+  const TimePoint at = now();
+  if (!Health.isSilent(target, at))
     base::logDecision("target.silent", {{"target", target}});
-  until = now() + SilentRest;
+  Health.setSilent(target, at + SilentRest);
+}
+
+/// Returns how many entries share the retry budget, at least those that may
+/// exist.
+unsigned Entry::sharingEntries() const {
+  return std::max(entryCount(), Settings.MaxEntries);
+}
+
+bool Entry::hasRepeat(const std::string &name) {
+  return service(name).Budget.hasRepeat(sharingEntries(), now());
 }
 
 bool Entry::takeRepeat(const std::string &name) {
-  const unsigned entries = std::max(entryCount(), Settings.MaxEntries);
-  return service(name).Budget.takeRepeat(entries, now());
+  return service(name).Budget.takeRepeat(sharingEntries(), now());
 }
 
 void Entry::keepConnection(const std::string &target,
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -8,17 +8,9 @@
 namespace bergamot::entrypath {
 
 using adaptertcp::ResponseHead;
-using base::Duration;
 using base::TimePoint;
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-namespace {
-
-long long toMs(Duration it) { return duration_cast<milliseconds>(it).count(); }
-
-} // namespace
-
 Exchange::Exchange(Entry &entry, CallerConnection &caller,
                    adaptertcp::RequestHead head, std::string body,
                    TimePoint arrivedAt)
@@ -84,10 +76,7 @@
 
 void Exchange::onDeadline() {
   if (ResponseStarted) {
-    endAttempt();
-    if (Caller)
-      Caller->cutResponse();
-    finish("deadline_in_stream", 0);
+    cutResponse("deadline_in_stream");
     return;
   }
   const bool maybeExecuted = Sent || ExecutedAttempts > 0;
@@ -111,17 +100,23 @@
 }
 
 void Exchange::rejectWaiting(const char *reason) {
-  const auto self = shared_from_this();
   if (ResponseStarted) {
-    endAttempt();
-    if (Caller)
-      Caller->cutResponse();
-    finish(reason, 0);
+    cutResponse(reason);
     return;
   }
   answer(ExecutedAttempts > 0 ? 502 : 503, reason);
 }
 
+/// Breaks off a response that has started, so that the caller sees that it is
+/// incomplete.
+void Exchange::cutResponse(const char *reason) {
+  const auto self = shared_from_this();
+  endAttempt();
+  if (Caller)
+    Caller->cutResponse();
+  finish(reason, 0);
+}
+
 void Exchange::callerLeft() {
   Caller = nullptr;
   if (Finished)
@@ -149,9 +144,10 @@
   const TimePoint now = Owner.now();
   if (!Owner.decisions().isAllowed(event, now))
     return;
-  nlohmann::json fields = {{"request", Facts.Id},
-                           {"outcome", outcome},
-                           {"age_ms", toMs(now - ArrivedAt)}};
+  nlohmann::json fields = {
+      {"request", Facts.Id},
+      {"outcome", outcome},
+      {"age_ms", base::wholeMilliseconds(now - ArrivedAt)}};
   if (status != 0)
     fields["status"] = status;
   if (Route) {
@@ -170,8 +166,8 @@
     fields["dispatches"] = Dispatches;
   if (Events.eventCount() > 0) {
     fields["events"] = Events.eventCount();
-    fields["first_ms"] = toMs(FirstEventAt - ArrivedAt);
-    fields["gap_ms"] = toMs(LongestGap);
+    fields["first_ms"] = base::wholeMilliseconds(FirstEventAt - ArrivedAt);
+    fields["gap_ms"] = base::wholeMilliseconds(LongestGap);
   }
   Owner.writeLog(event, fields);
 }
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -70,6 +70,7 @@
   void relayBody();
   void relayStream();
   void relayPlain();
+  void relay(std::string_view bytes);
   void commitHead();
   void completeResponse();
   void keepConnection();
@@ -78,6 +79,8 @@
   void endAttempt();
   void tryAgain(gateway::AttemptFailure failure);
   void relayError();
+  void respondWhole(const char *outcome, int status);
+  void cutResponse(const char *reason);
   void finish(const char *outcome, int status);
   void log(const char *event, const char *outcome, int status);
 
@@ -99,7 +102,6 @@
 
   /// The present attempt.
   std::string TargetId;
-  std::string TargetAddress;
   /// The target's group of ranks; empty if it has none.
   std::string TargetGroup;
   std::shared_ptr<adaptertcp::TcpConnection> Connection;
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -33,32 +33,10 @@
 /// Time between looks at a silent stream that can't go on elsewhere yet.
 constexpr milliseconds SilenceRecheck{200};
 
-/// Callers take these statuses as a promise that the request wasn't executed.
-bool promisesNotExecuted(int status) {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-const char *failureName(AttemptFailure failure) {
-  switch (failure) {
-  case AttemptFailure::NotSent:
-    return "not_sent";
-  case AttemptFailure::Refused:
-    return "refused";
-  case AttemptFailure::Misdirected:
-    return "misdirected";
-  case AttemptFailure::ErrorResponse:
-    return "error_response";
-  case AttemptFailure::Lost:
-    return "lost";
-  }
-  return "";
-}
-
 } // namespace
 
 void Exchange::dispatchTo(const gateway::KnownTarget &target) {
   TargetId = target.Record.Id;
-  TargetAddress = target.Record.Address;
   TargetGroup = target.Record.Membership ? target.Record.Membership->Group : "";
   ++AttemptNumber;
   Sent = false;
@@ -71,7 +49,7 @@
   if (Connection)
     sendRequest();
   else
-    openConnection(TargetAddress);
+    openConnection(target.Record.Address);
 }
 
 void Exchange::openConnection(const std::string &address) {
@@ -231,18 +209,21 @@
     FirstEventAt = now;
   LastEventAt = now;
   Owner.noteProgress(Service, TargetGroup);
-  commitHead();
-  Caller->sendBody(events);
-  if (Caller->unsentBytes() > MaxUnsentBytes)
-    Connection->setReading(false);
+  relay(events);
 }
 
 void Exchange::relayPlain() {
   if (!ResponseStarted && Parser.body().size() <= MaxHeldResponseBytes)
     return;
-  commitHead();
-  Caller->sendBody(Parser.body());
+  relay(Parser.body());
   Parser.body().clear();
+}
+
+/// Passes a part of the body on, and holds the target back while the caller
+/// reads slowly.
+void Exchange::relay(std::string_view bytes) {
+  commitHead();
+  Caller->sendBody(bytes);
   if (Caller->unsentBytes() > MaxUnsentBytes)
     Connection->setReading(false);
 }
@@ -280,49 +261,44 @@
     relayError();
     return;
   }
-  const auto self = shared_from_this();
-  if (Route->Streams) {
-    if (!Events.rest().empty()) {
-      // Every event ends with an empty line; the last one is incomplete.
-      attemptFailed(AttemptFailure::Lost, "incomplete_event");
-      return;
-    }
+  if (Route->Streams && !Events.rest().empty()) {
+    // Every event ends with an empty line; the last one is incomplete.
+    attemptFailed(AttemptFailure::Lost, "incomplete_event");
+    return;
+  }
+  Owner.noteSuccess(TargetId);
+  if (Route->Streams)
     commitHead();
-    Owner.noteSuccess(TargetId);
-    keepConnection();
-    endAttempt();
-    Caller->endResponse();
-  } else if (ResponseStarted) {
-    Owner.noteSuccess(TargetId);
-    keepConnection();
-    endAttempt();
-    Caller->endResponse();
-  } else {
-    Owner.noteSuccess(TargetId);
-    ResponseHead out = Parser.responseHead();
-    out.Headers.removeConnectionFields();
-    const std::string body = std::move(Parser.body());
-    keepConnection();
-    endAttempt();
-    Caller->respond(out, body);
+  if (!ResponseStarted) {
+    respondWhole("served", 200);
+    return;
   }
+  const auto self = shared_from_this();
+  keepConnection();
+  endAttempt();
+  Caller->endResponse();
   finish("served", 200);
 }
 
 void Exchange::relayError() {
-  ResponseHead out = Parser.responseHead();
-  out.Headers.removeConnectionFields();
-  const std::string body = std::move(Parser.body());
-  const int status = out.Status;
-  if (promisesNotExecuted(status)) {
+  const int status = Parser.responseHead().Status;
+  if (gateway::promisesNotExecuted(status)) {
     // Without the target's own statement, this status would promise too much.
     answer(502, "unproven_refusal");
     return;
   }
+  respondWhole("relayed_error", status);
+}
+
+/// Passes a complete response on of which nothing was sent yet.
+void Exchange::respondWhole(const char *outcome, int status) {
+  ResponseHead out = Parser.responseHead();
+  out.Headers.removeConnectionFields();
+  const std::string body = std::move(Parser.body());
   keepConnection();
   endAttempt();
   const auto self = shared_from_this();
-  finish("relayed_error", status);
+  finish(outcome, status);
   if (Caller)
     Caller->respond(out, body);
 }
@@ -383,7 +359,8 @@
     --Dispatches;
   Tried.insert(TargetId);
   Owner.noteFailure(TargetId, failure);
-  log("attempt.failed", failureName(failure), Parser.responseHead().Status);
+  log("attempt.failed", gateway::failureName(failure),
+      Parser.responseHead().Status);
   const AttemptVerdict verdict = gateway::verdictFor(
       {failure, Route->Rule, Route->Resumable, ResponseStarted,
        ExecutedAttempts, Dispatches, Route->MaxAttempts});
@@ -401,10 +378,7 @@
     answer(502, detail);
     return;
   case AttemptVerdict::CutResponse:
-    endAttempt();
-    if (Caller)
-      Caller->cutResponse();
-    finish(detail, 0);
+    cutResponse(detail);
     return;
   }
 }
--- a/src/entrypath/peerlink.cpp
+++ b/src/entrypath/peerlink.cpp
@@ -1,9 +1,7 @@
 #include "entrypath/peerlink.h"
 
 #include "libbergamotbase/error.h"
-#include "libbergamotbase/jsonlog.h"
-
-#include <nlohmann/json.hpp>
+#include "libbergamotbase/jsoncodec.h"
 
 namespace bergamot::entrypath {
 
@@ -14,18 +12,11 @@
 
 namespace {
 
-/// Silence after which an entry isn't counted as live.
-constexpr milliseconds PeerLife{1500};
 /// Silence after which nothing is sent to an entry any more. A partition may
 /// last long, and datagrams to a missing machine cost little.
 constexpr std::chrono::seconds PeerMemory{60};
 constexpr milliseconds FetchTimeout{600};
 
-std::string toBytes(const json &message) {
-  const auto cbor = json::to_cbor(message);
-  return {cbor.begin(), cbor.end()};
-}
-
 json fromBytes(std::string_view bytes) {
   return json::from_cbor(bytes.begin(), bytes.end(), true, false);
 }
@@ -68,13 +59,6 @@
                   {{"peer", name}, {"address", address.address().to_string()}});
 }
 
-bool PeerLink::hasLivePeer(TimePoint now) const {
-  for (const auto &[name, peer] : Peers)
-    if (peer.HeardAt + PeerLife > now)
-      return true;
-  return false;
-}
-
 void PeerLink::receive() {
   Socket.async_receive_from(boost::asio::buffer(Buffer), Sender,
                             [this](const error_code &ec, std::size_t n) {
@@ -100,7 +84,6 @@
   if (name == Own.Name)
     return;
   addPeer(name, Sender);
-  Peers[name].HeardAt = Owner.now();
   gateway::WorkByTarget work;
   for (const auto &[target, value] : message["work"].items())
     if (value.is_array() && value.size() == 2 &&
@@ -113,7 +96,7 @@
   json work = json::object();
   for (const auto &[target, it] : Owner.loadBoard().own())
     work[target] = {it.Requests, static_cast<std::int64_t>(it.Work)};
-  return toBytes({{"name", Own.Name}, {"work", std::move(work)}});
+  return base::toCbor({{"name", Own.Name}, {"work", std::move(work)}});
 }
 
 void PeerLink::sendPeriodically() {
@@ -185,7 +168,7 @@
       records.push_back({{"key", record.Key},
                          {"value", record.Value ? json(*record.Value) : json()},
                          {"offset", record.Offset}});
-    return toBytes({{"end", it->end()}, {"records", std::move(records)}});
+    return base::toCbor({{"end", it->end()}, {"records", std::move(records)}});
   }
   return {};
 }
--- a/src/entrypath/peerlink.h
+++ b/src/entrypath/peerlink.h
@@ -41,13 +41,10 @@
   /// Returns the body for another entry's fetch: the records of a topic with
   /// at least the given offset.
   std::string recordsBody(const std::string &topic, std::uint64_t from) const;
-  /// Returns whether any other entry was heard of lately.
-  bool hasLivePeer(base::TimePoint now) const;
 
 private:
   struct Peer {
     boost::asio::ip::udp::endpoint Address;
-    base::TimePoint HeardAt;
     base::TimePoint ForgetAt;
   };
 
--- a/src/libbergamotbase/timetypes.h
+++ b/src/libbergamotbase/timetypes.h
@@ -14,6 +14,11 @@
 /// A span on the monotonic clock.
 using Duration = std::chrono::steady_clock::duration;
 
+/// Returns a span in whole milliseconds, for logs.
+constexpr std::int64_t wholeMilliseconds(Duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 /// Wall-clock time in milliseconds since the Unix epoch, for records that are
 /// read later. No safety decision depends on it.
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
--- a/src/libbergamotexperts/mapchange.cpp
+++ b/src/libbergamotexperts/mapchange.cpp
@@ -67,31 +67,13 @@
 
 /// Returns whether all ranks but LastArmedRank are armed.
 bool MapChange::othersArmed() const {
-  for (std::uint32_t i = 0; i < Ranks.size(); ++i)
-    if (i != LastArmedRank && !Ranks[i].Armed)
-      return false;
-  return true;
-}
-
-/// Returns whether it is the rank's turn to be armed.
-bool MapChange::mayArm(std::uint32_t index) const {
-  if (index == LastArmedRank)
-    return othersArmed();
-  if (index != HoldRank)
-    return true;
-  for (std::uint32_t i = 0; i < Ranks.size(); ++i)
-    if (i != LastArmedRank && i != HoldRank && !Ranks[i].Armed)
-      return false;
-  return true;
+  return allRanks(&Rank::Armed, LastArmedRank + 1);
 }
 
 /// Returns whether no rank is armed or can still be. LastArmedRank never is if
 /// another one can't be, so it doesn't count unless it is alone.
 bool MapChange::isUndone() const {
-  for (std::uint32_t i = 0; i < Ranks.size(); ++i)
-    if ((i != LastArmedRank || Ranks.size() == 1) && !Ranks[i].Fenced)
-      return false;
-  return true;
+  return allRanks(&Rank::Fenced, Ranks.size() > 1 ? LastArmedRank + 1 : 0);
 }
 
 const char *MapChange::phaseName() const {
@@ -112,117 +94,12 @@
   return "";
 }
 
-RankOrder MapChange::order(OrderKind kind) const {
-  RankOrder it;
-  it.Kind = kind;
-  it.Version = Version;
-  it.Step = Step;
-  it.Epoch = Epoch;
-  return it;
-}
-
-RankOrder MapChange::fenceOrder() {
-  RankOrder it = order(OrderKind::Prepare);
-  it.Version = NextFence++;
-  it.Map = Current;
-  return it;
-}
-
-bool MapChange::allRanks(bool Rank::*flag) const {
-  return std::all_of(Ranks.begin(), Ranks.end(),
+/// Returns whether the flag is set at all ranks from `first` on.
+bool MapChange::allRanks(bool Rank::*flag, std::uint32_t first) const {
+  return std::all_of(Ranks.begin() + first, Ranks.end(),
                      [flag](const Rank &it) { return it.*flag; });
 }
 
-std::vector<AddressedOrder> MapChange::takeOrders(TimePoint now) {
-  std::vector<AddressedOrder> orders;
-  advance(now);
-  if (Result != Outcome::Running)
-    return orders;
-  for (std::uint32_t i = 0; i < Ranks.size(); ++i) {
-    if (Ranks[i].Outstanding || !Ranks[i].Fresh)
-      continue;
-    auto next = nextOrder(i);
-    if (!next)
-      continue;
-    if (CurrentPhase == Phase::Undoing && next->Kind == OrderKind::Prepare)
-      Ranks[i].TriedFence = next->Version;
-    Ranks[i].Outstanding = *next;
-    orders.push_back({i, std::move(*next)});
-  }
-  return orders;
-}
-
-std::optional<RankOrder> MapChange::nextOrder(std::uint32_t index) {
-  Rank &rank = Ranks[index];
-  switch (CurrentPhase) {
-  case Phase::Preparing:
-    return nextPrepare(rank);
-  case Phase::Reading:
-    return std::nullopt;
-  case Phase::Holding:
-    if (index != holdRank())
-      return std::nullopt;
-    return order(OrderKind::Hold);
-  case Phase::Arming:
-    if (rank.Armed || !mayArm(index))
-      return std::nullopt;
-    return order(OrderKind::Arm);
-  case Phase::Releasing:
-    if (index != holdRank())
-      return std::nullopt;
-    return order(OrderKind::Release);
-  case Phase::Undoing:
-    return nextUndo(index, rank);
-  }
-  return std::nullopt;
-}
-
-std::optional<RankOrder> MapChange::nextPrepare(const Rank &rank) const {
-  if (rank.Copying || rank.State.PreparedVersion == Version)
-    return std::nullopt;
-  RankOrder it = order(OrderKind::Prepare);
-  it.Map = Next;
-  return it;
-}
-
-std::optional<RankOrder> MapChange::nextUndo(std::uint32_t index,
-                                             const Rank &rank) {
-  if (isUndone()) {
-    if (index != holdRank())
-      return std::nullopt;
-    return order(OrderKind::Release);
-  }
-  if (rank.Fenced || rank.Fence != 0)
-    return std::nullopt; // An accepted fence shows in the rank's next state.
-  if (!rank.State.Armed)
-    return fenceOrder();
-  if (!Blocked)
-    return std::nullopt;
-  RankOrder it = order(OrderKind::Disarm);
-  it.Version = rank.State.Armed->Version;
-  return it;
-}
-
-std::vector<std::uint32_t> MapChange::ranksToRead() const {
-  std::vector<std::uint32_t> ranks;
-  if (Result != Outcome::Running)
-    return ranks;
-  for (std::uint32_t i = 0; i < Ranks.size(); ++i) {
-    const Rank &it = Ranks[i];
-    const bool copies = CurrentPhase == Phase::Preparing && it.Copying &&
-                        it.State.PreparedVersion != Version;
-    const bool awaitsFence = it.Fence != 0 && !it.Fenced;
-    // While rank 0 doesn't answer, the others tell of what another coordinator
-    // does: it may release the step, or disarm a rank.
-    const bool awaitsFirst =
-        (CurrentPhase == Phase::Arming || CurrentPhase == Phase::Undoing) &&
-        !ranks.empty() && ranks.front() == LastArmedRank;
-    if (!it.Outstanding && (!it.Fresh || copies || awaitsFence || awaitsFirst))
-      ranks.push_back(i);
-  }
-  return ranks;
-}
-
 void MapChange::setState(std::uint32_t index, const RankState &state,
                          TimePoint now) {
   Rank &rank = Ranks[index];
--- a/src/libbergamotexperts/mapchange.h
+++ b/src/libbergamotexperts/mapchange.h
@@ -140,7 +140,7 @@
   void startHolding();
   void startUndoing();
   void advanceUndoing();
-  bool allRanks(bool Rank::*flag) const;
+  bool allRanks(bool Rank::*flag, std::uint32_t first = 0) const;
   void onHoldRankState();
   void onPrepareResult(Rank &rank, OrderResult result);
 
--- /dev/null
+++ b/src/libbergamotexperts/mapchangeorders.cpp
@@ -0,0 +1,121 @@
+// The part of MapChange that chooses what to send and to read in each phase.
+// The phases themselves follow in mapchange.cpp from what comes back.
+#include "libbergamotexperts/mapchange.h"
+
+namespace bergamot::experts {
+
+using base::TimePoint;
+
+RankOrder MapChange::order(OrderKind kind) const {
+  RankOrder it;
+  it.Kind = kind;
+  it.Version = Version;
+  it.Step = Step;
+  it.Epoch = Epoch;
+  return it;
+}
+
+RankOrder MapChange::fenceOrder() {
+  RankOrder it = order(OrderKind::Prepare);
+  it.Version = NextFence++;
+  it.Map = Current;
+  return it;
+}
+
+std::vector<AddressedOrder> MapChange::takeOrders(TimePoint now) {
+  std::vector<AddressedOrder> orders;
+  advance(now);
+  if (Result != Outcome::Running)
+    return orders;
+  for (std::uint32_t i = 0; i < Ranks.size(); ++i) {
+    if (Ranks[i].Outstanding || !Ranks[i].Fresh)
+      continue;
+    auto next = nextOrder(i);
+    if (!next)
+      continue;
+    if (CurrentPhase == Phase::Undoing && next->Kind == OrderKind::Prepare)
+      Ranks[i].TriedFence = next->Version;
+    Ranks[i].Outstanding = *next;
+    orders.push_back({i, std::move(*next)});
+  }
+  return orders;
+}
+
+std::optional<RankOrder> MapChange::nextOrder(std::uint32_t index) {
+  Rank &rank = Ranks[index];
+  switch (CurrentPhase) {
+  case Phase::Preparing:
+    return nextPrepare(rank);
+  case Phase::Reading:
+    return std::nullopt;
+  case Phase::Holding:
+    if (index != holdRank())
+      return std::nullopt;
+    return order(OrderKind::Hold);
+  case Phase::Arming:
+    if (rank.Armed || !mayArm(index))
+      return std::nullopt;
+    return order(OrderKind::Arm);
+  case Phase::Releasing:
+    if (index != holdRank())
+      return std::nullopt;
+    return order(OrderKind::Release);
+  case Phase::Undoing:
+    return nextUndo(index, rank);
+  }
+  return std::nullopt;
+}
+
+std::optional<RankOrder> MapChange::nextPrepare(const Rank &rank) const {
+  if (rank.Copying || rank.State.PreparedVersion == Version)
+    return std::nullopt;
+  RankOrder it = order(OrderKind::Prepare);
+  it.Map = Next;
+  return it;
+}
+
+std::optional<RankOrder> MapChange::nextUndo(std::uint32_t index,
+                                             const Rank &rank) {
+  if (isUndone()) {
+    if (index != holdRank())
+      return std::nullopt;
+    return order(OrderKind::Release);
+  }
+  if (rank.Fenced || rank.Fence != 0)
+    return std::nullopt; // An accepted fence shows in the rank's next state.
+  if (!rank.State.Armed)
+    return fenceOrder();
+  if (!Blocked)
+    return std::nullopt;
+  RankOrder it = order(OrderKind::Disarm);
+  it.Version = rank.State.Armed->Version;
+  return it;
+}
+
+/// Returns whether it is the rank's turn to be armed: HoldRank follows those
+/// behind it, and LastArmedRank all others.
+bool MapChange::mayArm(std::uint32_t index) const {
+  return index > HoldRank || allRanks(&Rank::Armed, index + 1);
+}
+
+std::vector<std::uint32_t> MapChange::ranksToRead() const {
+  std::vector<std::uint32_t> ranks;
+  if (Result != Outcome::Running)
+    return ranks;
+  for (std::uint32_t i = 0; i < Ranks.size(); ++i) {
+    const Rank &it = Ranks[i];
+    const bool copies = CurrentPhase == Phase::Preparing && it.Copying &&
+                        it.State.PreparedVersion != Version;
+    const bool awaitsFence = it.Fence != 0 && !it.Fenced;
+    // While rank 0 doesn't answer, the others tell of what another coordinator
+    // does: it may release the step, or disarm a rank.
+    const bool awaitsFirst =
+        (CurrentPhase == Phase::Arming || CurrentPhase == Phase::Undoing) &&
+        !ranks.empty() && ranks.front() == LastArmedRank;
+    if (!it.Outstanding && (!it.Fresh || copies || awaitsFence || awaitsFirst))
+      ranks.push_back(i);
+  }
+  return ranks;
+}
+
+} // namespace bergamot::experts
--- a/src/libbergamotgateway/attemptpolicy.cpp
+++ b/src/libbergamotgateway/attemptpolicy.cpp
@@ -12,6 +12,26 @@
 
 } // namespace
 
+const char *failureName(AttemptFailure failure) {
+  switch (failure) {
+  case AttemptFailure::NotSent:
+    return "not_sent";
+  case AttemptFailure::Refused:
+    return "refused";
+  case AttemptFailure::Misdirected:
+    return "misdirected";
+  case AttemptFailure::ErrorResponse:
+    return "error_response";
+  case AttemptFailure::Lost:
+    return "lost";
+  }
+  return "";
+}
+
+bool promisesNotExecuted(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 AttemptVerdict verdictFor(const FailedAttempt &failed) {
   const bool mayRepeat =
       failed.Rule == RepeatRule::Idempotent || failed.Resumable;
--- a/src/libbergamotgateway/attemptpolicy.h
+++ b/src/libbergamotgateway/attemptpolicy.h
@@ -21,6 +21,13 @@
   Lost,
 };
 
+/// Returns the name of a failure for logs.
+const char *failureName(AttemptFailure failure);
+
+/// Returns whether callers take a status as a promise that the request wasn't
+/// executed.
+bool promisesNotExecuted(int status);
+
 /// What is known when an attempt has failed.
 struct FailedAttempt {
   AttemptFailure Failure = AttemptFailure::Lost;
--- a/src/libbergamotgateway/routetable.h
+++ b/src/libbergamotgateway/routetable.h
@@ -1,6 +1,7 @@
 #ifndef BERGAMOT_LIBBERGAMOTGATEWAY_ROUTETABLE_H
 #define BERGAMOT_LIBBERGAMOTGATEWAY_ROUTETABLE_H
 
+#include "libbergamotbase/repeatrule.h"
 #include "libbergamotbase/timetypes.h"
 
 #include <cstdint>
@@ -13,8 +14,7 @@
 
 namespace bergamot::gateway {
 
-/// Whether a request may be executed more than once.
-enum class RepeatRule { Idempotent, NonIdempotent };
+using base::RepeatRule;
 
 /// Part of a route's requests that goes to one service.
 struct ServiceShare {
--- a/src/libbergamotgateway/targethealth.cpp
+++ b/src/libbergamotgateway/targethealth.cpp
@@ -11,7 +11,7 @@
   const auto it = ByTarget.find(target);
   if (it == ByTarget.end()) {
     if (failed)
-      ByTarget[target] = {Settings.Gain, now};
+      ByTarget[target] = {Settings.Gain, now, {}};
     return;
   }
   State &state = it->second;
@@ -25,6 +25,15 @@
   return it == ByTarget.end() ? 0 : decayed(it->second, now);
 }
 
+void TargetHealth::setSilent(const std::string &target, TimePoint until) {
+  ByTarget[target].SilentUntil = until;
+}
+
+bool TargetHealth::isSilent(const std::string &target, TimePoint now) const {
+  const auto it = ByTarget.find(target);
+  return it != ByTarget.end() && now < it->second.SilentUntil;
+}
+
 double TargetHealth::decayed(const State &state, TimePoint now) const {
   const std::chrono::duration<double> age = now - state.At;
   const std::chrono::duration<double> halfLife = Settings.HalfLife;
--- a/src/libbergamotgateway/targethealth.h
+++ b/src/libbergamotgateway/targethealth.h
@@ -26,12 +26,15 @@
   void addResult(const std::string &target, bool failed, base::TimePoint now);
   /// Returns 0 for a sound target up to 1 for one that always fails.
   double penalty(const std::string &target, base::TimePoint now) const;
-  void removeTarget(const std::string &target) { ByTarget.erase(target); }
+  /// Takes a target that can't be reached; it gets nothing before `until`.
+  void setSilent(const std::string &target, base::TimePoint until);
+  bool isSilent(const std::string &target, base::TimePoint now) const;
 
 private:
   struct State {
     double Penalty = 0;
     base::TimePoint At;
+    base::TimePoint SilentUntil;
   };
 
   double decayed(const State &state, base::TimePoint now) const;
--- a/src/libbergamotrouting/routingtypes.h
+++ b/src/libbergamotrouting/routingtypes.h
@@ -2,6 +2,7 @@
 #define BERGAMOT_LIBBERGAMOTROUTING_ROUTINGTYPES_H
 
 #include "libbergamotbase/ids.h"
+#include "libbergamotbase/repeatrule.h"
 #include "libbergamotbase/timetypes.h"
 
 #include <cstddef>
@@ -15,6 +16,7 @@
 using base::Duration;
 using base::FailureDomainId;
 using base::Incarnation;
+using base::RepeatRule;
 using base::RequestId;
 using base::ServiceId;
 using base::TargetId;
@@ -27,9 +29,6 @@
 /// Whether the back end carried out a request.
 enum class Executed { No, Yes, Unknown };
 
-/// Whether a request may be carried out more than once.
-enum class RepeatRule { Idempotent, NonIdempotent };
-
 /// Why a request was not taken.
 enum class Refusal {
   None,
--- a/src/sidecar/coordinator.cpp
+++ b/src/sidecar/coordinator.cpp
@@ -13,7 +13,6 @@
 using experts::MapChange;
 using experts::OrderResult;
 using experts::RankState;
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using Clock = std::chrono::steady_clock;
 
@@ -22,9 +21,6 @@
 /// Polls in a row that show a held or armed rank without a change of this
 /// coordinator before it takes the matter over: another one may be at work.
 constexpr unsigned PollsBeforeAdoption = 2;
-/// Age up to which a rank's state is used to decide on a change. An engine that
-/// is called from another machine takes some hundred milliseconds to answer.
-constexpr milliseconds MaxStateAge{1200};
 /// Time between questions about the progress of a copy.
 constexpr milliseconds CopyReadPeriod{80};
 /// The same while the group may be held, which is soon over.
@@ -37,16 +33,13 @@
 /// after a restart, differ.
 constexpr unsigned RandomBits = 20;
 
-long long toMs(base::Duration it) {
-  return duration_cast<milliseconds>(it).count();
-}
-
 } // namespace
 
 Coordinator::Coordinator(boost::asio::io_context &loop,
                          const CoordinatorSettings &settings,
                          std::vector<std::shared_ptr<RankPort>> ranks)
     : Loop(loop), Settings(settings), PollTimer(loop), DriveTimer(loop),
+      View(ranks.size(), settings.Sets, settings.Experts),
       Estimate(settings.Sets, settings.Experts, settings.KeepLoads),
       Random(std::random_device{}()) {
   for (auto &it : ranks) {
@@ -62,7 +55,8 @@
   const TimePoint deadline = Clock::now() + Settings.PollTimeout;
   const std::uint64_t number = ++PollNumber;
   MissingAnswers = Seats.size();
-  const bool needsStates = Skew > 1 + Settings.MinSkewDrop || !hasCurrentMap();
+  const bool needsStates =
+      Skew > 1 + Settings.MinSkewDrop || !View.hasCurrentMap();
   if (!Change && (needsStates || number % Settings.StatePolls == 0)) {
     MissingAnswers += Seats.size();
     readStates(deadline);
@@ -104,49 +98,24 @@
           Seats[i].Reading = false;
           // A state from before a change would mislead the next decision.
           if (state && !Change && readAt >= StatesFrom)
-            Seats[i].setState(*state, readAt);
+            View.setState(i, *state, readAt);
           addAnswer(number);
         });
   }
 }
 
-/// Returns whether a rank answers and its group is open.
-bool Coordinator::answers(const Seat &seat) const {
-  return seat.State && seat.State->GroupOpen &&
-         seat.StateReadAt >= Clock::now() - MaxStateAge;
-}
-
-/// Returns whether all ranks but experts::LastArmedRank answer.
-bool Coordinator::othersAnswer() const {
-  for (std::uint32_t i = 0; i < Seats.size(); ++i)
-    if (i != experts::LastArmedRank && !answers(Seats[i]))
-      return false;
-  return true;
-}
-
 /// Ends the poll early if all answers are there.
 void Coordinator::addAnswer(std::uint64_t poll) {
   if (poll == PollNumber && MissingAnswers > 0 && --MissingAnswers == 0)
     finishPoll();
 }
 
-bool Coordinator::isSettled() const {
-  const auto &first = Seats.front().State;
-  return std::all_of(Seats.begin(), Seats.end(), [&](const Seat &it) {
-    return it.State && it.State->Epoch == first->Epoch && it.State->GroupOpen &&
-           it.State->MapVersion == first->MapVersion && !it.State->Armed &&
-           !it.State->HeldStep;
-  });
-}
-
 void Coordinator::finishPoll() {
   MissingAnswers = 0;
-  const bool knowsMap = std::all_of(Seats.begin(), Seats.end(),
-                                    [](const Seat &it) { return it.Experts; });
-  if (knowsMap) {
-    const GroupMap map = currentMap();
+  if (View.hasMap()) {
+    const GroupMap map = View.map();
     const bool jumped = Estimate.finishUpdate(map);
-    Skew = experts::groupSkew(map, Estimate.loads(), paces());
+    Skew = experts::groupSkew(map, Estimate.loads(), View.paces());
     if (jumped)
       base::logDecision("popularity.jumped", {{"skew", Skew}});
   }
@@ -157,17 +126,18 @@
 }
 
 void Coordinator::evaluate() {
-  if (!othersAnswer())
+  const TimePoint now = Clock::now();
+  if (!View.othersAnswer(now))
     return;
-  if (!answers(Seats[experts::LastArmedRank])) {
+  if (!View.answers(experts::LastArmedRank, now)) {
     considerAdoption();
     return;
   }
-  if (!hasCurrentMap()) {
+  if (!View.hasCurrentMap()) {
     readExperts();
     return;
   }
-  if (isSettled()) {
+  if (View.isSettled()) {
     UnsettledPolls = 0;
     considerChange();
   } else {
@@ -181,7 +151,7 @@
   if (!Change->isPreparing() || Planned.Map.empty())
     return;
   const double skew =
-      experts::groupSkew(Planned.Map, Estimate.loads(), paces());
+      experts::groupSkew(Planned.Map, Estimate.loads(), View.paces());
   if (skew < Settings.StalePlanGrowth * Planned.SkewAfter)
     return;
   base::logDecision("map.plan_stale", {{"version", Change->version()},
@@ -190,14 +160,6 @@
   finishChange();
 }
 
-/// The map that the ranks state belongs to the version that they run.
-bool Coordinator::hasCurrentMap() const {
-  return std::all_of(Seats.begin(), Seats.end(), [](const Seat &it) {
-    return it.Experts && it.State && it.Experts->Epoch == it.State->Epoch &&
-           it.Experts->MapVersion == it.State->MapVersion;
-  });
-}
-
 void Coordinator::readExperts() {
   const TimePoint deadline = Clock::now() + Settings.PollTimeout;
   for (std::uint32_t i = 0; i < Seats.size(); ++i)
@@ -205,63 +167,14 @@
                                 [this, i, alive = std::weak_ptr<int>(Alive)](
                                     const std::optional<RankExperts> &experts) {
                                   if (!alive.expired() && experts)
-                                    Seats[i].Experts = experts;
+                                    View.setExperts(i, *experts);
                                 });
 }
 
-/// Returns the map in use. A rank whose experts aren't known is taken to hold
-/// those that no other one does.
-GroupMap Coordinator::currentMap() const {
-  GroupMap map(Settings.Sets);
-  for (std::uint32_t s = 0; s < Settings.Sets; ++s) {
-    std::vector<bool> isHeld(Settings.Experts, false);
-    for (const auto &it : Seats) {
-      const bool known = it.Experts && s < it.Experts->Experts.size();
-      map[s].push_back(known ? it.Experts->Experts[s]
-                             : std::vector<std::uint32_t>());
-      for (const std::uint32_t expert : map[s].back())
-        if (expert < isHeld.size())
-          isHeld[expert] = true;
-    }
-    const auto unknown = std::find_if(
-        Seats.begin(), Seats.end(), [](const Seat &it) { return !it.Experts; });
-    if (unknown == Seats.end())
-      continue;
-    auto &experts = map[s][static_cast<std::size_t>(unknown - Seats.begin())];
-    for (std::uint32_t e = 0; e < Settings.Experts; ++e)
-      if (!isHeld[e])
-        experts.push_back(e);
-  }
-  return map;
-}
-
-std::vector<RankState> Coordinator::states() const {
-  std::vector<RankState> all;
-  for (const auto &it : Seats)
-    all.push_back(it.State.value_or(RankState()));
-  return all;
-}
-
-/// Returns the ranks' paces; small differences are no slowness.
-std::vector<double> Coordinator::paces() const {
-  std::vector<double> paces;
-  for (const auto &it : Seats)
-    paces.push_back(it.Pace < experts::MinSlowPace ? 1 : it.Pace);
-  return paces;
-}
-
 /// Returns a version above all that the ranks report and this coordinator has
 /// used: what a rank copies, perhaps for another coordinator, isn't reported.
 std::uint64_t Coordinator::newVersion() {
-  std::uint64_t highest = LastVersion;
-  for (const auto &it : Seats) {
-    if (!it.State)
-      continue;
-    highest =
-        std::max({highest, it.State->MapVersion, it.State->PreparedVersion});
-    if (it.State->Armed)
-      highest = std::max(highest, it.State->Armed->Version);
-  }
+  const std::uint64_t highest = std::max(LastVersion, View.highestVersion());
   constexpr unsigned Shift = FenceBits + RandomBits;
   const std::uint64_t random = Random() & ((1ULL << RandomBits) - 1);
   LastVersion = ((highest >> Shift) + 1) << Shift | random << FenceBits;
@@ -269,42 +182,40 @@
 }
 
 void Coordinator::considerAdoption() {
-  const bool held = std::any_of(Seats.begin(), Seats.end(), [](const Seat &it) {
-    return it.State && it.State->HeldStep.has_value();
-  });
   // Without a hold, armed ranks switch by themselves.
-  if (!held) {
+  if (!View.isHeld()) {
     UnsettledPolls = 0;
     return;
   }
+  const TimePoint now = Clock::now();
   ++UnsettledPolls;
   // Orders that undo a change contain the map in use.
-  const bool knowsExperts =
-      std::all_of(Seats.begin(), Seats.end(),
-                  [&](const Seat &it) { return it.Experts || !answers(it); });
+  const bool knowsExperts = View.hasMapOfAnswering(now);
   if (!knowsExperts)
     readExperts();
   if (!knowsExperts || UnsettledPolls < PollsBeforeAdoption)
     return;
   UnsettledPolls = 0;
-  const bool reachesFirst = answers(Seats[experts::LastArmedRank]);
-  base::logDecision("map.adopt", {{"epoch", Seats.back().State->Epoch},
-                                  {"step", Seats.back().State->Step},
+  const bool reachesFirst = View.answers(experts::LastArmedRank, now);
+  const RankState &last =
+      *View.state(static_cast<std::uint32_t>(Seats.size() - 1));
+  base::logDecision("map.adopt", {{"epoch", last.Epoch},
+                                  {"step", last.Step},
                                   {"reaches_first", reachesFirst}});
-  ChangeStartedAt = Clock::now();
-  ChangeEndsAt = ChangeStartedAt + MaxChangeTime;
+  ChangeStartedAt = now;
+  ChangeEndsAt = now + MaxChangeTime;
   Planned = {};
-  Change = MapChange::adopted(Settings.Change, newVersion(), currentMap(),
-                              states(), reachesFirst, ChangeStartedAt);
+  Change = MapChange::adopted(Settings.Change, newVersion(), View.map(),
+                              View.states(), reachesFirst, now);
   drive();
 }
 
 void Coordinator::considerChange() {
   if (Estimate.weight() < Settings.MinWeight)
     return;
-  const GroupMap current = currentMap();
+  const GroupMap current = View.map();
   experts::GroupPlanLimits limits = Settings.Limits;
-  limits.RankPace = paces();
+  limits.RankPace = View.paces();
   auto plan = experts::planGroup(current, Estimate.loads(), limits);
   const double drop = 1 - plan.SkewAfter / plan.SkewBefore;
   if (drop < Settings.MinSkewDrop)
@@ -312,11 +223,11 @@
   Planned = std::move(plan);
   ChangeStartedAt = Clock::now();
   ChangeEndsAt = ChangeStartedAt + MaxChangeTime;
-  Change.emplace(Settings.Change, newVersion(), Planned.Map, current, states(),
-                 ChangeStartedAt);
+  Change.emplace(Settings.Change, newVersion(), Planned.Map, current,
+                 View.states(), ChangeStartedAt);
   base::logDecision("map.plan", {{"version", Change->version()},
-                                 {"epoch", Seats.front().State->Epoch},
-                                 {"step", Seats.front().State->Step},
+                                 {"epoch", View.state(0)->Epoch},
+                                 {"step", View.state(0)->Step},
                                  {"skew", Planned.SkewBefore},
                                  {"planned_skew", Planned.SkewAfter},
                                  {"copies", Planned.Copies},
@@ -381,40 +292,25 @@
   });
 }
 
-/// Notes the map that the group switches to. An adopted change's map isn't
-/// known here; the ranks are asked for it.
-void Coordinator::setAppliedMap() {
-  for (std::uint32_t r = 0; r < Seats.size(); ++r) {
-    auto &experts = Seats[r].Experts;
-    if (!experts || Planned.Map.empty()) {
-      experts.reset();
-      continue;
-    }
-    experts->MapVersion = Change->version();
-    for (std::size_t s = 0; s < Planned.Map.size(); ++s)
-      experts->Experts[s] = Planned.Map[s][r];
-  }
-}
-
 void Coordinator::finishChange() {
   const auto outcome = Change->outcome();
   const char *name = outcome == MapChange::Outcome::Applied      ? "applied"
                      : outcome == MapChange::Outcome::Abandoned  ? "abandoned"
                      : outcome == MapChange::Outcome::Superseded ? "superseded"
                                                                  : "given_up";
-  base::logDecision("map.change",
-                    {{"version", Change->version()},
-                     {"step", Change->step()},
-                     {"outcome", name},
-                     {"phase", Change->phaseName()},
-                     {"took_ms", toMs(Clock::now() - ChangeStartedAt)}});
+  base::logDecision(
+      "map.change",
+      {{"version", Change->version()},
+       {"step", Change->step()},
+       {"outcome", name},
+       {"phase", Change->phaseName()},
+       {"took_ms", base::wholeMilliseconds(Clock::now() - ChangeStartedAt)}});
   if (outcome == MapChange::Outcome::Applied)
-    setAppliedMap();
+    View.setMap(Change->version(), Planned.Map);
   Change.reset();
   Planned = {};
   StatesFrom = Clock::now();
-  for (auto &it : Seats)
-    it.State.reset();
+  View.forgetStates();
   DriveTimer.cancel();
 }
 
--- a/src/sidecar/coordinator.h
+++ b/src/sidecar/coordinator.h
@@ -3,6 +3,7 @@
 
 #include "libbergamotexperts/groupplanner.h"
 #include "libbergamotexperts/mapchange.h"
+#include "sidecar/groupview.h"
 #include "sidecar/loadestimate.h"
 #include "sidecar/rankport.h"
 
@@ -57,47 +58,30 @@
 private:
   struct Seat {
     std::shared_ptr<RankPort> Port;
-    std::optional<experts::RankState> State;
-    base::TimePoint StateReadAt;
-    std::optional<RankExperts> Experts;
     bool Reading = false;
     base::TimePoint NextReadAt;
-    double Pace = 1;
-
-    void setState(const experts::RankState &state, base::TimePoint readAt) {
-      State = state;
-      StateReadAt = readAt;
-      Pace = state.Pace;
-    }
   };
 
   void poll();
   void readStates(base::TimePoint deadline);
-  bool answers(const Seat &seat) const;
-  bool othersAnswer() const;
   void addAnswer(std::uint64_t poll);
   void finishPoll();
   void evaluate();
   void replaceStalePlan();
   void readExperts();
-  bool isSettled() const;
-  bool hasCurrentMap() const;
-  experts::GroupMap currentMap() const;
-  std::vector<experts::RankState> states() const;
-  std::vector<double> paces() const;
   std::uint64_t newVersion();
   void considerAdoption();
   void considerChange();
   void drive();
   void scheduleDrive();
   void finishChange();
-  void setAppliedMap();
 
   boost::asio::io_context &Loop;
   CoordinatorSettings Settings;
   std::vector<Seat> Seats;
   boost::asio::steady_timer PollTimer;
   boost::asio::steady_timer DriveTimer;
+  GroupView View;
   LoadEstimate Estimate;
   std::optional<experts::MapChange> Change;
   experts::GroupPlan Planned;
--- /dev/null
+++ b/src/sidecar/groupview.cpp
@@ -0,0 +1,143 @@
+#include "sidecar/groupview.h"
+
+#include "libbergamotexperts/mapchange.h"
+
+#include <algorithm>
+
+namespace bergamot::sidecar {
+
+using base::TimePoint;
+using experts::GroupMap;
+using experts::RankState;
+
+namespace {
+
+/// Age up to which a rank's state is used to decide on a change. An engine that
+/// is called from another machine takes some hundred milliseconds to answer.
+constexpr std::chrono::milliseconds MaxStateAge{1200};
+
+} // namespace
+
+void GroupView::setState(std::uint32_t rank, const RankState &state,
+                         TimePoint readAt) {
+  Ranks[rank].State = state;
+  Ranks[rank].StateReadAt = readAt;
+  Ranks[rank].Pace = state.Pace;
+}
+
+void GroupView::setMap(std::uint64_t version, const GroupMap &map) {
+  for (std::uint32_t r = 0; r < Ranks.size(); ++r) {
+    auto &experts = Ranks[r].Experts;
+    if (!experts || map.empty()) {
+      experts.reset();
+      continue;
+    }
+    experts->MapVersion = version;
+    for (std::size_t s = 0; s < map.size(); ++s)
+      experts->Experts[s] = map[s][r];
+  }
+}
+
+void GroupView::forgetStates() {
+  for (auto &it : Ranks)
+    it.State.reset();
+}
+
+std::vector<RankState> GroupView::states() const {
+  std::vector<RankState> all;
+  for (const auto &it : Ranks)
+    all.push_back(it.State.value_or(RankState()));
+  return all;
+}
+
+bool GroupView::answers(std::uint32_t rank, TimePoint now) const {
+  const Rank &it = Ranks[rank];
+  return it.State && it.State->GroupOpen && it.StateReadAt >= now - MaxStateAge;
+}
+
+bool GroupView::othersAnswer(TimePoint now) const {
+  for (std::uint32_t i = 0; i < Ranks.size(); ++i)
+    if (i != experts::LastArmedRank && !answers(i, now))
+      return false;
+  return true;
+}
+
+bool GroupView::isSettled() const {
+  const auto &first = Ranks.front().State;
+  return std::all_of(Ranks.begin(), Ranks.end(), [&](const Rank &it) {
+    return it.State && it.State->Epoch == first->Epoch && it.State->GroupOpen &&
+           it.State->MapVersion == first->MapVersion && !it.State->Armed &&
+           !it.State->HeldStep;
+  });
+}
+
+bool GroupView::isHeld() const {
+  return std::any_of(Ranks.begin(), Ranks.end(), [](const Rank &it) {
+    return it.State && it.State->HeldStep.has_value();
+  });
+}
+
+bool GroupView::hasMap() const {
+  return std::all_of(Ranks.begin(), Ranks.end(),
+                     [](const Rank &it) { return it.Experts.has_value(); });
+}
+
+bool GroupView::hasMapOfAnswering(TimePoint now) const {
+  for (std::uint32_t i = 0; i < Ranks.size(); ++i)
+    if (!Ranks[i].Experts && answers(i, now))
+      return false;
+  return true;
+}
+
+bool GroupView::hasCurrentMap() const {
+  return std::all_of(Ranks.begin(), Ranks.end(), [](const Rank &it) {
+    return it.Experts && it.State && it.Experts->Epoch == it.State->Epoch &&
+           it.Experts->MapVersion == it.State->MapVersion;
+  });
+}
+
+GroupMap GroupView::map() const {
+  GroupMap map(Sets);
+  for (std::uint32_t s = 0; s < Sets; ++s) {
+    std::vector<bool> isHeld(Experts, false);
+    for (const auto &it : Ranks) {
+      const bool known = it.Experts && s < it.Experts->Experts.size();
+      map[s].push_back(known ? it.Experts->Experts[s]
+                             : std::vector<std::uint32_t>());
+      for (const std::uint32_t expert : map[s].back())
+        if (expert < isHeld.size())
+          isHeld[expert] = true;
+    }
+    const auto unknown = std::find_if(
+        Ranks.begin(), Ranks.end(), [](const Rank &it) { return !it.Experts; });
+    if (unknown == Ranks.end())
+      continue;
+    auto &experts = map[s][static_cast<std::size_t>(unknown - Ranks.begin())];
+    for (std::uint32_t e = 0; e < Experts; ++e)
+      if (!isHeld[e])
+        experts.push_back(e);
+  }
+  return map;
+}
+
+std::vector<double> GroupView::paces() const {
+  std::vector<double> paces;
+  for (const auto &it : Ranks)
+    paces.push_back(it.Pace < experts::MinSlowPace ? 1 : it.Pace);
+  return paces;
+}
+
+std::uint64_t GroupView::highestVersion() const {
+  std::uint64_t highest = 0;
+  for (const auto &it : Ranks) {
+    if (!it.State)
+      continue;
+    highest =
+        std::max({highest, it.State->MapVersion, it.State->PreparedVersion});
+    if (it.State->Armed)
+      highest = std::max(highest, it.State->Armed->Version);
+  }
+  return highest;
+}
+
+} // namespace bergamot::sidecar
--- a/src/sidecar/peerrank.cpp
+++ b/src/sidecar/peerrank.cpp
@@ -41,15 +41,13 @@
 void PeerRank::call(Caller &caller, const char *path, const std::string &body,
                     TimePoint deadline,
                     adaptertcp::HttpCaller::Completion completion) {
-  // A call in progress keeps its caller; a further one gets its own.
-  if (!caller || caller->isBusy())
-    caller = std::make_shared<adaptertcp::HttpCaller>(Loop, Sidecar);
   adaptertcp::RequestHead head;
   head.Method = body.empty() ? "GET" : "POST";
   head.Target =
       path + std::string(paths::ByParameter) + std::to_string(Coordinator);
   head.Headers.add("Host", "sidecar");
-  caller->call(head, body, deadline, std::move(completion));
+  adaptertcp::freeCaller(caller, Loop, Sidecar)
+      ->call(head, body, deadline, std::move(completion));
 }
 
 bool PeerRank::isDirect() const { return Clock::now() < DirectUntil; }
--- a/src/sidecar/rankcodec.cpp
+++ b/src/sidecar/rankcodec.cpp
@@ -1,8 +1,6 @@
 #include "sidecar/rankcodec.h"
 
-#include "libbergamotbase/jsonlog.h"
-
-#include <nlohmann/json.hpp>
+#include "libbergamotbase/jsoncodec.h"
 
 namespace bergamot::sidecar {
 
@@ -14,21 +12,12 @@
 
 namespace {
 
-std::string toBytes(const json &message) {
-  const auto cbor = json::to_cbor(message);
-  return {cbor.begin(), cbor.end()};
-}
-
 /// Decodes with `read`; damaged bytes give an unset value and a log line.
-template <typename Read>
-auto decoded(const std::string &bytes, const char *what, Read read)
-    -> std::optional<decltype(read(json()))> {
-  try {
-    return read(json::from_cbor(bytes));
-  } catch (const json::exception &e) {
-    base::logWarning("peer.unreadable", {{"what", what}, {"error", e.what()}});
-    return std::nullopt;
-  }
+template <typename T, typename Read>
+std::optional<T> decoded(const std::string &bytes, const char *what,
+                         Read read) {
+  return base::readJson<T>("peer.unreadable", what,
+                           [&] { return read(json::from_cbor(bytes)); });
 }
 
 template <typename T> std::optional<T> optionalField(const json &it) {
@@ -48,11 +37,11 @@
     message["armed"] = {it.Armed->Version, it.Armed->Step};
   if (it.HeldStep)
     message["held"] = *it.HeldStep;
-  return toBytes(message);
+  return base::toCbor(message);
 }
 
 std::optional<RankState> decodeState(const std::string &bytes) {
-  return decoded(bytes, "state", [](const json &it) {
+  return decoded<RankState>(bytes, "state", [](const json &it) {
     RankState state;
     state.Group = it.at("group").get<std::string>();
     state.Rank = it.at("rank").get<std::uint32_t>();
@@ -73,12 +62,12 @@
 }
 
 std::string encodeCounts(const RankCounts &it) {
-  return toBytes(
+  return base::toCbor(
       {{"epoch", it.Epoch}, {"step", it.Step}, {"counts", it.Counts}});
 }
 
 std::optional<RankCounts> decodeCounts(const std::string &bytes) {
-  return decoded(bytes, "counts", [](const json &it) {
+  return decoded<RankCounts>(bytes, "counts", [](const json &it) {
     return RankCounts{it.at("epoch").get<std::uint64_t>(),
                       it.at("step").get<std::uint64_t>(),
                       it.at("counts").get<std::vector<std::uint64_t>>()};
@@ -86,12 +75,12 @@
 }
 
 std::string encodeExperts(const RankExperts &it) {
-  return toBytes(
+  return base::toCbor(
       {{"epoch", it.Epoch}, {"map", it.MapVersion}, {"experts", it.Experts}});
 }
 
 std::optional<RankExperts> decodeExperts(const std::string &bytes) {
-  return decoded(bytes, "experts", [](const json &it) {
+  return decoded<RankExperts>(bytes, "experts", [](const json &it) {
     return RankExperts{
         it.at("epoch").get<std::uint64_t>(), it.at("map").get<std::uint64_t>(),
         it.at("experts").get<std::vector<std::vector<std::uint32_t>>>()};
@@ -99,15 +88,15 @@
 }
 
 std::string encodeOrder(const RankOrder &it) {
-  return toBytes({{"kind", static_cast<int>(it.Kind)},
-                  {"version", it.Version},
-                  {"step", it.Step},
-                  {"epoch", it.Epoch},
-                  {"map", it.Map}});
+  return base::toCbor({{"kind", static_cast<int>(it.Kind)},
+                       {"version", it.Version},
+                       {"step", it.Step},
+                       {"epoch", it.Epoch},
+                       {"map", it.Map}});
 }
 
 std::optional<RankOrder> decodeOrder(const std::string &bytes) {
-  return decoded(bytes, "order", [](const json &it) {
+  return decoded<RankOrder>(bytes, "order", [](const json &it) {
     RankOrder order;
     order.Kind = static_cast<OrderKind>(it.at("kind").get<int>());
     order.Version = it.at("version").get<std::uint64_t>();
@@ -119,11 +108,11 @@
 }
 
 std::string encodeResult(OrderResult result) {
-  return toBytes({{"result", static_cast<int>(result)}});
+  return base::toCbor({{"result", static_cast<int>(result)}});
 }
 
 std::optional<OrderResult> decodeResult(const std::string &bytes) {
-  return decoded(bytes, "result", [](const json &it) {
+  return decoded<OrderResult>(bytes, "result", [](const json &it) {
     return static_cast<OrderResult>(it.at("result").get<int>());
   });
 }
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -394,3 +394,12 @@
   paces.setPace("g", 3, 1, at(9000ms));
   CHECK(limit(3, 2000ms) == 6);
 }
+
+TEST_CASE("a silent target is left alone for a while, and isn't judged by it") {
+  TargetHealth health(HealthSettings{});
+  health.setSilent("t", at(1500ms));
+  CHECK(health.isSilent("t", at(1499ms)));
+  CHECK_FALSE(health.isSilent("t", at(1500ms)));
+  CHECK_FALSE(health.isSilent("other", at(0ms)));
+  CHECK(health.penalty("t", at(0ms)) == 0);
+}
