sidecar: Reach large groups by branches, with compact counts and maps

Cause: on groups of 32 and 64 ranks a change of map took 1.1 to 3.3 s or never ended, while popularity jumps every three to four seconds. Counts of 32 ranks were 13 Mbit/s towards a slot of 8, and 64 ranks' maps and counts several times that; a change made some 600 calls from a slot of 0.15 cores; planning took 6 to 10 ms of processor time at each poll; the switch came three steps ahead, which is 0.4 s at 120 ms a step.

Now calls of one turn go out by branches of about the square root of the group, whose head passes them on and sums counts; counts are differences of one byte; maps take one byte an expert; sidecars answer once their engine has copied; one rank tells the step before the hold; the margin of the switch follows the measured times of steps and orders; plans are tried every 0.6 s unless popularity jumps, and update the sum they minimise (four times faster). Ruled out: the planner's result (skew 3.1 to 1.2 as before).

--- a/src/libbergamotexperts/groupplanner.cpp
+++ b/src/libbergamotexperts/groupplanner.cpp
@@ -60,6 +60,8 @@
     Mean = total / static_cast<double>(Held.size());
     if (Mean <= 0)
       Mean = 1;
+    for (const double it : RankLoads)
+      PowerSum += eighthPower(it / Mean);
     Original = Held;
   }
 
@@ -68,10 +70,7 @@
   }
   /// A smooth stand-in for the skew.
   double smoothSkew() const {
-    double sum = 0;
-    for (const double it : RankLoads)
-      sum += eighthPower(it / Mean);
-    return std::pow(sum, 1.0 / 8);
+    return std::pow(std::max(PowerSum, 0.0), 1.0 / 8);
   }
 
   bool holds(std::uint32_t rank, std::uint32_t expert) const {
@@ -140,15 +139,20 @@
                : Loads[expert] / static_cast<double>(Holders[expert].size());
   }
   void setHolders(std::uint32_t expert, std::uint32_t rank, bool add) {
-    for (const std::uint32_t r : Holders[expert])
-      RankLoads[r] -= Pace[r] * share(expert);
+    addShares(expert, -share(expert));
     auto &holders = Holders[expert];
     if (add)
       holders.push_back(rank);
     else
       holders.erase(std::find(holders.begin(), holders.end(), rank));
-    for (const std::uint32_t r : Holders[expert])
-      RankLoads[r] += Pace[r] * share(expert);
+    addShares(expert, share(expert));
+  }
+  void addShares(std::uint32_t expert, double tokens) {
+    for (const std::uint32_t r : Holders[expert]) {
+      PowerSum -= eighthPower(RankLoads[r] / Mean);
+      RankLoads[r] += Pace[r] * tokens;
+      PowerSum += eighthPower(RankLoads[r] / Mean);
+    }
   }
   void add(std::uint32_t rank, std::uint32_t expert) {
     setHolders(expert, rank, true);
@@ -170,6 +174,9 @@
   std::vector<std::uint32_t> New;
   std::vector<std::vector<std::uint32_t>> Holders;
   double Mean = 1;
+  /// Sum of the eighth powers of the ranks' loads, kept up to date: a search
+  /// tries some hundred placements, each of which changes a few ranks.
+  double PowerSum = 0;
 };
 
 /// Searches the best next placement of one set.
--- a/src/libbergamotexperts/mapchange.cpp
+++ b/src/libbergamotexperts/mapchange.cpp
@@ -1,11 +1,22 @@
 #include "libbergamotexperts/mapchange.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace bergamot::experts {
 
 using base::TimePoint;
 
+std::uint64_t stepMargin(base::Duration armTime, base::Duration stepTime) {
+  if (stepTime <= base::Duration::zero())
+    return MaxStepMargin;
+  // The step that was reported has half its time left on average.
+  const double steps = 0.5 + static_cast<double>(armTime.count()) /
+                                 static_cast<double>(stepTime.count());
+  return std::clamp(static_cast<std::uint64_t>(std::ceil(steps)), MinStepMargin,
+                    MaxStepMargin);
+}
+
 MapChange::MapChange(const MapChangeSettings &settings, std::uint64_t version,
                      std::vector<RankState> states, TimePoint now)
     : Settings(settings), Version(version), NextFence(version + 1),
@@ -278,8 +289,14 @@
     return;
   }
   CurrentPhase = Phase::Reading;
-  for (auto &it : Ranks)
-    it.Fresh = false;
+  // All ranks begin a step together, so one of them tells it; the others'
+  // states are those in which their copies were seen complete. After a hold
+  // that came too late they may be out of date.
+  if (Holds == 1)
+    Ranks[holdRank()].Fresh = false;
+  else
+    for (auto &it : Ranks)
+      it.Fresh = false;
 }
 
 void MapChange::startHolding() {
--- a/src/libbergamotexperts/mapchange.h
+++ b/src/libbergamotexperts/mapchange.h
@@ -15,12 +15,22 @@
 /// The rank that holds back the step, unless the group has only one.
 inline constexpr std::uint32_t HoldRank = 1;
 
+/// Steps between the last one that a rank reports and the one at which its
+/// group switches. With 1, the groups of a grown site were held for 4.8 s of
+/// 56 s, with 3 for 0.9 s.
+inline constexpr std::uint64_t MinStepMargin = 2;
+inline constexpr std::uint64_t MaxStepMargin = 4;
+
+/// Returns the margin of a change whose ranks are armed in `armTime` after the
+/// hold, if steps take `stepTime`; the largest one if that isn't known. Load
+/// pattern: a group with an uneven map and full batches takes over 100 ms a
+/// step, so that three of them delay the better map longer than a short hold.
+std::uint64_t stepMargin(base::Duration armTime, base::Duration stepTime);
+
 /// Limits of a change.
 struct MapChangeSettings {
-  /// Steps between the last one that a rank reports and the one at which the
-  /// group switches. The group stands still if the orders aren't confirmed
-  /// within these steps: with 1, the groups of a grown site were held for 4.8 s
-  /// of 56 s, with 3 for 0.9 s.
+  /// See stepMargin(). The group stands still if the orders aren't confirmed
+  /// within these steps.
   std::uint64_t StepMargin = 3;
   /// Copying that takes longer ends the change, which is harmless. It takes
   /// 0.4 s, and popularity jumps every four seconds on the deployments.
--- a/src/sidecar/coordinator.cpp
+++ b/src/sidecar/coordinator.cpp
@@ -21,7 +21,8 @@
 /// Polls in a row that show a held or armed rank without a change of this
 /// coordinator before it takes the matter over: another one may be at work.
 constexpr unsigned PollsBeforeAdoption = 2;
-/// Time between questions about the progress of a copy.
+/// Time between questions about the progress of a copy, unless the rank's
+/// sidecar waits for it.
 constexpr milliseconds CopyReadPeriod{80};
 /// The same while the group may be held, which is soon over.
 constexpr milliseconds HeldReadPeriod{30};
@@ -32,16 +33,17 @@
 /// Random bits make versions of different coordinators, or of one before and
 /// after a restart, differ.
 constexpr unsigned RandomBits = 20;
-
+/// Time to arm all ranks until it has been measured.
+constexpr milliseconds FirstArmTime{100};
 } // namespace
 
 Coordinator::Coordinator(boost::asio::io_context &loop,
                          const CoordinatorSettings &settings,
-                         std::vector<std::shared_ptr<RankPort>> ranks)
+                         std::vector<std::shared_ptr<MemberPort>> ranks)
     : Loop(loop), Settings(settings), PollTimer(loop), DriveTimer(loop),
       View(ranks.size(), settings.Sets, settings.Experts),
       Estimate(settings.Sets, settings.Experts, settings.KeepLoads),
-      Random(std::random_device{}()) {
+      Random(std::random_device{}()), ArmTime(FirstArmTime) {
   for (auto &it : ranks) {
     Seat seat;
     seat.Port = std::move(it);
@@ -63,12 +65,12 @@
   }
   for (std::uint32_t i = 0; i < Seats.size(); ++i)
     Seats[i].Port->fetchCounts(
-        deadline, [this, i, number, alive = std::weak_ptr<int>(Alive)](
-                      const std::optional<RankCounts> &counts) {
+        deadline, [this, number, alive = std::weak_ptr<int>(Alive)](
+                      const std::optional<AddedCounts> &counts) {
           if (alive.expired())
             return;
           if (counts)
-            Estimate.addCounts(i, *counts);
+            Estimate.addCounts(*counts);
           addAnswer(number);
         });
   PollTimer.expires_after(Settings.PollPeriod);
@@ -90,15 +92,21 @@
     }
     Seats[i].Reading = true;
     Seats[i].Port->fetchState(
-        deadline, [this, i, number = PollNumber, readAt = Clock::now(),
-                   alive = std::weak_ptr<int>(Alive)](
+        deadline, [this, i, number = PollNumber, change = ChangeNumber,
+                   readAt = Clock::now(), alive = std::weak_ptr<int>(Alive)](
                       const std::optional<RankState> &state) {
           if (alive.expired())
             return;
+          if (change != ChangeNumber) {
+            addAnswer(number);
+            return;
+          }
           Seats[i].Reading = false;
           // A state from before a change would mislead the next decision.
-          if (state && !Change && readAt >= StatesFrom)
+          if (state && !Change && readAt >= StatesFrom) {
             View.setState(i, *state, readAt);
+            Steps.addReport(*state, Clock::now());
+          }
           addAnswer(number);
         });
   }
@@ -116,8 +124,10 @@
     const GroupMap map = View.map();
     const bool jumped = Estimate.finishUpdate(map);
     Skew = experts::groupSkew(map, Estimate.loads(), View.paces());
-    if (jumped)
+    if (jumped) {
       base::logDecision("popularity.jumped", {{"skew", Skew}});
+      NextPlanAt = {};
+    }
   }
   if (Change)
     replaceStalePlan();
@@ -211,8 +221,10 @@
 }
 
 void Coordinator::considerChange() {
-  if (Estimate.weight() < Settings.MinWeight)
+  const TimePoint now = Clock::now();
+  if (Estimate.weight() < Settings.MinWeight || now < NextPlanAt)
     return;
+  NextPlanAt = now + Settings.ReplanPeriod;
   const GroupMap current = View.map();
   experts::GroupPlanLimits limits = Settings.Limits;
   limits.RankPace = View.paces();
@@ -223,16 +235,21 @@
   Planned = std::move(plan);
   ChangeStartedAt = Clock::now();
   ChangeEndsAt = ChangeStartedAt + MaxChangeTime;
+  Settings.Change.StepMargin = experts::stepMargin(ArmTime, Steps.stepTime());
   Change.emplace(Settings.Change, newVersion(), Planned.Map, current,
                  View.states(), ChangeStartedAt);
-  base::logDecision("map.plan", {{"version", Change->version()},
-                                 {"epoch", View.state(0)->Epoch},
-                                 {"step", View.state(0)->Step},
-                                 {"skew", Planned.SkewBefore},
-                                 {"planned_skew", Planned.SkewAfter},
-                                 {"copies", Planned.Copies},
-                                 {"most_copies", Planned.MostCopies},
-                                 {"choices", Estimate.weight()}});
+  base::logDecision("map.plan",
+                    {{"version", Change->version()},
+                     {"epoch", View.state(0)->Epoch},
+                     {"step", View.state(0)->Step},
+                     {"skew", Planned.SkewBefore},
+                     {"planned_skew", Planned.SkewAfter},
+                     {"copies", Planned.Copies},
+                     {"most_copies", Planned.MostCopies},
+                     {"step_margin", Settings.Change.StepMargin},
+                     {"step_ms", base::wholeMilliseconds(Steps.stepTime())},
+                     {"arm_ms", base::wholeMilliseconds(ArmTime)},
+                     {"choices", Estimate.weight()}});
   drive();
 }
 
@@ -242,11 +259,16 @@
   const TimePoint now = Clock::now();
   for (auto &it : Change->takeOrders(now)) {
     const std::uint32_t rank = it.Rank;
+    if (it.Order.Kind == experts::OrderKind::Hold)
+      HoldSentAt = now;
+    else if (it.Order.Kind == experts::OrderKind::Release &&
+             HoldSentAt != TimePoint())
+      ArmTime = now - std::exchange(HoldSentAt, {});
     Seats[rank].Port->sendOrder(
         it.Order, now + Settings.OrderTimeout,
-        [this, rank, kind = it.Order.Kind,
+        [this, rank, kind = it.Order.Kind, number = ChangeNumber,
          alive = std::weak_ptr<int>(Alive)](OrderResult result) {
-          if (alive.expired() || !Change)
+          if (alive.expired() || !Change || number != ChangeNumber)
             return;
           if (result != OrderResult::Accepted)
             base::logDecision("order.failed",
@@ -257,32 +279,43 @@
           drive();
         });
   }
-  for (const std::uint32_t rank : Change->ranksToRead()) {
-    Seat &seat = Seats[rank];
-    const bool repeats = Change->isPreparing() || Change->mayHold();
-    if (seat.Reading || (repeats && now < seat.NextReadAt))
-      continue;
-    seat.Reading = true;
-    seat.NextReadAt =
-        now + (Change->isPreparing() ? CopyReadPeriod : HeldReadPeriod);
-    seat.Port->fetchState(now + Settings.OrderTimeout,
-                          [this, rank, alive = std::weak_ptr<int>(Alive)](
-                              const std::optional<RankState> &state) {
-                            if (alive.expired())
-                              return;
-                            Seats[rank].Reading = false;
-                            if (!Change || !state)
-                              return;
-                            Change->setState(rank, *state, Clock::now());
-                            drive();
-                          });
-  }
+  for (const std::uint32_t rank : Change->ranksToRead())
+    fetchChangeState(rank, now);
   if (Change->outcome() != MapChange::Outcome::Running || now >= ChangeEndsAt)
     finishChange();
   else
     scheduleDrive();
 }
 
+/// Reads the state of a rank that the change needs to know.
+void Coordinator::fetchChangeState(std::uint32_t rank, TimePoint now) {
+  Seat &seat = Seats[rank];
+  const bool repeats = Change->isPreparing() || Change->mayHold();
+  if (seat.Reading || (repeats && now < seat.NextReadAt))
+    return;
+  seat.Reading = true;
+  seat.NextReadAt =
+      now + (Change->isPreparing() ? CopyReadPeriod : HeldReadPeriod);
+  const auto onState = [this, rank, number = ChangeNumber,
+                        alive = std::weak_ptr<int>(Alive)](
+                           const std::optional<RankState> &state) {
+    if (alive.expired() || number != ChangeNumber)
+      return;
+    Seats[rank].Reading = false;
+    if (!Change || !state)
+      return;
+    const TimePoint at = Clock::now();
+    Steps.addReport(*state, at);
+    Change->setState(rank, *state, at);
+    drive();
+  };
+  if (Change->isPreparing())
+    seat.Port->awaitCopies(Change->version(), now + Settings.CopyTimeout,
+                           onState);
+  else
+    seat.Port->fetchState(now + Settings.OrderTimeout, onState);
+}
+
 void Coordinator::scheduleDrive() {
   DriveTimer.expires_after(Settings.DrivePeriod);
   DriveTimer.async_wait([this, alive = std::weak_ptr<int>(Alive)](
@@ -308,6 +341,11 @@
   if (outcome == MapChange::Outcome::Applied)
     View.setMap(Change->version(), Planned.Map);
   Change.reset();
+  ++ChangeNumber;
+  for (auto &it : Seats)
+    it.Reading = false;
+  HoldSentAt = {};
+  NextPlanAt = {};
   Planned = {};
   StatesFrom = Clock::now();
   View.forgetStates();
--- a/src/sidecar/coordinator.h
+++ b/src/sidecar/coordinator.h
@@ -6,6 +6,7 @@
 #include "sidecar/groupview.h"
 #include "sidecar/loadestimate.h"
 #include "sidecar/rankport.h"
+#include "sidecar/stepclock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -28,7 +29,9 @@
   std::chrono::milliseconds PollTimeout{140};
   /// Polls between two that also read the ranks' states without need.
   unsigned StatePolls = 4;
-  std::chrono::milliseconds OrderTimeout{150};
+  std::chrono::milliseconds OrderTimeout{250};
+  /// Time for the answer of a rank that copies experts.
+  std::chrono::milliseconds CopyTimeout{800};
   /// How often a change in progress is looked after.
   std::chrono::milliseconds DrivePeriod{40};
   /// A change is worth its orders and copies if it lowers the skew by this
@@ -42,6 +45,9 @@
   double KeepLoads = 0.7;
   /// Choices that an estimate must rest on.
   double MinWeight = 20000;
+  /// Time between plans while popularity stays: planning takes a good part of
+  /// a slot's processor time in large groups, and seldom finds more.
+  std::chrono::milliseconds ReplanPeriod{600};
 };
 
 /// Keeps the expert map of one group even: reads what all ranks count, plans
@@ -51,13 +57,13 @@
 public:
   Coordinator(boost::asio::io_context &loop,
               const CoordinatorSettings &settings,
-              std::vector<std::shared_ptr<RankPort>> ranks);
+              std::vector<std::shared_ptr<MemberPort>> ranks);
 
   void start();
 
 private:
   struct Seat {
-    std::shared_ptr<RankPort> Port;
+    std::shared_ptr<MemberPort> Port;
     bool Reading = false;
     base::TimePoint NextReadAt;
   };
@@ -74,6 +80,7 @@
   void considerChange();
   void drive();
   void scheduleDrive();
+  void fetchChangeState(std::uint32_t rank, base::TimePoint now);
   void finishChange();
 
   boost::asio::io_context &Loop;
@@ -92,6 +99,15 @@
   /// States that were read earlier are out of date.
   base::TimePoint StatesFrom;
   unsigned UnsettledPolls = 0;
+  base::TimePoint NextPlanAt;
+  /// Numbers changes, so that answers to an earlier one aren't taken for those
+  /// of the present one.
+  std::uint64_t ChangeNumber = 0;
+  /// When the group was asked to hold a step, and what it took to arm all ranks
+  /// in the last change.
+  base::TimePoint HoldSentAt;
+  base::Duration ArmTime;
+  StepClock Steps;
   std::uint64_t LastVersion = 0;
   std::uint64_t PollNumber = 0;
   std::size_t MissingAnswers = 0;
--- a/src/sidecar/loadestimate.cpp
+++ b/src/sidecar/loadestimate.cpp
@@ -12,25 +12,14 @@
 
 } // namespace
 
-void LoadEstimate::addCounts(std::uint32_t rank, const RankCounts &counts) {
+void LoadEstimate::addCounts(const AddedCounts &counts) {
   const std::size_t perSet = Loads.empty() ? 0 : Loads.front().size();
-  if (perSet == 0 || counts.Counts.size() != Loads.size() * perSet)
+  if (perSet == 0 || counts.size() != Loads.size() * perSet)
     return;
-  const auto last = Last.find(rank);
-  const bool follows = last != Last.end() &&
-                       last->second.Epoch == counts.Epoch &&
-                       last->second.Counts.size() == counts.Counts.size();
-  if (follows) {
-    for (std::size_t i = 0; i < counts.Counts.size(); ++i) {
-      const std::uint64_t before = last->second.Counts[i];
-      // A restarted rank counts from zero.
-      const std::uint64_t added =
-          counts.Counts[i] >= before ? counts.Counts[i] - before : 0;
-      Newest[i / perSet][i % perSet] += static_cast<double>(added);
-      NewestWeight += static_cast<double>(added);
-    }
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    Newest[i / perSet][i % perSet] += counts[i];
+    NewestWeight += counts[i];
   }
-  Last[rank] = counts;
 }
 
 bool LoadEstimate::finishUpdate(const experts::GroupMap &map) {
--- a/src/sidecar/loadestimate.h
+++ b/src/sidecar/loadestimate.h
@@ -5,7 +5,6 @@
 #include "sidecar/rankport.h"
 
 #include <cstdint>
-#include <map>
 
 namespace bergamot::sidecar {
 
@@ -20,9 +19,9 @@
       : Keep(keep), Loads(sets, std::vector<double>(experts, 0)),
         Newest(Loads) {}
 
-  /// Adds what a rank has counted since its last call. The first counts of a
-  /// rank or epoch only set the starting point.
-  void addCounts(std::uint32_t rank, const RankCounts &counts);
+  /// Adds what ranks have counted since they were last asked. Counts of another
+  /// size are ignored.
+  void addCounts(const AddedCounts &counts);
   /// Ends an update: the counts added since the last one become part of the
   /// estimate. Returns whether popularity has jumped, as seen by the skew of
   /// the map in use.
@@ -38,7 +37,6 @@
   experts::ExpertLoads Newest;
   double Weight = 0;
   double NewestWeight = 0;
-  std::map<std::uint32_t, RankCounts> Last;
 };
 
 } // namespace bergamot::sidecar
--- a/src/sidecar/rankcodec.cpp
+++ b/src/sidecar/rankcodec.cpp
@@ -2,8 +2,12 @@
 
 #include "libbergamotbase/jsoncodec.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace bergamot::sidecar {
 
+using experts::GroupMap;
 using experts::OrderKind;
 using experts::OrderResult;
 using experts::RankOrder;
@@ -12,6 +16,90 @@
 
 namespace {
 
+constexpr double MaxByte = 255;
+constexpr double MaxCount = 0xffffffff;
+
+void putNumber(json::binary_t &bytes, std::size_t number, unsigned width) {
+  for (unsigned i = 0; i < width; ++i)
+    bytes.push_back(static_cast<std::uint8_t>(number >> 8 * i & 0xff));
+}
+
+/// Returns a map as bytes: the width of its numbers, then the number of sets
+/// and ranks, and for each set and rank the number of experts and the experts.
+/// CBOR's own numbers would take twice the bytes, and each change sends the map
+/// to every rank.
+json::binary_t mapBytes(const GroupMap &map) {
+  std::size_t most =
+      std::max<std::size_t>(map.size(), map.empty() ? 0 : map.front().size());
+  for (const auto &set : map)
+    for (const auto &rank : set) {
+      most = std::max(most, rank.size());
+      for (const std::uint32_t expert : rank)
+        most = std::max<std::size_t>(most, expert);
+    }
+  const unsigned width = most <= 0xff ? 1 : most <= 0xffff ? 2 : 4;
+  json::binary_t bytes;
+  putNumber(bytes, width, 1);
+  putNumber(bytes, map.size(), width);
+  putNumber(bytes, map.empty() ? 0 : map.front().size(), width);
+  for (const auto &set : map)
+    for (const auto &rank : set) {
+      putNumber(bytes, rank.size(), width);
+      for (const std::uint32_t expert : rank)
+        putNumber(bytes, expert, width);
+    }
+  return bytes;
+}
+
+/// Reads numbers from bytes; a number behind their end is 0 and marks them as
+/// damaged.
+class NumberReader {
+public:
+  explicit NumberReader(const json::binary_t &bytes) : Bytes(bytes) {
+    Width = 1;
+    Width = next();
+    Damaged = Damaged || (Width != 1 && Width != 2 && Width != 4);
+  }
+
+  std::uint32_t next() {
+    if (Damaged || Bytes.size() - At < Width) {
+      Damaged = true;
+      return 0;
+    }
+    std::uint32_t number = 0;
+    for (unsigned i = 0; i < Width; ++i)
+      number |= static_cast<std::uint32_t>(Bytes[At++]) << 8 * i;
+    return number;
+  }
+  bool isDamaged() const { return Damaged; }
+  bool isAtEnd() const { return At == Bytes.size(); }
+
+private:
+  const json::binary_t &Bytes;
+  std::size_t At = 0;
+  unsigned Width = 1;
+  bool Damaged = false;
+};
+
+std::optional<GroupMap> mapFromBytes(const json::binary_t &bytes) {
+  NumberReader reader(bytes);
+  const std::uint32_t sets = reader.next();
+  const std::uint32_t ranks = reader.next();
+  GroupMap map;
+  for (std::uint32_t s = 0; s < sets && !reader.isDamaged(); ++s) {
+    map.emplace_back();
+    for (std::uint32_t r = 0; r < ranks && !reader.isDamaged(); ++r) {
+      map.back().emplace_back();
+      const std::uint32_t experts = reader.next();
+      for (std::uint32_t e = 0; e < experts && !reader.isDamaged(); ++e)
+        map.back().back().push_back(reader.next());
+    }
+  }
+  if (reader.isDamaged() || !reader.isAtEnd())
+    return std::nullopt;
+  return map;
+}
+
 /// Decodes with `read`; damaged bytes give an unset value and a log line.
 template <typename T, typename Read>
 std::optional<T> decoded(const std::string &bytes, const char *what,
@@ -61,16 +149,27 @@
   });
 }
 
-std::string encodeCounts(const RankCounts &it) {
-  return base::toCbor(
-      {{"epoch", it.Epoch}, {"step", it.Step}, {"counts", it.Counts}});
+std::string encodeCounts(const AddedCounts &it) {
+  const std::uint32_t most =
+      it.empty() ? 0 : *std::max_element(it.begin(), it.end());
+  const double scale = std::max(1.0, static_cast<double>(most) / MaxByte);
+  json::binary_t bytes;
+  bytes.reserve(it.size());
+  for (const std::uint32_t count : it)
+    bytes.push_back(static_cast<std::uint8_t>(std::lround(count / scale)));
+  return base::toCbor({{"scale", scale}, {"counts", std::move(bytes)}});
 }
 
-std::optional<RankCounts> decodeCounts(const std::string &bytes) {
-  return decoded<RankCounts>(bytes, "counts", [](const json &it) {
-    return RankCounts{it.at("epoch").get<std::uint64_t>(),
-                      it.at("step").get<std::uint64_t>(),
-                      it.at("counts").get<std::vector<std::uint64_t>>()};
+std::optional<AddedCounts> decodeCounts(const std::string &bytes) {
+  using Counts = std::optional<AddedCounts>;
+  return decoded<AddedCounts>(bytes, "counts", [](const json &it) -> Counts {
+    const double scale = it.at("scale").get<double>();
+    if (!(scale >= 1 && scale * MaxByte <= MaxCount))
+      return std::nullopt;
+    AddedCounts counts;
+    for (const std::uint8_t byte : it.at("counts").get_binary())
+      counts.push_back(static_cast<std::uint32_t>(std::lround(scale * byte)));
+    return counts;
   });
 }
 
@@ -92,17 +191,21 @@
                        {"version", it.Version},
                        {"step", it.Step},
                        {"epoch", it.Epoch},
-                       {"map", it.Map}});
+                       {"map", mapBytes(it.Map)}});
 }
 
 std::optional<RankOrder> decodeOrder(const std::string &bytes) {
-  return decoded<RankOrder>(bytes, "order", [](const json &it) {
+  using Order = std::optional<RankOrder>;
+  return decoded<RankOrder>(bytes, "order", [](const json &it) -> Order {
     RankOrder order;
     order.Kind = static_cast<OrderKind>(it.at("kind").get<int>());
     order.Version = it.at("version").get<std::uint64_t>();
     order.Step = it.at("step").get<std::uint64_t>();
     order.Epoch = it.at("epoch").get<std::uint64_t>();
-    order.Map = it.at("map").get<experts::GroupMap>();
+    auto map = mapFromBytes(it.at("map").get_binary());
+    if (!map)
+      return std::nullopt;
+    order.Map = std::move(*map);
     return order;
   });
 }
--- a/src/sidecar/rankcodec.h
+++ b/src/sidecar/rankcodec.h
@@ -12,8 +12,9 @@
 /// for damaged bytes.
 std::string encodeState(const experts::RankState &state);
 std::optional<experts::RankState> decodeState(const std::string &bytes);
-std::string encodeCounts(const RankCounts &counts);
-std::optional<RankCounts> decodeCounts(const std::string &bytes);
+/// Counts are scaled to one byte each, which keeps the largest within 0.2%.
+std::string encodeCounts(const AddedCounts &counts);
+std::optional<AddedCounts> decodeCounts(const std::string &bytes);
 std::string encodeExperts(const RankExperts &experts);
 std::optional<RankExperts> decodeExperts(const std::string &bytes);
 std::string encodeOrder(const experts::RankOrder &order);
--- a/tests/sidecar/test_sidecar.cpp
+++ b/tests/sidecar/test_sidecar.cpp
@@ -43,13 +43,12 @@
 }
 
 /// A rank of a modelled group, with counters that grow by `Popularity`.
-class ModelRank final : public RankPort {
+class ModelRank final : public MemberPort {
 public:
   struct Shared {
     GroupModel Group{Ranks};
     std::map<std::uint64_t, GroupMap> Maps{{0, initialMap()}};
     std::vector<double> Popularity = std::vector<double>(Experts, 1000);
-    std::vector<double> Counts = std::vector<double>(Experts, 0);
     bool LosesOrders = false;
     /// Rank 0 answers nothing, as its VM stands still.
     bool FirstIsSilent = false;
@@ -71,16 +70,16 @@
   void fetchCounts(base::TimePoint, CountsCompletion done) override {
     if (isSilent())
       return post([done] { done(std::nullopt); });
-    RankCounts counts{1, Common.Group.step(), {}};
-    for (std::uint32_t e = 0; e < Experts; ++e) {
-      Common.Counts[e] += Common.Popularity[e];
-      counts.Counts.push_back(static_cast<std::uint64_t>(Common.Counts[e]));
-    }
     // Only rank 0 counts, so that the sum is the popularity.
-    if (Index != 0)
-      counts.Counts.assign(Experts, 0);
+    AddedCounts counts(Experts, 0);
+    for (std::uint32_t e = 0; Index == 0 && e < Experts; ++e)
+      counts[e] = static_cast<std::uint32_t>(Common.Popularity[e]);
     post([counts, done] { done(counts); });
   }
+  void awaitCopies(std::uint64_t, base::TimePoint deadline,
+                   StateCompletion done) override {
+    fetchState(deadline, std::move(done));
+  }
   void fetchExperts(base::TimePoint, ExpertsCompletion done) override {
     if (isSilent())
       return post([done] { done(std::nullopt); });
@@ -131,7 +130,7 @@
 struct Running {
   explicit Running(ModelRank::Shared &shared) : Common(shared) { start(); }
   void start() {
-    std::vector<std::shared_ptr<RankPort>> ports;
+    std::vector<std::shared_ptr<MemberPort>> ports;
     for (std::uint32_t r = 0; r < Ranks; ++r)
       ports.push_back(std::make_shared<ModelRank>(Loop, Common, r));
     Acting = std::make_unique<Coordinator>(Loop, quickSettings(), ports);
@@ -287,21 +286,17 @@
 TEST_CASE("the estimate averages and starts anew after a jump") {
   LoadEstimate estimate(1, 4, 0.5);
   const GroupMap map = {{{0}, {1}, {2}, {3}}};
-  std::vector<std::uint64_t> counts = {0, 0, 0, 0};
-  const auto add = [&](std::vector<std::uint64_t> more) {
-    for (std::size_t i = 0; i < 4; ++i)
-      counts[i] += more[i];
-    estimate.addCounts(0, {1, 1, counts});
+  const auto add = [&](const AddedCounts &more) {
+    estimate.addCounts(more);
     return estimate.finishUpdate(map);
   };
-  estimate.addCounts(0, {1, 1, counts});
   CHECK_FALSE(add({10000, 10000, 10000, 10000}));
   CHECK_FALSE(add({11000, 9000, 10000, 10000}));
   CHECK(estimate.loads()[0][0] == Approx(16000));
   CHECK(add({40000, 1000, 1000, 1000}));
   CHECK(estimate.loads()[0][0] == Approx(40000));
-  // A restarted rank counts from zero, which is no negative load.
-  estimate.addCounts(0, {1, 1, {5, 5, 5, 5}});
+  // Counts of another size, as of a rank that is asked for the first time.
+  estimate.addCounts({});
   CHECK_FALSE(estimate.finishUpdate(map));
   CHECK(estimate.loads()[0][0] == Approx(40000));
 }
@@ -427,19 +422,29 @@
   // Guards against a completion on a destroyed port: a slow sidecar makes
   // several calls wait at the same time.
   boost::asio::io_context loop;
+  const std::string Host = "127.0.0.1";
   boost::asio::ip::tcp::acceptor silent(
-      loop, boost::asio::ip::tcp::endpoint(
-                boost::asio::ip::make_address("127.0.0.1"), 0));
+      loop,
+      boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(Host), 0));
+  auto branch = std::make_shared<Branch>(loop, silent.local_endpoint().port(),
+                                         std::vector<std::string>{Host});
   int answers = 0;
-  {
+  const auto ask = [&] {
     ModelRank::Shared shared;
-    PeerRank peer(loop, silent.local_endpoint(),
-                  std::make_shared<ModelRank>(loop, shared, 0), 0);
+    PeerRank peer(branch, Host, std::make_shared<ModelRank>(loop, shared, 0),
+                  0);
     const auto deadline = std::chrono::steady_clock::now() + 50ms;
     for (int i = 0; i < 3; ++i)
       peer.fetchState(deadline, [&](const auto &) { ++answers; });
     loop.run_for(10ms);
-  }
+  };
+  ask();
+  loop.run_for(100ms);
+  CHECK(answers == 3);
+  // The same with a branch that is gone before the deadline.
+  ask();
+  branch.reset();
+  loop.restart();
   loop.run_for(100ms);
-  CHECK(answers >= 2);
+  CHECK(answers == 3);
 }
