gateway, entrypath: Share cold targets among entries, short reports, bounds from settings

Now each target serves as many entries as it allows requests, chosen by rendezvous hashing over the known entries, and nothing is sent before those are known. Reports between entries were CBOR with each target's name and had to fit 8 KiB, and every placing looked through the reports of all entries; they take five bytes a target now, and sums are kept. The pause between reads of the targets and the wait for configurations follow the bounds in the settings. The predicted work of requests had no user and is gone.

--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -85,6 +85,7 @@
     if (at >= NextSweepAt) {
       NextSweepAt = at + SweepPeriod;
       Directory.removeLapsed(at);
+      Loads.removeExpired(at);
       Pool.removeStale(at, [this](const std::string &id) {
         return Directory.target(id) != nullptr;
       });
@@ -135,8 +136,17 @@
     schedulePump(name);
 }
 
-void Entry::setPeerWork(const std::string &entry, gateway::WorkByTarget work) {
-  Loads.setReport(entry, std::move(work), now());
+void Entry::setEntryNames(const std::set<std::string> &names) {
+  Shares.setEntries(Settings.Name, names);
+  if (std::exchange(KnowsEntries, true))
+    return;
+  for (const auto &[name, state] : Services)
+    schedulePump(name);
+}
+
+void Entry::setPeerRequests(const std::string &entry,
+                            gateway::RequestCounts counts) {
+  Loads.setReport(entry, std::move(counts), now());
   for (auto &[name, state] : Services)
     if (!state.Queue.isEmpty())
       schedulePump(name);
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -16,6 +16,7 @@
 #include "libbergamotgateway/routetable.h"
 #include "libbergamotgateway/targetdirectory.h"
 #include "libbergamotgateway/targethealth.h"
+#include "libbergamotgateway/targetshares.h"
 #include "libbergamotgateway/waitqueue.h"
 
 #include <boost/asio/io_context.hpp>
@@ -41,8 +42,7 @@
   std::string Domain;
   boost::asio::ip::tcp::endpoint Listen;
   gateway::RetryBound Retries;
-  /// Entries that may exist at the same time; divides shared allowances when
-  /// fewer are heard of.
+  /// Divides shared allowances while fewer entries are known, as after a start.
   unsigned MaxEntries = 8;
   /// Time after an outage of the platform's store within which the records of
   /// live targets return.
@@ -84,7 +84,9 @@
   void setRouteTable(std::shared_ptr<const gateway::RouteTable> table);
   /// Handles changes of the directory: work may go to other targets now.
   void targetsChanged();
-  void setPeerWork(const std::string &entry, gateway::WorkByTarget work);
+  void setPeerRequests(const std::string &entry, gateway::RequestCounts counts);
+  /// Sets the entries that may run, this one included or not.
+  void setEntryNames(const std::set<std::string> &names);
 
   gateway::TargetDirectory &directory() { return Directory; }
   gateway::RankPaces &paces() { return Paces; }
@@ -116,14 +118,13 @@
   double draw() { return Uniform(Random); }
   /// Returns how many requests of a service wait here.
   std::size_t waitingCount(const std::string &name);
-  /// Returns how many entries are known to run, this one included.
+  /// Returns how many entries run or may run, this one included.
   unsigned entryCount() const;
-  double predictedWork(const Exchange &exchange) const;
   void enqueue(const std::shared_ptr<Exchange> &exchange);
   void removeExchange(Exchange &exchange, const char *outcome, int status);
   void setRetryAfter(adaptertcp::HeaderFields &headers,
                      const Exchange &exchange);
-  void addInFlight(const Exchange &exchange, const std::string &target);
+  void addInFlight(const std::string &target);
   void removeInFlight(const Exchange &exchange, const std::string &target);
   void noteResponse(const std::string &target, const TargetResponse &response);
   gateway::GroupProgress &groups() { return Groups; }
@@ -161,7 +162,7 @@
   std::vector<gateway::Candidate> candidates(const std::string &name,
                                              const Exchange &exchange);
   std::uint32_t limitOf(const gateway::KnownTarget &target) const;
-  std::optional<double> mostPerSecond(const std::string &name) const;
+  bool hasAllowance(const gateway::Service *service, const std::string &target);
   unsigned sharingEntries() const;
   base::TimePoint rejectAt(const Exchange &exchange) const;
   void tick();
@@ -178,6 +179,7 @@
   std::map<std::string, std::uint32_t> StreamLimits;
   gateway::TargetDirectory Directory;
   gateway::LoadBoard Loads;
+  gateway::TargetShares Shares;
   gateway::TargetHealth Health;
   gateway::GroupProgress Groups;
   gateway::RankPaces Paces;
@@ -187,6 +189,7 @@
   std::mt19937_64 Random;
   std::uniform_real_distribution<double> Uniform{0.0, 1.0};
   std::uint64_t LastExchange = 0;
+  bool KnowsEntries = false;
   base::TimePoint NextSweepAt;
   bool ShuttingDown = false;
   bool Leaving = false;
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -60,16 +60,7 @@
 }
 
 unsigned Entry::entryCount() const {
-  return std::max(1U, Loads.liveEntries(now()));
-}
-
-double Entry::predictedWork(const Exchange &exchange) const {
-  const auto &size = exchange.request().Generation;
-  if (!size)
-    return 1;
-  const std::uint32_t output =
-      size->ExpectedOutputTokens.value_or(size->MaxOutputTokens);
-  return static_cast<double>(output) + 0.1 * size->PromptTokens;
+  return std::max(Loads.liveEntries(), Shares.entryCount());
 }
 
 TimePoint Entry::rejectAt(const Exchange &exchange) const {
@@ -179,23 +170,19 @@
 std::vector<gateway::Candidate> Entry::candidates(const std::string &name,
                                                   const Exchange &exchange) {
   const TimePoint at = now();
-  const auto most = mostPerSecond(name);
+  const gateway::Service *service = Table ? Table->service(name) : nullptr;
   std::vector<gateway::Candidate> choices;
   std::vector<gateway::Candidate> triedBefore;
   for (const auto &[id, target] : Directory.targets()) {
     if (target.Record.Service != name || !Directory.isUsable(target) ||
         Health.isSilent(id, at))
       continue;
-    if (most && static_cast<double>(RecentDispatches[id].count(at)) + 1 > *most)
+    if (!hasAllowance(service, id))
       continue;
     const auto &membership = target.Record.Membership;
     if (membership && !Groups.maySend(membership->Group, at))
       continue;
-    const gateway::TargetWork work = Loads.total(id, at);
-    gateway::Candidate it{id,
-                          work.Requests,
-                          limitOf(target),
-                          work.Work,
+    gateway::Candidate it{id, Loads.total(id), limitOf(target),
                           target.Record.Domain == Settings.Domain,
                           Health.penalty(id, at)};
     (exchange.tried().contains(id) ? triedBefore : choices)
@@ -215,15 +202,19 @@
                : limit;
 }
 
-/// Returns how many requests per second this entry may send to one target of
-/// the service; unset if there is no limit. A target may be cold before anyone
-/// has heard of it, so the limit applies to warm ones too; it is far above what
-/// a warm one gets.
-std::optional<double> Entry::mostPerSecond(const std::string &name) const {
-  const gateway::Service *it = Table ? Table->service(name) : nullptr;
-  if (!it || it->ColdRequestsPerSecond <= 0)
-    return std::nullopt;
-  return std::max(1.0, ColdPart * it->ColdRequestsPerSecond / entryCount());
+/// Returns whether a request may be sent to a target without the risk that all
+/// entries together send too many. A target may be cold before anyone has heard
+/// of it, so the limit applies to warm ones too, which seldom get as many.
+/// Shares can't be told before it is known how many entries there are.
+bool Entry::hasAllowance(const gateway::Service *service,
+                         const std::string &target) {
+  if (!service || service->ColdRequestsPerSecond <= 0)
+    return true;
+  if (!KnowsEntries)
+    return false;
+  const double most = Shares.requestsPerSecond(
+      target, ColdPart * service->ColdRequestsPerSecond);
+  return static_cast<double>(RecentDispatches[target].count(now())) + 1 <= most;
 }
 
 void Entry::removeExchange(Exchange &exchange, const char *outcome,
@@ -257,13 +248,11 @@
   headers.set("Retry-After", text.data());
 }
 
-void Entry::addInFlight(const Exchange &exchange, const std::string &target) {
-  Loads.addOwn(target, exchange.work());
-}
+void Entry::addInFlight(const std::string &target) { Loads.addOwn(target); }
 
 void Entry::removeInFlight(const Exchange &exchange,
                            const std::string &target) {
-  Loads.removeOwn(target, exchange.work());
+  Loads.removeOwn(target);
   schedulePump(exchange.service());
 }
 
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -48,7 +48,6 @@
   Deadline = ArrivedAt + std::min({Facts.TimeLeft.value_or(limit), limit,
                                    milliseconds(std::chrono::hours(1))});
   Service = gateway::chooseService(*Route, Owner.draw());
-  Work = Owner.predictedWork(*this);
   Owner.dialect().prepareForwarding(Head.Headers, Account);
   armDeadline();
   Owner.enqueue(shared_from_this());
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -50,8 +50,6 @@
   const CallerRequest &request() const { return Facts; }
   /// Targets that have failed this request.
   const std::set<std::string> &tried() const { return Tried; }
-  /// Returns the predicted work of the request, see gateway::TargetWork.
-  double work() const { return Work; }
 
 private:
   void answer(int status, const char *reason);
@@ -95,7 +93,6 @@
   std::string Service;
   std::uint64_t Number;
   std::uint32_t Priority = 0;
-  double Work = 0;
   base::TimePoint ArrivedAt;
   base::TimePoint Deadline;
   boost::asio::steady_timer DeadlineTimer;
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -42,7 +42,7 @@
   Sent = false;
   HeadAccepted = false;
   Events.dropRest();
-  Owner.addInFlight(*this, TargetId);
+  Owner.addInFlight(TargetId);
   const Duration maxIdle =
       Route->mayRepeat() ? MaxIdleIdempotent : MaxIdleNonIdempotent;
   Connection = Owner.pool().take(TargetId, maxIdle, Owner.now());
--- a/src/entrypath/peerlink.cpp
+++ b/src/entrypath/peerlink.cpp
@@ -1,5 +1,6 @@
 #include "entrypath/peerlink.h"
 
+#include "entrypath/peerreport.h"
 #include "libbergamotbase/error.h"
 #include "libbergamotbase/jsoncodec.h"
 
@@ -24,10 +25,11 @@
 } // namespace
 
 PeerLink::PeerLink(boost::asio::io_context &loop, Settings settings,
-                   Entry &entry, std::vector<TopicFollower *> followers)
+                   Entry &entry, std::vector<TopicFollower *> followers,
+                   const TopicFollower &names)
     : Loop(loop), Own(std::move(settings)), Owner(entry),
-      Followers(std::move(followers)), Socket(loop), SendTimer(loop),
-      FetchTimer(loop) {}
+      Followers(std::move(followers)), Names(names), Socket(loop),
+      SendTimer(loop), FetchTimer(loop) {}
 
 void PeerLink::start() {
   try {
@@ -38,6 +40,7 @@
     throw base::Error(base::Step::Settings, Own.Listen.address().to_string(),
                       e.what());
   }
+  NamesKnownFrom = Owner.now() + Own.NamesTimeout;
   receive();
   sendPeriodically();
   fetchPeriodically();
@@ -54,9 +57,11 @@
     it->second.Address = address;
     Callers.erase(name);
   }
-  if (added)
-    base::logInfo("peer.added",
-                  {{"peer", name}, {"address", address.address().to_string()}});
+  if (!added)
+    return;
+  NamesChanged = true;
+  base::logInfo("peer.added",
+                {{"peer", name}, {"address", address.address().to_string()}});
 }
 
 void PeerLink::receive() {
@@ -71,37 +76,22 @@
 }
 
 void PeerLink::onDatagram(std::size_t n) {
-  const json message = fromBytes(std::string_view(Buffer.data(), n));
-  if (!message.is_object() || !message.contains("name") ||
-      !message["name"].is_string() || !message.contains("work") ||
-      !message["work"].is_object()) {
+  auto report = decodeReport(std::string_view(Buffer.data(), n));
+  if (!report) {
     Owner.decisions().write("peer.malformed",
                             {{"from", Sender.address().to_string()}},
                             Owner.now());
     return;
   }
-  const std::string name = message["name"];
-  if (name == Own.Name)
+  if (report->Entry == Own.Name)
     return;
-  addPeer(name, Sender);
-  gateway::WorkByTarget work;
-  for (const auto &[target, value] : message["work"].items())
-    if (value.is_array() && value.size() == 2 &&
-        value[0].is_number_unsigned() && value[1].is_number())
-      work[target] = {value[0].get<std::uint32_t>(), value[1].get<double>()};
-  Owner.setPeerWork(name, std::move(work));
-}
-
-std::string PeerLink::datagram() const {
-  json work = json::object();
-  for (const auto &[target, it] : Owner.loadBoard().own())
-    work[target] = {it.Requests, static_cast<std::int64_t>(it.Work)};
-  return base::toCbor({{"name", Own.Name}, {"work", std::move(work)}});
+  addPeer(report->Entry, Sender);
+  Owner.setPeerRequests(report->Entry, std::move(report->Counts));
 }
 
 void PeerLink::sendPeriodically() {
   const TimePoint now = Owner.now();
-  const std::string message = datagram();
+  const std::string message = encodeReport({Own.Name, Owner.loadBoard().own()});
   if (message != LastSent || now >= SendAgainAt) {
     for (auto &[name, peer] : Peers) {
       error_code ec;
@@ -113,17 +103,31 @@
   }
   std::erase_if(Peers, [&](const auto &it) {
     const bool forgotten = it.second.ForgetAt <= now;
-    if (forgotten)
+    if (forgotten) {
       Callers.erase(it.first);
+      NamesChanged = true;
+    }
     return forgotten;
   });
-  SendTimer.expires_after(Own.LeastPeriod);
+  if (NamesChanged && (Names.isLoaded() || now >= NamesKnownFrom))
+    setEntryNames();
+  SendTimer.expires_after(std::max<base::Duration>(
+      Own.LeastPeriod,
+      Own.PeriodPerPeer * static_cast<std::int64_t>(Peers.size())));
   SendTimer.async_wait([this](const error_code &ec) {
     if (!ec)
       sendPeriodically();
   });
 }
 
+void PeerLink::setEntryNames() {
+  std::set<std::string> names;
+  for (const auto &[name, peer] : Peers)
+    names.insert(name);
+  NamesChanged = false;
+  Owner.setEntryNames(names);
+}
+
 void PeerLink::fetchPeriodically() {
   for (auto *it : Followers)
     if (!it->isStoreReachable())
--- a/src/entrypath/peerlink.h
+++ b/src/entrypath/peerlink.h
@@ -15,7 +15,7 @@
 
 namespace bergamot::entrypath {
 
-/// What entries tell each other. Every entry sends its work per target by
+/// What entries tell each other. Every entry sends its requests per target by
 /// datagrams; one that can't reach the store also fetches the records that
 /// others have read. Datagrams may be lost: each carries the whole state.
 class PeerLink {
@@ -25,12 +25,18 @@
     /// Own address and port, for datagrams and for fetches by other entries.
     boost::asio::ip::udp::endpoint Listen;
     std::chrono::milliseconds LeastPeriod{80};
+    /// Lengthens the period when there are many entries, so that reports take a
+    /// bounded part of an entry's processor time.
+    std::chrono::microseconds PeriodPerPeer{1500};
     std::chrono::milliseconds MostPeriod{400};
     std::chrono::milliseconds FetchPeriod{250};
+    /// The names of the other entries are taken as known after this time, also
+    /// without the store.
+    std::chrono::milliseconds NamesTimeout{500};
   };
 
   PeerLink(boost::asio::io_context &loop, Settings settings, Entry &entry,
-           std::vector<TopicFollower *> followers);
+           std::vector<TopicFollower *> followers, const TopicFollower &names);
 
   /// Opens the socket and starts sending. Throws base::Error if the port
   /// can't be had.
@@ -51,7 +57,7 @@
   void receive();
   void onDatagram(std::size_t n);
   void sendPeriodically();
-  std::string datagram() const;
+  void setEntryNames();
   void fetchPeriodically();
   void fetch(TopicFollower &follower);
   void onRecords(TopicFollower &follower, const adaptertcp::CallResult &result);
@@ -60,13 +66,18 @@
   Settings Own;
   Entry &Owner;
   std::vector<TopicFollower *> Followers;
+  /// The topic of the entries' names.
+  const TopicFollower &Names;
   boost::asio::ip::udp::socket Socket;
   boost::asio::steady_timer SendTimer;
   boost::asio::steady_timer FetchTimer;
-  std::array<char, 8192> Buffer{};
+  /// As large as a datagram can be.
+  std::array<char, 65536> Buffer{};
   boost::asio::ip::udp::endpoint Sender;
   std::map<std::string, Peer> Peers;
   std::map<std::string, std::shared_ptr<adaptertcp::HttpCaller>> Callers;
+  bool NamesChanged = true;
+  base::TimePoint NamesKnownFrom;
   std::string LastSent;
   base::TimePoint SendAgainAt;
   std::size_t NextPeer = 0;
--- /dev/null
+++ b/src/entrypath/peerreport.cpp
@@ -0,0 +1,60 @@
+#include "entrypath/peerreport.h"
+
+#include <algorithm>
+
+namespace bergamot::entrypath {
+
+namespace {
+
+constexpr unsigned char Format = 1;
+constexpr std::size_t KeyBytes = 4;
+constexpr std::size_t TargetBytes = KeyBytes + 1;
+constexpr std::size_t MaxByte = 255;
+/// What fits into a datagram beside the longest name.
+constexpr std::size_t MaxTargets = 12000;
+
+} // namespace
+
+std::string encodeReport(const PeerReport &report) {
+  const std::size_t length = std::min(report.Entry.size(), MaxByte);
+  const std::size_t targets = std::min(report.Counts.size(), MaxTargets);
+  std::string bytes;
+  bytes.reserve(2 + length + targets * TargetBytes);
+  bytes.push_back(static_cast<char>(Format));
+  bytes.push_back(static_cast<char>(length));
+  bytes.append(report.Entry, 0, length);
+  for (std::size_t t = 0; t < targets; ++t) {
+    const auto &[key, requests] = report.Counts[t];
+    for (std::size_t i = 0; i < KeyBytes; ++i)
+      bytes.push_back(static_cast<char>(key >> 8 * i & MaxByte));
+    bytes.push_back(
+        static_cast<char>(std::min<std::size_t>(requests, MaxByte)));
+  }
+  return bytes;
+}
+
+std::optional<PeerReport> decodeReport(std::string_view bytes) {
+  const auto byte = [&](std::size_t i) {
+    return static_cast<unsigned char>(bytes[i]);
+  };
+  if (bytes.size() < 2 || byte(0) != Format || byte(1) == 0)
+    return std::nullopt;
+  const std::size_t length = byte(1);
+  if (bytes.size() < 2 + length)
+    return std::nullopt;
+  PeerReport report;
+  report.Entry = bytes.substr(2, length);
+  bytes.remove_prefix(2 + length);
+  if (bytes.size() % TargetBytes != 0)
+    return std::nullopt;
+  report.Counts.reserve(bytes.size() / TargetBytes);
+  for (std::size_t at = 0; at < bytes.size(); at += TargetBytes) {
+    gateway::TargetKey key = 0;
+    for (std::size_t i = 0; i < KeyBytes; ++i)
+      key |= static_cast<gateway::TargetKey>(byte(at + i)) << 8 * i;
+    report.Counts.emplace_back(key, byte(at + KeyBytes));
+  }
+  return report;
+}
+
+} // namespace bergamot::entrypath
--- a/src/libbergamotgateway/loadboard.cpp
+++ b/src/libbergamotgateway/loadboard.cpp
@@ -1,50 +1,61 @@
 #include "libbergamotgateway/loadboard.h"
 
-#include <algorithm>
+#include "libbergamotbase/digest.h"
 
 namespace bergamot::gateway {
 
-void LoadBoard::addOwn(const std::string &target, double work) {
-  TargetWork &it = Own[target];
-  ++it.Requests;
-  it.Work += work;
+TargetKey targetKey(std::string_view target) {
+  return static_cast<TargetKey>(base::xxHash64(target));
 }
 
-void LoadBoard::removeOwn(const std::string &target, double work) {
+void LoadBoard::addOwn(const std::string &target) { ++Own[target]; }
+
+void LoadBoard::removeOwn(const std::string &target) {
   const auto it = Own.find(target);
-  if (it == Own.end())
-    return;
-  if (--it->second.Requests == 0)
+  if (it != Own.end() && --it->second == 0)
     Own.erase(it);
-  else
-    it->second.Work -= work;
 }
 
-void LoadBoard::setReport(const std::string &entry, WorkByTarget work,
+void LoadBoard::subtract(const RequestCounts &counts) {
+  for (const auto &[key, requests] : counts) {
+    const auto it = Reported.find(key);
+    it->second -= requests;
+    if (it->second == 0)
+      Reported.erase(it);
+  }
+}
+
+void LoadBoard::setReport(const std::string &entry, RequestCounts counts,
                           TimePoint now) {
-  Reports[entry] = {std::move(work), now + ReportLife};
+  std::erase_if(counts, [](const auto &it) { return it.second == 0; });
+  Report &report = Reports[entry];
+  subtract(report.Counts);
+  for (const auto &[key, requests] : counts)
+    Reported[key] += requests;
+  report = {std::move(counts), now + ReportLife};
+}
+
+void LoadBoard::removeExpired(TimePoint now) {
+  std::erase_if(Reports, [&](const auto &it) {
+    if (it.second.ExpiresAt > now)
+      return false;
+    subtract(it.second.Counts);
+    return true;
+  });
 }
 
-TargetWork LoadBoard::total(const std::string &target, TimePoint now) const {
-  TargetWork sum;
-  const auto add = [&](const WorkByTarget &work) {
-    const auto it = work.find(target);
-    if (it == work.end())
-      return;
-    sum.Requests += it->second.Requests;
-    sum.Work += it->second.Work;
-  };
-  add(Own);
-  for (const auto &[entry, report] : Reports)
-    if (report.ExpiresAt > now)
-      add(report.Work);
-  return sum;
+std::uint32_t LoadBoard::total(const std::string &target) const {
+  const auto own = Own.find(target);
+  const auto reported = Reported.find(targetKey(target));
+  return (own == Own.end() ? 0 : own->second) +
+         (reported == Reported.end() ? 0 : reported->second);
 }
 
-unsigned LoadBoard::liveEntries(TimePoint now) const {
-  return 1 + static_cast<unsigned>(std::count_if(
-                 Reports.begin(), Reports.end(),
-                 [&](const auto &it) { return it.second.ExpiresAt > now; }));
+RequestCounts LoadBoard::own() const {
+  RequestCounts counts;
+  for (const auto &[target, requests] : Own)
+    counts.emplace_back(targetKey(target), requests);
+  return counts;
 }
 
 } // namespace bergamot::gateway
--- a/src/libbergamotgateway/loadboard.h
+++ b/src/libbergamotgateway/loadboard.h
@@ -6,54 +6,59 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace bergamot::gateway {
 
 using base::TimePoint;
 
-/// Work that one entry has at one target.
-struct TargetWork {
-  /// Requests in flight.
-  std::uint32_t Requests = 0;
-  /// Predicted work of these requests, in prompt and output tokens weighted
-  /// by their cost.
-  double Work = 0;
+/// A target's name in reports. Two targets of a deployment hardly ever share
+/// one; if they do, each looks as loaded as both.
+using TargetKey = std::uint32_t;
+TargetKey targetKey(std::string_view target);
 
-  bool operator==(const TargetWork &) const = default;
-};
-
-/// The work of one entry at all targets, by target id.
-using WorkByTarget = std::map<std::string, TargetWork>;
+/// Requests in flight of one entry by target.
+using RequestCounts = std::vector<std::pair<TargetKey, std::uint32_t>>;
 
-/// What all entries together have at each target: this entry's own work
-/// exactly, that of the others as they last reported it. A report is used
-/// until it expires, so that the work of an entry that has vanished is
-/// forgotten; its requests end with its connections.
+/// What all entries together have in flight at each target: this entry's own
+/// requests exactly, those of the others as they last reported them. A report
+/// is used until it expires, so that the requests of an entry that has vanished
+/// are forgotten; they end with its connections.
 class LoadBoard {
 public:
   explicit LoadBoard(base::Duration reportLife) : ReportLife(reportLife) {}
 
-  void addOwn(const std::string &target, double work);
-  void removeOwn(const std::string &target, double work);
+  void addOwn(const std::string &target);
+  void removeOwn(const std::string &target);
   /// Replaces what another entry reports.
-  void setReport(const std::string &entry, WorkByTarget work, TimePoint now);
+  void setReport(const std::string &entry, RequestCounts counts, TimePoint now);
+  /// Forgets the reports that have expired.
+  void removeExpired(TimePoint now);
 
-  /// Returns the work of all entries at a target.
-  TargetWork total(const std::string &target, TimePoint now) const;
-  const WorkByTarget &own() const { return Own; }
-  /// Returns the entries whose reports haven't expired, and this one.
-  unsigned liveEntries(TimePoint now) const;
+  /// Returns the requests of all entries at a target. Costs the same however
+  /// many entries there are.
+  std::uint32_t total(const std::string &target) const;
+  RequestCounts own() const;
+  /// Returns the entries whose reports are in use, and this one.
+  unsigned liveEntries() const {
+    return static_cast<unsigned>(Reports.size()) + 1;
+  }
 
 private:
   struct Report {
-    WorkByTarget Work;
+    RequestCounts Counts;
     TimePoint ExpiresAt;
   };
 
+  void subtract(const RequestCounts &counts);
+
   base::Duration ReportLife;
-  WorkByTarget Own;
+  std::map<std::string, std::uint32_t> Own;
   std::map<std::string, Report> Reports;
+  /// Sums over all reports.
+  std::unordered_map<TargetKey, std::uint32_t> Reported;
 };
 
 } // namespace bergamot::gateway
--- a/src/libbergamotgateway/placement.h
+++ b/src/libbergamotgateway/placement.h
@@ -17,8 +17,6 @@
   /// Requests of all entries there, and how many it may have.
   std::uint32_t Requests = 0;
   std::uint32_t Limit = 1;
-  /// Predicted work of these requests.
-  double Work = 0;
   /// The target is in the entry's failure domain.
   bool Near = false;
   /// Recent failures and slowness; 0 is sound, 1 is the worst.
--- /dev/null
+++ b/src/libbergamotgateway/targetshares.cpp
@@ -0,0 +1,58 @@
+#include "libbergamotgateway/targetshares.h"
+
+#include "libbergamotbase/digest.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace bergamot::gateway {
+
+namespace {
+
+/// Targets whose order of entries is kept; more are gone ones.
+constexpr std::size_t MaxKept = 4096;
+
+std::uint64_t orderAt(std::uint64_t targetHash, std::uint64_t entryHash) {
+  const std::array<std::uint64_t, 2> pair = {targetHash, entryHash};
+  return base::xxHash64(std::string_view(
+      reinterpret_cast<const char *>(pair.data()), sizeof(pair)));
+}
+
+} // namespace
+
+void TargetShares::setEntries(const std::string &own,
+                              const std::set<std::string> &entries) {
+  OwnHash = base::xxHash64(own);
+  EntryHashes = {OwnHash};
+  for (const auto &it : entries)
+    if (it != own)
+      EntryHashes.push_back(base::xxHash64(it));
+  Before.clear();
+}
+
+double TargetShares::requestsPerSecond(const std::string &target,
+                                       double allowed) {
+  const auto entries = static_cast<double>(EntryHashes.size());
+  if (allowed >= entries)
+    return allowed / entries;
+  // A target that allows less than one a second still serves one entry.
+  const auto served = static_cast<std::uint32_t>(std::max(1.0, allowed));
+  return isServed(target, served) ? 1 : 0;
+}
+
+bool TargetShares::isServed(const std::string &target, std::uint32_t entries) {
+  if (Before.size() > MaxKept)
+    Before.clear();
+  const auto [it, added] = Before.try_emplace(target, 0);
+  if (added) {
+    const std::uint64_t targetHash = base::xxHash64(target);
+    const std::uint64_t own = orderAt(targetHash, OwnHash);
+    it->second = static_cast<std::uint32_t>(std::count_if(
+        EntryHashes.begin(), EntryHashes.end(),
+        [&](std::uint64_t entry) { return orderAt(targetHash, entry) < own; }));
+  }
+  return it->second < entries;
+}
+
+} // namespace bergamot::gateway
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -9,6 +9,7 @@
 #include "libbergamotgateway/routetable.h"
 #include "libbergamotgateway/targetdirectory.h"
 #include "libbergamotgateway/targethealth.h"
+#include "libbergamotgateway/targetshares.h"
 #include "libbergamotgateway/waitqueue.h"
 
 #include <catch2/catch.hpp>
@@ -222,31 +223,126 @@
 
 TEST_CASE("the load of an entry that has vanished is forgotten") {
   LoadBoard board(1500ms);
-  board.addOwn("t", 10);
-  board.setReport("other", {{"t", {3, 30}}}, at(0ms));
-  CHECK(board.total("t", at(100ms)) == TargetWork{4, 40});
-  CHECK(board.liveEntries(at(100ms)) == 2);
-  CHECK(board.total("t", at(1600ms)) == TargetWork{1, 10});
-  CHECK(board.liveEntries(at(1600ms)) == 1);
+  board.addOwn("t");
+  board.setReport("other", {{targetKey("t"), 3}, {targetKey("u"), 1}}, at(0ms));
+  CHECK(board.total("t") == 4);
+  CHECK(board.total("u") == 1);
+  CHECK(board.liveEntries() == 2);
+  board.removeExpired(at(1400ms));
+  CHECK(board.total("t") == 4);
+  board.setReport("other", {{targetKey("t"), 2}}, at(1400ms));
+  CHECK(board.total("t") == 3);
+  CHECK(board.total("u") == 0);
+  board.removeExpired(at(2900ms));
+  CHECK(board.total("t") == 1);
+  CHECK(board.liveEntries() == 1);
+  board.removeOwn("t");
+  CHECK(board.total("t") == 0);
+}
+
+TEST_CASE("the sums of reports are those of a scan over all of them") {
+  std::mt19937_64 random(23);
+  LoadBoard board(1500ms);
+  std::map<std::string, std::map<std::string, std::uint32_t>> reports;
+  std::map<std::string, TimePoint> heardAt;
+  for (int round = 0; round < 2000; ++round) {
+    const TimePoint now = at(round * 20ms);
+    const std::string entry = "e" + std::to_string(random() % 12);
+    RequestCounts counts;
+    auto &report = reports[entry];
+    report.clear();
+    for (int i = 0; i < 9; ++i)
+      if (random() % 2)
+        report["t" + std::to_string(i)] =
+            static_cast<std::uint32_t>(random() % 4);
+    for (const auto &[target, requests] : report)
+      counts.emplace_back(targetKey(target), requests);
+    board.setReport(entry, counts, now);
+    heardAt[entry] = now;
+    board.removeExpired(now);
+    const std::string target = "t" + std::to_string(random() % 9);
+    std::uint32_t sum = 0;
+    for (const auto &[name, it] : reports)
+      if (heardAt[name] + 1500ms > now && it.contains(target))
+        sum += it.at(target);
+    REQUIRE(board.total(target) == sum);
+  }
+}
+
+TEST_CASE("all entries together send a cold target no more than it bears") {
+  // Load pattern: a target turns cold unseen while all entries send to it.
+  // Deployments of 3 to 330 entries with 14 to 32 requests a second.
+  for (const unsigned count : {1U, 3U, 13U, 54U, 330U}) {
+    std::set<std::string> names;
+    for (unsigned i = 0; i < count; ++i)
+      names.insert("entry-" + std::to_string(i));
+    std::vector<TargetShares> shares(count);
+    std::size_t own = 0;
+    for (const auto &it : names)
+      shares[own++].setEntries(it, names);
+    for (const double allowed : {12.6, 28.8, 0.5}) {
+      std::vector<unsigned> targetsOf(count, 0);
+      constexpr unsigned Targets = 192;
+      for (unsigned t = 0; t < Targets; ++t) {
+        // An entry sends whole requests in each second.
+        double sum = 0;
+        for (unsigned e = 0; e < count; ++e) {
+          const double most =
+              shares[e].requestsPerSecond("i-" + std::to_string(t), allowed);
+          sum += std::floor(most);
+          targetsOf[e] += most >= 1 ? 1 : 0;
+        }
+        CAPTURE(count, allowed, t);
+        REQUIRE(sum <= std::max(1.0, allowed));
+        REQUIRE(sum >= 1);
+      }
+      // Nobody is left without targets: the parts are about even.
+      const double mean = std::min<double>(
+          Targets, Targets * std::floor(std::max(1.0, allowed)) / count);
+      if (mean >= 20) {
+        CAPTURE(count, allowed, mean);
+        CHECK(*std::min_element(targetsOf.begin(), targetsOf.end()) > mean / 2);
+      }
+    }
+  }
+}
+
+TEST_CASE("an entry that comes or goes changes few shares") {
+  std::set<std::string> names;
+  for (int i = 0; i < 54; ++i)
+    names.insert("entry-" + std::to_string(i));
+  TargetShares before;
+  before.setEntries("entry-7", names);
+  names.erase("entry-30");
+  TargetShares after;
+  after.setEntries("entry-7", names);
+  int changed = 0;
+  for (int t = 0; t < 192; ++t) {
+    const std::string target = "i-" + std::to_string(t);
+    const double had = before.requestsPerSecond(target, 12);
+    const double has = after.requestsPerSecond(target, 12);
+    CHECK(has >= had);
+    changed += has == had ? 0 : 1;
+  }
+  CHECK(changed <= 4);
 }
 
 TEST_CASE("a full target is never chosen and the least loaded one wins") {
-  const std::vector<Candidate> full = {{"a", 4, 4, 0, true, 0},
-                                       {"b", 9, 4, 0, false, 0}};
+  const std::vector<Candidate> full = {{"a", 4, 4, true, 0},
+                                       {"b", 9, 4, false, 0}};
   CHECK(chooseTarget(full, 0.5) == -1);
-  const std::vector<Candidate> choices = {{"a", 3, 4, 0, true, 0},
-                                          {"b", 1, 4, 0, false, 0},
-                                          {"c", 4, 4, 0, true, 0}};
+  const std::vector<Candidate> choices = {
+      {"a", 3, 4, true, 0}, {"b", 1, 4, false, 0}, {"c", 4, 4, true, 0}};
   for (double draw = 0; draw < 1; draw += 0.1)
     CHECK(chooseTarget(choices, draw) == 1);
 }
 
 TEST_CASE("near targets win a tie and failing ones are avoided") {
-  const std::vector<Candidate> near = {{"a", 1, 12, 0, false, 0},
-                                       {"b", 1, 12, 0, true, 0}};
+  const std::vector<Candidate> near = {{"a", 1, 12, false, 0},
+                                       {"b", 1, 12, true, 0}};
   CHECK(chooseTarget(near, 0.9) == 1);
-  const std::vector<Candidate> failing = {{"a", 0, 6, 0, true, 0.6},
-                                          {"b", 2, 6, 0, false, 0}};
+  const std::vector<Candidate> failing = {{"a", 0, 6, true, 0.6},
+                                          {"b", 2, 6, false, 0}};
   CHECK(chooseTarget(failing, 0.1) == 1);
 }
 
