--- a/src/libbergamotexperts/mapchange.cpp
+++ b/src/libbergamotexperts/mapchange.cpp
@@ -9,7 +9,7 @@
 
 std::uint64_t stepMargin(base::Duration armTime, base::Duration stepTime) {
   if (stepTime <= base::Duration::zero())
-    return MaxStepMargin;
+    return MinStepMargin;
   // The step that was reported has half its time left on average.
   const double steps = 0.5 + static_cast<double>(armTime.count()) /
                                  static_cast<double>(stepTime.count());
--- a/src/libbergamotexperts/mapchange.h
+++ b/src/libbergamotexperts/mapchange.h
@@ -22,9 +22,10 @@
 inline constexpr std::uint64_t MaxStepMargin = 4;
 
 /// Returns the margin of a change whose ranks are armed in `armTime` after the
-/// hold, if steps take `stepTime`; the largest one if that isn't known. Load
-/// pattern: a group with an uneven map and full batches takes over 100 ms a
-/// step, so that three of them delay the better map longer than a short hold.
+/// hold, if steps take `stepTime`; the least one if that isn't known, as right
+/// after a group has formed anew with an uneven map. Load pattern: a group with
+/// such a map and full batches takes over 100 ms a step, so that three of them
+/// delay the better map longer than a short hold.
 std::uint64_t stepMargin(base::Duration armTime, base::Duration stepTime);
 
 /// Limits of a change.
--- a/src/sidecar/duty.cpp
+++ b/src/sidecar/duty.cpp
@@ -29,6 +29,13 @@
   Holds = false;
 }
 
+void Duty::setOpen(bool open, base::TimePoint now) {
+  if (open == Open)
+    return;
+  Open = open;
+  OpenedAt = now;
+}
+
 void Duty::setHeldStep(std::optional<std::uint64_t> step, base::TimePoint now) {
   if (step != HeldStep)
     HeldSince = now;
@@ -36,9 +43,13 @@
 }
 
 bool Duty::isCoordinator(std::uint32_t ownRank, base::TimePoint now) {
-  const auto wait = TakeOverAfter + std::min(ownRank, MaxWaits) * WaitPerRank;
+  const auto waits = std::min(ownRank, MaxWaits) * WaitPerRank;
+  const bool isCalled = now < LastCall + TakeOverAfter + waits;
+  const bool isFirst =
+      now >= OpenedAt + (ownRank == 0 ? base::Duration::zero()
+                                      : base::Duration(TakeOverAfter + waits));
   const bool holdsLong = HeldStep && now >= HeldSince + MaxHold;
-  if (!Holds && (holdsLong || now >= LastCall + wait))
+  if (!Holds && Open && (holdsLong || (!isCalled && isFirst)))
     Holds = true;
   return Holds;
 }
--- a/src/sidecar/duty.h
+++ b/src/sidecar/duty.h
@@ -13,10 +13,20 @@
 /// called takes over, later for higher ranks. So does one whose engine holds
 /// back a step for long, as the coordinator that asked for it stands still. Two
 /// may act for a moment, which is safe (see MapChange).
+///
+/// Load pattern: after a power loss all sidecars start and all groups open at
+/// the same moment, and the first map is urgent. Rank 0 then coordinates at
+/// once, and the others give it time; if they all did, they would hinder each
+/// other and read the members from the platform's store many times.
 class Duty {
 public:
   explicit Duty(base::TimePoint start) : LastCall(start) {}
 
+  /// Takes whether the group is open. Nobody takes over a closed group; who
+  /// coordinates goes on, as what it knows of popularity is of use when the
+  /// group has formed anew.
+  void setOpen(bool open, base::TimePoint now);
+
   /// Takes a call of the coordinator beside a rank.
   void addCall(std::uint32_t caller, std::uint32_t ownRank,
                base::TimePoint now);
@@ -26,6 +36,8 @@
   bool isCoordinator(std::uint32_t ownRank, base::TimePoint now);
 
 private:
+  bool Open = false;
+  base::TimePoint OpenedAt;
   base::TimePoint LastCall;
   bool Holds = false;
   std::optional<std::uint64_t> HeldStep;
--- a/tests/sidecar/test_sidecar.cpp
+++ b/tests/sidecar/test_sidecar.cpp
@@ -258,6 +258,7 @@
 
 TEST_CASE("the sidecar of a rank that holds a step for long takes over") {
   Duty duty(at(0ms));
+  duty.setOpen(true, at(0ms));
   duty.addCall(0, 1, at(100ms));
   duty.setHeldStep(7, at(200ms));
   CHECK_FALSE(duty.isCoordinator(1, at(400ms)));
@@ -270,6 +271,8 @@
 TEST_CASE("the sidecar of the lowest rank that runs coordinates") {
   Duty first(at(0ms));
   Duty second(at(0ms));
+  first.setOpen(true, at(0ms));
+  second.setOpen(true, at(0ms));
   CHECK_FALSE(first.isCoordinator(0, at(900ms)));
   CHECK(first.isCoordinator(0, at(1000ms)));
   CHECK_FALSE(second.isCoordinator(1, at(1000ms)));
@@ -283,6 +286,28 @@
   CHECK_FALSE(second.isCoordinator(1, at(2400ms)));
 }
 
+TEST_CASE("rank 0 coordinates a group that opens, and the others wait") {
+  // Load pattern: all sidecars start at the same moment and wait for their
+  // groups, longer than any of them waits for a coordinator.
+  std::vector<Duty> duties(64, Duty(at(0ms)));
+  for (std::uint32_t r = 0; r < duties.size(); ++r) {
+    CHECK_FALSE(duties[r].isCoordinator(r, at(8000ms)));
+    duties[r].setOpen(true, at(9000ms));
+    CHECK(duties[r].isCoordinator(r, at(9000ms)) == (r == 0));
+    CHECK(duties[r].isCoordinator(r, at(10000ms)) == (r == 0));
+    // Rank 0 is dead: the next one takes over.
+    CHECK(duties[r].isCoordinator(r, at(10250ms)) == (r <= 1));
+  }
+  // The group forms anew: who coordinates goes on, and nobody joins in.
+  for (auto &it : duties)
+    it.setOpen(false, at(11000ms));
+  CHECK(duties[1].isCoordinator(1, at(13000ms)));
+  for (auto &it : duties)
+    it.setOpen(true, at(13000ms));
+  duties[2].addCall(1, 2, at(13100ms));
+  CHECK_FALSE(duties[2].isCoordinator(2, at(13200ms)));
+}
+
 TEST_CASE("the estimate averages and starts anew after a jump") {
   LoadEstimate estimate(1, 4, 0.5);
   const GroupMap map = {{{0}, {1}, {2}, {3}}};
