entrypath, adaptertcp: Bytes without end are bounded, silence is judged by events

A target in trouble could send an event, an error, or a response to another request without end, and the entry kept all of it until the route's timeout (4.5 s of a test at full rate); a stream whose target sent single bytes was never silent and so never went on elsewhere; a call to the store, a sidecar or another entry took a body of any length. More than 256 KiB of such bytes ends the attempt, and counts against the target; 4 MiB end a call; silence is time without a head or a whole event. Heads without end were bounded by the parser already, and slow but sound streams go on.

A response that failed while bytes behind it were still at hand could hand them to the next attempt, if that started at once on a kept connection. The loop now ends with its attempt.

--- a/src/adaptertcp/httpcaller.cpp
+++ b/src/adaptertcp/httpcaller.cpp
@@ -7,6 +7,15 @@
 
 using boost::system::error_code;
 
+namespace {
+
+/// Processes send each other at most some hundred kilobytes; the platform's
+/// store sends 1 MB of records, a third more in its text form. Whoever sends
+/// more is in trouble and may never end.
+constexpr std::size_t MaxResponseBytes = 4 * 1024 * 1024;
+
+} // namespace
+
 HttpCaller::HttpCaller(boost::asio::io_context &loop,
                        boost::asio::ip::tcp::endpoint peer)
     : Loop(loop), Peer(std::move(peer)), Timer(loop) {}
@@ -67,7 +76,7 @@
     return;
   }
   const std::size_t n = Parser.push(bytes);
-  if (Parser.hasFailed()) {
+  if (Parser.hasFailed() || Parser.body().size() > MaxResponseBytes) {
     onClose(CloseReason::Reset);
     return;
   }
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -106,8 +106,10 @@
   TargetResponse ResponseFacts;
   std::uint64_t AttemptNumber = 0;
   base::TimePoint SentAt;
-  /// When the target has last sent something; SentAt before that.
+  /// When the target has last sent a head or a whole event; SentAt before that.
   base::TimePoint HeardAt;
+  /// Bytes of responses to other requests in this attempt.
+  std::size_t DroppedBytes = 0;
   boost::asio::steady_timer SilenceTimer;
   bool Sent = false;
   bool HeadAccepted = false;
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -22,6 +22,10 @@
 /// Plain responses up to this size are passed on only when complete, so that
 /// a damaged one can still be replaced.
 constexpr std::size_t MaxHeldResponseBytes = 65536;
+/// A target in trouble may send bytes without end. More than this of one event,
+/// of an error, or of responses to other requests isn't taken; an event of the
+/// deployments has some hundred bytes.
+constexpr std::size_t MaxUnusedBytes = 262144;
 /// Time for a new connection. The longest one-way delay of the deployments is
 /// 12 ms; a lost opening packet is repeated only after a second.
 constexpr milliseconds ConnectTimeout{400};
@@ -41,6 +45,7 @@
   ++AttemptNumber;
   Sent = false;
   HeadAccepted = false;
+  DroppedBytes = 0;
   Events.dropRest();
   Owner.addInFlight(TargetId);
   const Duration maxIdle =
@@ -142,8 +147,9 @@
 void Exchange::onTargetData(std::string_view bytes) {
   // An error ends the attempt and releases the connection's handlers.
   const auto self = shared_from_this();
-  HeardAt = Owner.now();
-  while (!bytes.empty() && Connection) {
+  // The next attempt may start at once, on a connection of another target.
+  const std::uint64_t attempt = AttemptNumber;
+  while (!bytes.empty() && attempt == AttemptNumber) {
     const std::size_t n = Parser.push(bytes);
     bytes.remove_prefix(n);
     const bool stuck = n == 0 && !Parser.isComplete();
@@ -154,13 +160,19 @@
     if (!Parser.isHeadComplete())
       return;
     if (!HeadAccepted && !acceptHead()) {
+      DroppedBytes += Parser.body().size();
+      Parser.body().clear();
+      if (DroppedBytes > MaxUnusedBytes) {
+        attemptFailed(AttemptFailure::Lost, "endless_other");
+        return;
+      }
       if (!Parser.isComplete())
         return;
       Parser.restart(Head.Method == "HEAD");
       continue;
     }
     relayBody();
-    if (Finished || !Connection)
+    if (Finished || attempt != AttemptNumber)
       return;
     if (Parser.isComplete()) {
       completeResponse();
@@ -179,14 +191,19 @@
   if (ResponseFacts.RequestId && *ResponseFacts.RequestId != Facts.Id)
     return false;
   HeadAccepted = true;
+  HeardAt = Owner.now();
   Owner.noteResponse(TargetId, ResponseFacts);
   return true;
 }
 
 void Exchange::relayBody() {
   const int status = Parser.responseHead().Status;
-  if (status < 200 || status > 299)
-    return; // Decided when the whole response is there.
+  if (status < 200 || status > 299) {
+    // Decided when the whole response is there.
+    if (Parser.body().size() > MaxUnusedBytes)
+      attemptFailed(AttemptFailure::Lost, "endless_error");
+    return;
+  }
   if (!ResponseFacts.IsSigned || !ResponseFacts.RequestId) {
     attemptFailed(AttemptFailure::Lost, "unsigned");
     return;
@@ -200,9 +217,14 @@
 void Exchange::relayStream() {
   std::string events = Events.push(Parser.body());
   Parser.body().clear();
+  if (Events.rest().size() > MaxUnusedBytes) {
+    attemptFailed(AttemptFailure::Lost, "endless_event");
+    return;
+  }
   if (events.empty())
     return;
   const TimePoint now = Owner.now();
+  HeardAt = now;
   if (ResponseStarted)
     LongestGap = std::max(LongestGap, now - LastEventAt);
   else
@@ -325,8 +347,9 @@
   if (reason == CloseReason::EndOfStream)
     Parser.finish();
   if (HeadAccepted && Parser.isComplete()) {
+    const std::uint64_t attempt = AttemptNumber;
     relayBody();
-    if (!Finished && Connection)
+    if (!Finished && attempt == AttemptNumber)
       completeResponse();
     return;
   }
--- /dev/null
+++ b/tests/entrypath/test_endless.cpp
@@ -0,0 +1,256 @@
+// Targets in trouble whose bytes don't end: in an event, an error, a response
+// to another request, or a byte now and then.
+#include "adaptertcp/httpcaller.h"
+#include "libbergamotgateway/eventsplitter.h"
+#include "testpath.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+
+using namespace bergamot;
+using namespace bergamot::entrypath;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Piece(16384, 'x');
+
+std::string chunk(const std::string &bytes) {
+  std::array<char, 16> size{};
+  (void)std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+  return size.data() + bytes + "\r\n";
+}
+
+std::string headOf(int status, const std::string &id, bool isSigned = true) {
+  return "HTTP/1.1 " + std::to_string(status) + " S\r\nX-Id: " + id +
+         (isSigned ? "\r\nX-Signed: yes" : "") +
+         "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string event(int id) {
+  return chunk("id: " + std::to_string(id) + "\ndata: x\n\n");
+}
+
+/// Sends the same bytes again and again until the connection closes, and counts
+/// what it has sent.
+class Repeater : public std::enable_shared_from_this<Repeater> {
+public:
+  Repeater(boost::asio::io_context &loop, TestTarget::Connection connection,
+           std::string bytes, std::chrono::milliseconds period)
+      : Timer(loop), Target(std::move(connection)), Bytes(std::move(bytes)),
+        Period(period) {}
+
+  void start() {
+    if (!Target->isOpen())
+      return;
+    // A reader that stops reading isn't sent more.
+    if (Target->unsentBytes() < 4 * Bytes.size()) {
+      Target->send(Bytes);
+      Sent += Bytes.size();
+    }
+    Timer.expires_after(Period);
+    Timer.async_wait([self = shared_from_this()](const auto &ec) {
+      if (!ec)
+        self->start();
+    });
+  }
+  std::size_t sent() const { return Sent; }
+
+private:
+  boost::asio::steady_timer Timer;
+  TestTarget::Connection Target;
+  std::string Bytes;
+  std::chrono::milliseconds Period;
+  std::size_t Sent = 0;
+};
+
+/// A path whose first target sends a head and then bytes without end.
+struct EndlessPath {
+  explicit EndlessPath(
+      std::function<std::string(const adaptertcp::RequestHead &)> head,
+      std::string bytes, std::chrono::milliseconds period = 1ms)
+      : Target(Path.addTarget(
+            "t1",
+            [this, head, bytes, period](const auto &request, const auto &,
+                                        const auto &connection) {
+              connection->send(head(request));
+              Endless = std::make_shared<Repeater>(Path.loop(), connection,
+                                                   bytes, period);
+              Endless->start();
+            },
+            1, "g")) {}
+
+  std::shared_ptr<Repeater> Endless;
+  TestPath Path;
+  TestTarget &Target;
+};
+
+/// Far above what an entry may keep of one response, and far below what a
+/// target sends until the route's timeout.
+constexpr std::size_t MostBytes = 3 * 1024 * 1024;
+
+std::string idOf(const adaptertcp::RequestHead &head) {
+  return std::string(head.Headers.value("X-Id").value_or(""));
+}
+
+} // namespace
+
+TEST_CASE("an event without end ends the attempt") {
+  // Guards against memory that grows as long as a target sends.
+  EndlessPath it([](const auto &head) { return headOf(200, idOf(head)); },
+                 chunk(Piece));
+  const auto received = it.Path.send(requestText("stream-once", "r1"));
+  REQUIRE(it.Path.runUntil([&] { return it.Target.closedCount() == 1; }));
+  CHECK(it.Endless->sent() < MostBytes);
+  REQUIRE(it.Path.runUntil([&] { return received->has("HTTP/1.1 502"); }));
+}
+
+TEST_CASE("an event without end after others cuts the response visibly") {
+  EndlessPath it(
+      [](const auto &head) { return headOf(200, idOf(head)) + event(1); },
+      chunk(Piece));
+  const auto received = it.Path.send(requestText("stream-once", "r1"));
+  REQUIRE(it.Path.runUntil([&] { return received->Closed; }));
+  CHECK(it.Endless->sent() < MostBytes);
+  CHECK(received->has("id: 1"));
+  CHECK_FALSE(received->has("0\r\n\r\n"));
+}
+
+TEST_CASE("an error without end isn't kept") {
+  EndlessPath it([](const auto &head) { return headOf(500, idOf(head)); },
+                 chunk(Piece));
+  const auto received = it.Path.send(requestText("once", "r1"));
+  REQUIRE(it.Path.runUntil([&] { return received->has("HTTP/1.1 502"); }));
+  CHECK(it.Endless->sent() < MostBytes);
+  REQUIRE(it.Path.runUntil([&] { return it.Target.closedCount() == 1; }));
+}
+
+TEST_CASE("a response to another request without end isn't kept") {
+  EndlessPath it([](const auto &) { return headOf(200, "another"); },
+                 chunk(Piece));
+  const auto received = it.Path.send(requestText("once", "r1"));
+  REQUIRE(it.Path.runUntil([&] { return received->has("HTTP/1.1 502"); }));
+  CHECK(it.Endless->sent() < MostBytes);
+}
+
+TEST_CASE("bytes behind a bad response aren't taken for the next target's") {
+  // Guards against an attempt that starts while bytes of the one before are
+  // still at hand: a second copy of a response would answer it.
+  TestPath path;
+  path.addTarget(
+      "sound",
+      [](const auto &head, const auto &, const auto &connection) {
+        connection->send(signedResponse(head, "sound"));
+      },
+      8);
+  // Leaves a kept connection, so that the next attempt starts at once.
+  const auto first = path.send(requestText("safe", "r0"));
+  REQUIRE(path.runUntil([&] { return first->has("sound"); }));
+  int copies = 0;
+  const auto doubled = [&](const auto &head, const auto &,
+                           const auto &connection) {
+    const std::string id = idOf(head);
+    connection->send(headOf(200, id, false) + chunk("a") + "0\r\n\r\n" +
+                     headOf(200, id) + chunk("copy") + "0\r\n\r\n");
+    ++copies;
+  };
+  for (int i = 0; i < 6; ++i)
+    path.addTarget("doubled" + std::to_string(i), doubled, 8);
+  for (int i = 1; i < 24; ++i) {
+    const auto received =
+        path.send(requestText("safe", "r" + std::to_string(i)));
+    REQUIRE(path.runUntil([&] { return received->has("\r\n\r\n"); }));
+    path.run(5ms);
+    CHECK_FALSE(received->has("copy"));
+  }
+  CHECK(copies >= 3);
+}
+
+TEST_CASE("a head without end isn't kept") {
+  for (const std::string &bytes : {"x: " + Piece + "\r\n", Piece}) {
+    EndlessPath it([](const auto &) { return "HTTP/1.1 200 OK\r\n"; }, bytes);
+    const auto received = it.Path.send(requestText("once", "r1"));
+    REQUIRE(it.Path.runUntil([&] { return received->has("HTTP/1.1 502"); }));
+    CHECK(it.Endless->sent() < MostBytes);
+  }
+}
+
+TEST_CASE("a stream of single bytes without an event goes on elsewhere") {
+  // Guards against a stalled stream that a byte now and then keeps alive.
+  EndlessPath it(
+      [](const auto &head) { return headOf(200, idOf(head)) + event(1); },
+      chunk(":"), 40ms);
+  const auto stuck = it.Path.send(requestText("stream", "r1"));
+  REQUIRE(it.Path.runUntil([&] { return stuck->has("id: 1"); }));
+  it.Path.addTarget(
+      "t2",
+      [](const auto &head, const auto &, const auto &connection) {
+        const bool resumes = head.Headers.value("X-After").has_value();
+        connection->send(headOf(200, idOf(head)) + (resumes ? "" : event(1)) +
+                         event(2) + "0\r\n\r\n");
+      },
+      1, "g");
+  // Other streams show that the group goes on.
+  for (int i = 2; i < 90 && !stuck->has("0\r\n\r\n"); ++i) {
+    it.Path.send(requestText("stream", "r" + std::to_string(i)));
+    it.Path.run(20ms);
+  }
+  CHECK(stuck->has("id: 2"));
+  CHECK(stuck->has("0\r\n\r\n"));
+}
+
+TEST_CASE("a slow but sound stream isn't cut") {
+  // Events come at two thirds of the time after which a stream is silent.
+  TestPath path;
+  std::shared_ptr<Repeater> slow;
+  auto &target = path.addTarget(
+      "t1",
+      [&](const auto &head, const auto &, const auto &connection) {
+        connection->send(headOf(200, idOf(head)));
+        slow = std::make_shared<Repeater>(path.loop(), connection, event(1),
+                                          100ms);
+        slow->start();
+      },
+      1, "g");
+  path.addTarget(
+      "t2",
+      [](const auto &head, const auto &, const auto &connection) {
+        connection->send(headOf(200, idOf(head)) + event(1) + "0\r\n\r\n");
+      },
+      1, "g");
+  for (int i = 0; i < 40; ++i) {
+    path.send(requestText("stream", "r" + std::to_string(i)));
+    path.run(20ms);
+  }
+  REQUIRE(slow);
+  CHECK(slow->sent() >= 4 * event(1).size());
+  CHECK(target.closedCount() == 0);
+}
+
+TEST_CASE("a call between processes ends if its response doesn't") {
+  boost::asio::io_context loop;
+  std::shared_ptr<Repeater> endless;
+  TestTarget target(loop, [&](const auto &, const auto &,
+                              const auto &connection) {
+    connection->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    endless = std::make_shared<Repeater>(loop, connection, chunk(Piece), 1ms);
+    endless->start();
+  });
+  const std::string address = target.address();
+  const auto caller =
+      std::make_shared<adaptertcp::HttpCaller>(loop, *parseEndpoint(address));
+  adaptertcp::RequestHead head;
+  head.Method = "GET";
+  head.Target = "/";
+  head.Headers.add("Host", "h");
+  std::optional<adaptertcp::CallResult> result;
+  const auto start = std::chrono::steady_clock::now();
+  caller->call(head, "", start + 10s,
+               [&](const adaptertcp::CallResult &it) { result = it; });
+  while (!result && std::chrono::steady_clock::now() < start + 9s)
+    loop.run_one_for(5ms);
+  REQUIRE(result);
+  CHECK(result->Result == adaptertcp::CallResult::Outcome::Unknown);
+  CHECK(result->Body.empty());
+  CHECK(endless->sent() < 10 * MostBytes);
+}
