entrypath, sidecar: A process that stood still acts on nothing it knew before

A VM may be suspended for seconds, which the monotonic clock doesn't count, or its processes stopped. An entry then went on with targets, configuration and deadlines of before, until its reads of the store timed out (2.7 s, and 4.7 s where configurations may take 4 s); a coordinator went on beside the one that had taken over. After a pause of a second or more an entry rejects what waits (it hasn't run), moves the deadlines of what is in progress, and sends nothing before it has read configuration and targets again, or a second has passed; it isn't ready until then. A coordinator gives up its duty. Tests play both kinds of pause, a silent connection to the store, and a store that doesn't answer.

--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -208,6 +208,13 @@
   closeAfterSending();
 }
 
+void CallerConnection::endPause(base::Duration uncounted) {
+  const auto self = shared_from_this();
+  const auto exchange = Current;
+  if (exchange)
+    exchange->endPause(uncounted);
+}
+
 void CallerConnection::closeIfIdle() {
   if (!isIdle() || Closed)
     return;
--- a/src/entrypath/callerconnection.h
+++ b/src/entrypath/callerconnection.h
@@ -38,6 +38,8 @@
   void checkTimeouts(base::TimePoint now);
   /// Closes the connection if no request is in progress or partly read.
   void closeIfIdle();
+  /// Handles a pause of the process, see Entry::checkPause().
+  void endPause(base::Duration uncounted);
   /// Closes the connection and ends its request.
   void drop();
   bool isIdle() const;
--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -10,6 +10,7 @@
 
 namespace bergamot::entrypath {
 
+using base::Duration;
 using base::TimePoint;
 using boost::system::error_code;
 using std::chrono::milliseconds;
@@ -23,6 +24,8 @@
 /// lost before its work is forgotten.
 constexpr milliseconds ReportLife{1500};
 constexpr int ListenBacklog = 1024;
+/// Without the store, the other entries' records come within this time.
+constexpr milliseconds RefreshTimeout{1000};
 
 } // namespace
 
@@ -31,7 +34,8 @@
     : Loop(loop), Settings(settings), Names(dialect), Metrics(metrics),
       Decisions(settings.LogLinesPerSecond), Acceptor(loop), Ticker(loop),
       Pool(loop), Directory(settings.LapseGrace), Loads(ReportLife),
-      Health(gateway::HealthSettings{}), Random(settings.Seed) {}
+      Health(gateway::HealthSettings{}), Random(settings.Seed),
+      Pauses(now(), base::timeSinceBoot()) {}
 
 Entry::~Entry() {
   const auto callers = Callers;
@@ -79,6 +83,9 @@
     if (ec)
       return;
     const TimePoint at = now();
+    checkPause(at, base::timeSinceBoot());
+    if (RefreshBy && at >= *RefreshBy)
+      refreshed();
     for (auto &[name, state] : Services)
       if (!state.Queue.isEmpty())
         pump(name);
@@ -97,6 +104,29 @@
   });
 }
 
+void Entry::checkPause(TimePoint now, Duration sinceBoot) {
+  const base::Pause pause = Pauses.look(now, sinceBoot);
+  if (pause.Length == Duration::zero())
+    return;
+  base::logDecision(
+      "process.paused",
+      {{"ms", base::wholeMilliseconds(pause.Length)},
+       {"uncounted_ms", base::wholeMilliseconds(pause.Uncounted)}});
+  if (Refresh) {
+    RefreshBy = now + RefreshTimeout;
+    Refresh();
+  }
+  const auto callers = Callers;
+  for (const auto &it : callers)
+    it->endPause(pause.Uncounted);
+}
+
+void Entry::refreshed() {
+  RefreshBy.reset();
+  for (const auto &[name, state] : Services)
+    schedulePump(name);
+}
+
 void Entry::shutDown() { ShuttingDown = true; }
 
 void Entry::leave() { Leaving = true; }
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -5,6 +5,7 @@
 #include "entrypath/dialect.h"
 #include "entrypath/targetpool.h"
 #include "libbergamotbase/metrics.h"
+#include "libbergamotbase/pausewatch.h"
 #include "libbergamotgateway/attemptpolicy.h"
 #include "libbergamotgateway/enginelimit.h"
 #include "libbergamotgateway/groupprogress.h"
@@ -23,6 +24,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -82,6 +84,18 @@
   /// Puts a configuration in force; an older version than the present one is
   /// ignored.
   void setRouteTable(std::shared_ptr<const gateway::RouteTable> table);
+  /// Sets what reads configuration and targets afresh after a pause of the
+  /// process, and then calls refreshed().
+  void onPause(std::function<void()> refresh) { Refresh = std::move(refresh); }
+  /// Looks whether the process has stood still, as its VM was suspended or
+  /// stopped. What waits here is rejected then, and nothing is sent to a target
+  /// before the state has been read again: targets may have been taken out,
+  /// and deadlines have passed.
+  void checkPause(base::TimePoint now, base::Duration sinceBoot);
+  /// Says that configuration and targets are up to date again.
+  void refreshed();
+  /// Returns whether the state is up to date, as far as is known.
+  bool isFresh() const { return !RefreshBy; }
   /// Handles changes of the directory: work may go to other targets now.
   void targetsChanged();
   void setPeerRequests(const std::string &entry, gateway::RequestCounts counts);
@@ -191,6 +205,11 @@
   std::uint64_t LastExchange = 0;
   bool KnowsEntries = false;
   base::TimePoint NextSweepAt;
+  base::PauseWatch Pauses;
+  std::function<void()> Refresh;
+  /// Set while the state is read again after a pause. It is used as it is if
+  /// that takes longer.
+  std::optional<base::TimePoint> RefreshBy;
   bool ShuttingDown = false;
   bool Leaving = false;
 };
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -109,7 +109,7 @@
 
 void Entry::pump(const std::string &name) {
   ServiceState &state = service(name);
-  while (dispatchNext(name, state)) {
+  while (isFresh() && dispatchNext(name, state)) {
   }
   rejectExpired(name, state);
 }
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -124,6 +124,20 @@
   finish("caller_left", 0);
 }
 
+void Exchange::endPause(base::Duration uncounted) {
+  if (Finished || !Route)
+    return;
+  if (TargetId.empty()) {
+    // The caller has waited for long, and may be gone.
+    rejectWaiting("paused");
+    return;
+  }
+  if (uncounted == base::Duration::zero())
+    return;
+  Deadline -= uncounted;
+  armDeadline();
+}
+
 void Exchange::callerDrained() {
   if (Connection)
     Connection->setReading(true);
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -33,6 +33,9 @@
   void start();
   /// Ends all work, as the caller has closed its connection.
   void callerLeft();
+  /// Handles a pause of the process: a request that waits is rejected, the
+  /// deadline of another moves by what the clock hasn't counted.
+  void endPause(base::Duration uncounted);
   /// Lets the target send more after the caller has read what was buffered.
   void callerDrained();
   /// Sends the request to a target that the dispatcher has chosen.
--- a/src/entrypath/keyedlog.h
+++ b/src/entrypath/keyedlog.h
@@ -51,6 +51,8 @@
   /// until `waitUntil`.
   virtual void read(std::uint64_t from, base::TimePoint waitUntil,
                     base::TimePoint deadline, Completion completion) = 0;
+  /// Ends the call in progress, if any, without completion.
+  virtual void cancel() = 0;
 };
 
 } // namespace bergamot::entrypath
--- a/src/entrypath/topicfollower.cpp
+++ b/src/entrypath/topicfollower.cpp
@@ -28,6 +28,14 @@
 
 void TopicFollower::start() { readNewest(""); }
 
+void TopicFollower::refresh(std::function<void()> done) {
+  OnRefreshed = std::move(done);
+  ++ReadNumber;
+  Timer.cancel();
+  Log->cancel();
+  readNewest("");
+}
+
 void TopicFollower::readNewest(const std::string &after) {
   if (after.empty()) {
     Seen.clear();
@@ -59,6 +67,8 @@
   NeedsFullRead = false;
   NextFullReadAt = Clock::now() + Settings.FullReadPeriod;
   scheduleRead(Settings.Pause);
+  if (const auto done = std::exchange(OnRefreshed, nullptr))
+    done();
 }
 
 /// A key that a full read doesn't show was removed, unless its record is newer
@@ -106,10 +116,11 @@
 
 void TopicFollower::scheduleRead(milliseconds pause) {
   Timer.expires_after(pause);
-  Timer.async_wait([this](const boost::system::error_code &ec) {
-    if (!ec)
-      readNext();
-  });
+  Timer.async_wait(
+      [this, number = ReadNumber](const boost::system::error_code &ec) {
+        if (!ec && number == ReadNumber)
+          readNext();
+      });
 }
 
 void TopicFollower::scheduleRetry() {
--- a/src/entrypath/topicfollower.h
+++ b/src/entrypath/topicfollower.h
@@ -48,6 +48,9 @@
                 std::unique_ptr<KeyedLog> log, Change change);
 
   void start();
+  /// Reads all records at once, over a new connection, whatever is in progress;
+  /// `done` runs when that has succeeded.
+  void refresh(std::function<void()> done);
   /// Takes records that another entry has read from the store. `end` is the
   /// offset up to which it has read.
   void addPeerRecords(const std::vector<KeyedRecord> &records,
@@ -94,6 +97,9 @@
   bool Reachable = false;
   std::chrono::milliseconds NextRetryPause{0};
   bool NeedsFullRead = true;
+  std::function<void()> OnRefreshed;
+  /// Tells a timer of before a refresh from the present one.
+  std::uint64_t ReadNumber = 0;
 };
 
 } // namespace bergamot::entrypath
--- a/src/sidecar/duty.cpp
+++ b/src/sidecar/duty.cpp
@@ -36,6 +36,11 @@
   OpenedAt = now;
 }
 
+void Duty::endPause(base::TimePoint now) {
+  Holds = false;
+  LastCall = now;
+}
+
 void Duty::setHeldStep(std::optional<std::uint64_t> step, base::TimePoint now) {
   if (step != HeldStep)
     HeldSince = now;
--- a/src/sidecar/duty.h
+++ b/src/sidecar/duty.h
@@ -30,6 +30,9 @@
   /// Takes a call of the coordinator beside a rank.
   void addCall(std::uint32_t caller, std::uint32_t ownRank,
                base::TimePoint now);
+  /// Takes that the process has stood still for long: another sidecar may
+  /// coordinate by now, and what this one knows is out of date.
+  void endPause(base::TimePoint now);
   /// Takes the step that the own engine holds back, if any.
   void setHeldStep(std::optional<std::uint64_t> step, base::TimePoint now);
   /// Returns whether this sidecar coordinates now.
--- a/tests/base/test_base.cpp
+++ b/tests/base/test_base.cpp
@@ -2,6 +2,7 @@
 #include "libbergamotbase/error.h"
 #include "libbergamotbase/jsonlog.h"
 #include "libbergamotbase/metrics.h"
+#include "libbergamotbase/pausewatch.h"
 #include "libbergamotbase/settings.h"
 
 #include <catch2/catch.hpp>
@@ -60,3 +61,25 @@
   CHECK_THAT(text, Catch::Contains("x_seconds_count 2\n"));
   CHECK_THAT(text, Catch::Contains("x_total{a=\"b\"} 2\n"));
 }
+
+TEST_CASE("a pause is noticed, whether the monotonic clock counts it or not") {
+  using namespace std::chrono_literals;
+  const bergamot::base::TimePoint start;
+  bergamot::base::PauseWatch watch(start, 100s);
+  // Looks of a busy process.
+  CHECK(watch.look(start + 25ms, 100025ms).Length == 0ms);
+  CHECK(watch.look(start + 925ms, 100925ms).Length == 0ms);
+  // Stopped for four seconds.
+  auto pause = watch.look(start + 4925ms, 104925ms);
+  CHECK(pause.Length == 4s);
+  CHECK(pause.Uncounted == 0ms);
+  // Suspended for four seconds.
+  pause = watch.look(start + 4950ms, 108950ms);
+  CHECK(pause.Length == 4025ms);
+  CHECK(pause.Uncounted == 4s);
+  CHECK(watch.look(start + 4975ms, 108975ms).Length == 0ms);
+  // Both clocks run.
+  const auto before = bergamot::base::timeSinceBoot();
+  CHECK(before > 0ms);
+  CHECK(bergamot::base::timeSinceBoot() >= before);
+}
--- a/tests/entrypath/test_entrypath.cpp
+++ b/tests/entrypath/test_entrypath.cpp
@@ -429,3 +429,43 @@
   CHECK(unsent > 0);
   CHECK(received->Bytes.size() > 400 * 40000);
 }
+
+TEST_CASE("an entry that was suspended acts on nothing it knew before") {
+  // Guards against a request to a target that was taken out meanwhile, and
+  // against one that is sent although its caller's time is over.
+  TestPath path;
+  auto &target = path.addTarget(
+      "t1", [](const auto &, const auto &, const auto &) {}, 1);
+  int refreshes = 0;
+  path.entry().onPause([&] { ++refreshes; });
+  const auto sent = path.send(requestText("stream-once", "r1"));
+  REQUIRE(path.runUntil([&] { return target.requestCount() == 1; }));
+  const auto waiting = path.send(requestText("once", "r2"));
+  path.run(30ms);
+  CHECK_FALSE(waiting->has("HTTP/1.1"));
+  // Five seconds that the monotonic clock doesn't count; the route allows 4.5.
+  path.entry().checkPause(path.entry().now(), base::timeSinceBoot() + 5s);
+  CHECK(refreshes == 1);
+  REQUIRE(path.runUntil([&] { return waiting->has("HTTP/1.1 503"); }));
+  REQUIRE(path.runUntil([&] { return sent->has("HTTP/1.1 504"); }));
+  // Nothing is sent until the state is up to date.
+  CHECK_FALSE(path.entry().isFresh());
+  const auto next = path.send(requestText("safe", "r3"));
+  path.run(50ms);
+  CHECK(target.requestCount() == 1);
+  path.entry().refreshed();
+  REQUIRE(path.runUntil([&] { return target.requestCount() == 2; }));
+}
+
+TEST_CASE("an entry that can't refresh after a pause goes on") {
+  // The store may be away; other entries hand on what they know.
+  TestPath path;
+  auto &target = path.addTarget("t1", answerAll);
+  path.entry().onPause([] {});
+  path.entry().checkPause(path.entry().now(), base::timeSinceBoot() + 3s);
+  CHECK_FALSE(path.entry().isFresh());
+  REQUIRE(path.runUntil([&] { return path.entry().isFresh(); }));
+  const auto received = path.send(requestText("safe", "r1"));
+  REQUIRE(path.runUntil([&] { return received->has("HTTP/1.1 200"); }));
+  CHECK(target.requestCount() == 1);
+}
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -25,6 +25,8 @@
     bool Up = true;
     bool Compacted = false;
     int Reads = 0;
+    /// Calls get no answer, as on a connection that has gone silent.
+    bool Silent = false;
   };
 
   FakeLog(boost::asio::io_context &loop, Topic &topic)
@@ -54,6 +56,8 @@
     answer(std::move(page), std::move(completion));
   }
 
+  void cancel() override { ++Calls; }
+
 private:
   KeyedPage base() const {
     KeyedPage page;
@@ -65,12 +69,18 @@
   void answer(KeyedPage page, Completion completion) {
     if (page.Result != KeyedPage::Outcome::Read)
       page.Records.clear();
-    boost::asio::post(Loop,
-                      [page, done = std::move(completion)] { done(page); });
+    if (Source.Silent)
+      return;
+    boost::asio::post(
+        Loop, [this, page, number = Calls, done = std::move(completion)] {
+          if (number == Calls)
+            done(page);
+        });
   }
 
   boost::asio::io_context &Loop;
   Topic &Source;
+  std::uint64_t Calls = 0;
 };
 
 struct Follow {
@@ -90,7 +100,10 @@
     it.MaxRetryPause = 20ms;
     return it;
   }
-  void run() { Loop.run_for(60ms); }
+  void run() {
+    Loop.restart();
+    Loop.run_for(60ms);
+  }
 
   boost::asio::io_context Loop;
   std::map<std::string, std::string> Values;
@@ -145,6 +158,33 @@
   CHECK(follow.Values["a"] == "2");
 }
 
+TEST_CASE("a refresh doesn't wait for a read in progress") {
+  // Guards against a process that acts on what it knew before a pause while its
+  // connection to the store is silent.
+  FakeLog::Topic topic;
+  topic.Records = {{"a", "1", 0}};
+  Follow follow(topic);
+  follow.run();
+  CHECK(follow.Values["a"] == "1");
+  topic.Silent = true;
+  follow.run();
+  topic.Silent = false;
+  topic.Records.push_back({"a", "2", 1});
+  follow.run();
+  CHECK(follow.Values["a"] == "1");
+  int refreshes = 0;
+  follow.Follower.refresh([&] { ++refreshes; });
+  follow.run();
+  CHECK(refreshes == 1);
+  CHECK(follow.Values["a"] == "2");
+  // It goes on following, once.
+  topic.Records.push_back({"a", "3", 2});
+  const int reads = topic.Reads;
+  follow.run();
+  CHECK(follow.Values["a"] == "3");
+  CHECK(topic.Reads <= reads + 14);
+}
+
 TEST_CASE("a follower calls a failing store less and less often") {
   // Load pattern: the store refuses a third of the entries for nine seconds;
   // each call is charged.
--- a/tests/sidecar/test_sidecar.cpp
+++ b/tests/sidecar/test_sidecar.cpp
@@ -286,6 +286,19 @@
   CHECK_FALSE(second.isCoordinator(1, at(2400ms)));
 }
 
+TEST_CASE("a sidecar that stood still coordinates no more") {
+  // Guards against two coordinators after a VM has stood still: the other ranks
+  // have one of their own by then.
+  Duty duty(at(0ms));
+  duty.setOpen(true, at(0ms));
+  REQUIRE(duty.isCoordinator(0, at(1000ms)));
+  duty.endPause(at(5000ms));
+  CHECK_FALSE(duty.isCoordinator(0, at(5000ms)));
+  duty.addCall(1, 0, at(5100ms));
+  CHECK_FALSE(duty.isCoordinator(0, at(6000ms)));
+  CHECK(duty.isCoordinator(0, at(6100ms)));
+}
+
 TEST_CASE("rank 0 coordinates a group that opens, and the others wait") {
   // Load pattern: all sidecars start at the same moment and wait for their
   // groups, longer than any of them waits for a coordinator.
