--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -161,6 +161,12 @@
                    static_cast<double>(Table->version()));
 }
 
+void Entry::setRetryBound(const gateway::RetryBound &bound) {
+  Settings.Retries = bound;
+  for (auto &[name, state] : Services)
+    state.Budget.setBound(bound);
+}
+
 void Entry::targetsChanged() {
   for (const auto &[name, state] : Services)
     schedulePump(name);
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -84,6 +84,8 @@
   /// Puts a configuration in force; an older version than the present one is
   /// ignored.
   void setRouteTable(std::shared_ptr<const gateway::RouteTable> table);
+  /// Changes the bound on repeats, for requests in progress, too.
+  void setRetryBound(const gateway::RetryBound &bound);
   /// Sets what reads configuration and targets afresh after a pause of the
   /// process, and then calls refreshed().
   void onPause(std::function<void()> refresh) { Refresh = std::move(refresh); }
--- a/src/libbergamotgateway/retrybudget.h
+++ b/src/libbergamotgateway/retrybudget.h
@@ -25,6 +25,8 @@
 public:
   explicit RetryBudget(const RetryBound &bound) : Bound(bound) {}
 
+  /// Changes the bound; what was counted so far still counts.
+  void setBound(const RetryBound &bound) { Bound = bound; }
   void addRequest(base::TimePoint now);
   /// Returns whether a repeat is left in the budget.
   bool hasRepeat(unsigned entries, base::TimePoint now);
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -166,6 +166,20 @@
   }
 }
 
+TEST_CASE("a changed retry bound counts what was repeated before") {
+  RetryBudget budget({0.5, 2, 10s});
+  for (int i = 0; i < 4; ++i)
+    budget.addRequest(at(0ms));
+  for (int i = 0; i < 4; ++i)
+    REQUIRE(budget.takeRepeat(1, at(0ms)));
+  CHECK_FALSE(budget.hasRepeat(1, at(0ms)));
+  budget.setBound({0.5, 3, 10s});
+  CHECK(budget.takeRepeat(1, at(0ms)));
+  CHECK_FALSE(budget.hasRepeat(1, at(0ms)));
+  budget.setBound({0.5, 0, 10s});
+  CHECK_FALSE(budget.hasRepeat(1, at(0ms)));
+}
+
 TEST_CASE("a record that lapses in an outage is kept for a while") {
   TargetDirectory directory(2000ms);
   directory.setTarget(record("a"), at(0ms));
