--- a/tests/entrypath/test_endless.cpp
+++ b/tests/entrypath/test_endless.cpp
@@ -67,7 +67,7 @@
 /// A path whose first target sends a head and then bytes without end.
 struct EndlessPath {
   explicit EndlessPath(
-      std::function<std::string(const adaptertcp::RequestHead &)> head,
+      const std::function<std::string(const adaptertcp::RequestHead &)> &head,
       std::string bytes, std::chrono::milliseconds period = 1ms)
       : Target(Path.addTarget(
             "t1",
--- a/tests/sidecar/test_sidecar.cpp
+++ b/tests/sidecar/test_sidecar.cpp
@@ -460,16 +460,16 @@
   // Guards against a completion on a destroyed port: a slow sidecar makes
   // several calls wait at the same time.
   boost::asio::io_context loop;
-  const std::string Host = "127.0.0.1";
+  const std::string host = "127.0.0.1";
   boost::asio::ip::tcp::acceptor silent(
       loop,
-      boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(Host), 0));
+      boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(host), 0));
   auto branch = std::make_shared<Branch>(loop, silent.local_endpoint().port(),
-                                         std::vector<std::string>{Host});
+                                         std::vector<std::string>{host});
   int answers = 0;
   const auto ask = [&] {
     ModelRank::Shared shared;
-    PeerRank peer(branch, Host, std::make_shared<ModelRank>(loop, shared, 0),
+    PeerRank peer(branch, host, std::make_shared<ModelRank>(loop, shared, 0),
                   0);
     const auto deadline = std::chrono::steady_clock::now() + 50ms;
     for (int i = 0; i < 3; ++i)
