--- a/src/sidecar/coordinator.h
+++ b/src/sidecar/coordinator.h
@@ -29,7 +29,7 @@
   std::chrono::milliseconds PollTimeout{140};
   /// Polls between two that also read the ranks' states without need.
   unsigned StatePolls = 4;
-  std::chrono::milliseconds OrderTimeout{250};
+  std::chrono::milliseconds OrderTimeout{200};
   /// Time for the answer of a rank that copies experts.
   std::chrono::milliseconds CopyTimeout{800};
   /// How often a change in progress is looked after.
--- a/src/sidecar/duty.cpp
+++ b/src/sidecar/duty.cpp
@@ -12,7 +12,7 @@
 /// Each further rank waits longer, up to MaxWaits ranks.
 constexpr std::chrono::milliseconds WaitPerRank{250};
 constexpr std::uint32_t MaxWaits = 12;
-/// A change holds a step for some 50 ms, and for 150 ms more if the answer to
+/// A change holds a step for some 50 ms, and for 200 ms more if the answer to
 /// an order is lost.
 constexpr std::chrono::milliseconds MaxHold{300};
 
