--- a/src/sidecar/batchrunner.cpp
+++ b/src/sidecar/batchrunner.cpp
@@ -33,6 +33,11 @@
   Done OnDone;
 };
 
+BatchRunner::~BatchRunner() {
+  for (const auto &[key, caller] : Callers)
+    caller->cancel();
+}
+
 void BatchRunner::run(const Batch &batch, Done done) {
   const auto it = std::make_shared<Run>(Loop);
   it->Answers.resize(batch.Calls.size());
--- a/src/sidecar/batchrunner.h
+++ b/src/sidecar/batchrunner.h
@@ -26,6 +26,10 @@
               std::uint16_t port, OwnCall ownCall)
       : Loop(loop), OwnAddress(std::move(ownAddress)), Port(port),
         CallOwn(std::move(ownCall)) {}
+  /// Ends the newest call of each kind to each member without completion.
+  ~BatchRunner();
+  BatchRunner(const BatchRunner &) = delete;
+  BatchRunner &operator=(const BatchRunner &) = delete;
 
   /// Makes all calls; `done` runs once, when all are answered or the batch's
   /// time has passed.
--- a/tests/entrypath/test_endless.cpp
+++ b/tests/entrypath/test_endless.cpp
@@ -80,8 +80,9 @@
             },
             1, "g")) {}
 
-  std::shared_ptr<Repeater> Endless;
   TestPath Path;
+  /// Its timer belongs to the path's loop.
+  std::shared_ptr<Repeater> Endless;
   TestTarget &Target;
 };
 
