entrypath: One function lets what waits look for a target again

Read-through: the loop over all services stood in four places; schedulePump leaves out empty queues already. No change of behaviour. Formatter, linter on the file and the tests of the entry path passed; the others weren't rerun.

--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -123,8 +123,7 @@
 
 void Entry::refreshed() {
   RefreshBy.reset();
-  for (const auto &[name, state] : Services)
-    schedulePump(name);
+  targetsChanged();
 }
 
 void Entry::shutDown() { ShuttingDown = true; }
@@ -174,18 +173,14 @@
 
 void Entry::setEntryNames(const std::set<std::string> &names) {
   Shares.setEntries(Settings.Name, names);
-  if (std::exchange(KnowsEntries, true))
-    return;
-  for (const auto &[name, state] : Services)
-    schedulePump(name);
+  if (!std::exchange(KnowsEntries, true))
+    targetsChanged();
 }
 
 void Entry::setPeerRequests(const std::string &entry,
                             gateway::RequestCounts counts) {
   Loads.setReport(entry, std::move(counts), now());
-  for (auto &[name, state] : Services)
-    if (!state.Queue.isEmpty())
-      schedulePump(name);
+  targetsChanged();
 }
 
 const gateway::CallerLimits &Entry::callerLimits() const {
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -98,7 +98,8 @@
   void refreshed();
   /// Returns whether the state is up to date, as far as is known.
   bool isFresh() const { return !RefreshBy; }
-  /// Handles changes of the directory: work may go to other targets now.
+  /// Lets what waits look for a target again, as the directory or what is known
+  /// of the targets has changed.
   void targetsChanged();
   void setPeerRequests(const std::string &entry, gateway::RequestCounts counts);
   /// Sets the entries that may run, this one included or not.
