sidecar: Repeat orders near the engine, keep popularity in the store, plan again at once

After a change, the next one waited for the next poll.

Change: the sidecar beside an engine repeats an unanswered order every 40 ms (sendRepeatedly; a refusal of a repeated order counts as unknown). The coordinator keeps the popularity in a topic of its own, at most every 2 s, and a new one starts from it; rank 0 reads it while its group forms. It plans again at once after a change, and before the pause between plans ends if the skew has grown. An update of counts shows a jump only if it holds a tenth of the estimate's choices.

Ruled out: a too late duty (both coordinators start within 20 ms of the opening). Left: passes of 150 ms on map 0 with full batches make each change wait 0.45 s for its step; popularity often jumps during the outage.

--- a/src/sidecar/branch.h
+++ b/src/sidecar/branch.h
@@ -33,6 +33,8 @@
             const std::string &body, base::TimePoint deadline,
             Completion completion);
 
+  boost::asio::io_context &loop() { return Loop; }
+
 private:
   struct Waiting {
     std::string Member;
--- a/src/sidecar/coordinator.cpp
+++ b/src/sidecar/coordinator.cpp
@@ -173,12 +173,16 @@
 void Coordinator::readExperts() {
   const TimePoint deadline = Clock::now() + Settings.PollTimeout;
   for (std::uint32_t i = 0; i < Seats.size(); ++i)
-    Seats[i].Port->fetchExperts(deadline,
-                                [this, i, alive = std::weak_ptr<int>(Alive)](
-                                    const std::optional<RankExperts> &experts) {
-                                  if (!alive.expired() && experts)
-                                    View.setExperts(i, *experts);
-                                });
+    Seats[i].Port->fetchExperts(
+        deadline, [this, i, alive = std::weak_ptr<int>(Alive)](
+                      const std::optional<RankExperts> &experts) {
+          if (alive.expired() || !experts)
+            return;
+          const bool hadMap = View.hasCurrentMap();
+          View.setExperts(i, *experts);
+          if (!Change && !hadMap && View.hasCurrentMap())
+            finishPoll();
+        });
 }
 
 /// Returns a version above all that the ranks report and this coordinator has
@@ -222,7 +226,8 @@
 
 void Coordinator::considerChange() {
   const TimePoint now = Clock::now();
-  if (Estimate.weight() < Settings.MinWeight || now < NextPlanAt)
+  const bool worsened = Skew >= UselessPlanSkew * (1 + Settings.MinSkewDrop);
+  if (Estimate.weight() < Settings.MinWeight || (now < NextPlanAt && !worsened))
     return;
   NextPlanAt = now + Settings.ReplanPeriod;
   const GroupMap current = View.map();
@@ -230,8 +235,10 @@
   limits.RankPace = View.paces();
   auto plan = experts::planGroup(current, Estimate.loads(), limits);
   const double drop = 1 - plan.SkewAfter / plan.SkewBefore;
-  if (drop < Settings.MinSkewDrop)
+  if (drop < Settings.MinSkewDrop) {
+    UselessPlanSkew = plan.SkewBefore;
     return;
+  }
   Planned = std::move(plan);
   ChangeStartedAt = Clock::now();
   ChangeEndsAt = ChangeStartedAt + MaxChangeTime;
@@ -338,7 +345,8 @@
        {"outcome", name},
        {"phase", Change->phaseName()},
        {"took_ms", base::wholeMilliseconds(Clock::now() - ChangeStartedAt)}});
-  if (outcome == MapChange::Outcome::Applied)
+  const bool applied = outcome == MapChange::Outcome::Applied;
+  if (applied)
     View.setMap(Change->version(), Planned.Map);
   Change.reset();
   ++ChangeNumber;
@@ -350,6 +358,12 @@
   StatesFrom = Clock::now();
   View.forgetStates();
   DriveTimer.cancel();
+  if (!applied)
+    return;
+  if (Applied)
+    Applied(Estimate.loads());
+  // The next change, if it takes several to even out a jump, needn't wait.
+  poll();
 }
 
 } // namespace bergamot::sidecar
--- a/src/sidecar/coordinator.h
+++ b/src/sidecar/coordinator.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -59,6 +60,14 @@
               const CoordinatorSettings &settings,
               std::vector<std::shared_ptr<MemberPort>> ranks);
 
+  /// Sets the popularity that an earlier coordinator of the group has seen.
+  void setEarlierLoads(const experts::ExpertLoads &loads) {
+    Estimate.setEarlier(loads);
+  }
+  /// Sets what gets the popularity after each change that took force.
+  void onApplied(std::function<void(const experts::ExpertLoads &)> handler) {
+    Applied = std::move(handler);
+  }
   void start();
 
 private:
@@ -100,6 +109,9 @@
   base::TimePoint StatesFrom;
   unsigned UnsettledPolls = 0;
   base::TimePoint NextPlanAt;
+  /// Skew for which the last plan found nothing worth a change.
+  double UselessPlanSkew = 0;
+  std::function<void(const experts::ExpertLoads &)> Applied;
   /// Numbers changes, so that answers to an earlier one aren't taken for those
   /// of the present one.
   std::uint64_t ChangeNumber = 0;
--- a/src/sidecar/loadestimate.cpp
+++ b/src/sidecar/loadestimate.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/loadestimate.h"
 
+#include <numeric>
+
 namespace bergamot::sidecar {
 
 namespace {
@@ -9,9 +11,19 @@
 constexpr double JumpGrowth = 1.5;
 /// Choices that an update must hold to be judged.
 constexpr double MinUpdateWeight = 20000;
+/// Part of the estimate's choices that an update must hold to show a jump: the
+/// first few requests of a group that has formed anew are no sample of all.
+constexpr double MinJumpPart = 0.1;
 
 } // namespace
 
+void LoadEstimate::setEarlier(const experts::ExpertLoads &loads) {
+  Loads = loads;
+  Weight = 0;
+  for (const auto &set : Loads)
+    Weight = std::accumulate(set.begin(), set.end(), Weight);
+}
+
 void LoadEstimate::addCounts(const AddedCounts &counts) {
   const std::size_t perSet = Loads.empty() ? 0 : Loads.front().size();
   if (perSet == 0 || counts.size() != Loads.size() * perSet)
@@ -25,9 +37,9 @@
 bool LoadEstimate::finishUpdate(const experts::GroupMap &map) {
   if (NewestWeight < MinUpdateWeight)
     return false; // Left for the next update.
-  const bool jumped =
-      Weight > 0 && experts::groupSkew(map, Newest) >
-                        JumpGrowth * experts::groupSkew(map, Loads);
+  const bool jumped = Weight > 0 && NewestWeight >= MinJumpPart * Weight &&
+                      experts::groupSkew(map, Newest) >
+                          JumpGrowth * experts::groupSkew(map, Loads);
   const double keep = jumped ? 0 : Keep;
   for (std::size_t s = 0; s < Loads.size(); ++s)
     for (std::size_t e = 0; e < Loads[s].size(); ++e) {
--- a/src/sidecar/loadestimate.h
+++ b/src/sidecar/loadestimate.h
@@ -19,6 +19,9 @@
       : Keep(keep), Loads(sets, std::vector<double>(experts, 0)),
         Newest(Loads) {}
 
+  /// Starts with the popularity that an earlier coordinator has seen, of the
+  /// same sizes. Counts soon outweigh it.
+  void setEarlier(const experts::ExpertLoads &loads);
   /// Adds what ranks have counted since they were last asked. Counts of another
   /// size are ignored.
   void addCounts(const AddedCounts &counts);
--- a/src/sidecar/peerrank.cpp
+++ b/src/sidecar/peerrank.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/peerrank.h"
 
 #include "sidecar/rankcodec.h"
+#include "sidecar/repeatedorder.h"
 
 #include <algorithm>
 #include <charconv>
@@ -158,8 +159,9 @@
   const bool holds = order.Kind == experts::OrderKind::Hold ||
                      order.Kind == experts::OrderKind::Release;
   if (holds || isDirect()) {
-    Engine->sendOrder(order, holds ? deadline : directDeadline(deadline),
-                      std::move(done));
+    sendRepeatedly(Members->loop(), Engine, order,
+                   holds ? deadline : directDeadline(deadline),
+                   std::move(done));
     return;
   }
   call(paths::Order, "", encodeOrder(order), deadline,
--- /dev/null
+++ b/src/sidecar/popularityrecord.cpp
@@ -0,0 +1,98 @@
+#include "sidecar/popularityrecord.h"
+
+#include "libbergamotbase/digest.h"
+#include "libbergamotbase/jsoncodec.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace bergamot::sidecar {
+
+using experts::ExpertLoads;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint64_t FormatVersion = 1;
+constexpr std::size_t ChecksumBytes = 8;
+constexpr double MaxByte = 255;
+/// More than any estimate holds; a larger weight is no popularity.
+constexpr double MaxWeight = 1e12;
+
+std::string checksum(std::string_view bytes) {
+  std::uint64_t hash = base::xxHash64(bytes);
+  std::string text;
+  for (std::size_t i = 0; i < ChecksumBytes; ++i) {
+    text.push_back(static_cast<char>(hash & 0xff));
+    hash >>= 8;
+  }
+  return text;
+}
+
+double sum(const std::vector<double> &loads) {
+  return std::accumulate(loads.begin(), loads.end(), 0.0);
+}
+
+ExpertLoads loadsOf(const json::binary_t &bytes, std::uint32_t experts,
+                    const std::vector<double> &weights) {
+  ExpertLoads loads;
+  for (std::size_t s = 0; s < weights.size(); ++s) {
+    const auto first = bytes.begin() + static_cast<std::ptrdiff_t>(s * experts);
+    loads.emplace_back(first, first + experts);
+    const double total = sum(loads.back());
+    for (double &it : loads.back())
+      it *= total > 0 ? weights[s] / total : 0;
+  }
+  return loads;
+}
+
+} // namespace
+
+std::string encodePopularity(const ExpertLoads &loads) {
+  json::binary_t bytes;
+  std::vector<double> weights;
+  for (const auto &set : loads) {
+    const double most = *std::max_element(set.begin(), set.end());
+    for (const double it : set)
+      bytes.push_back(static_cast<std::uint8_t>(
+          most > 0 ? std::ceil(MaxByte * it / most) : 0));
+    weights.push_back(std::round(sum(set)));
+  }
+  const json message = {{"format", FormatVersion},
+                        {"sets", loads.size()},
+                        {"experts", loads.empty() ? 0 : loads.front().size()},
+                        {"weights", weights},
+                        {"loads", std::move(bytes)}};
+  const std::string record = base::toCbor(message);
+  return record + checksum(record);
+}
+
+std::optional<ExpertLoads> decodePopularity(const std::string &bytes,
+                                            std::uint32_t sets,
+                                            std::uint32_t experts) {
+  const auto read = [&]() -> std::optional<ExpertLoads> {
+    if (bytes.size() <= ChecksumBytes)
+      return std::nullopt;
+    const std::string_view record =
+        std::string_view(bytes).substr(0, bytes.size() - ChecksumBytes);
+    if (checksum(record) != bytes.substr(record.size()))
+      return std::nullopt;
+    const json message = json::from_cbor(record);
+    const auto weights = message.at("weights").get<std::vector<double>>();
+    const auto &loads = message.at("loads").get_binary();
+    const bool fits =
+        message.at("format") == FormatVersion && message.at("sets") == sets &&
+        message.at("experts") == experts && weights.size() == sets &&
+        loads.size() == std::size_t{sets} * experts;
+    const bool sound =
+        std::all_of(weights.begin(), weights.end(),
+                    [](double it) { return it >= 0 && it <= MaxWeight; });
+    if (!fits || !sound)
+      return std::nullopt;
+    return loadsOf(loads, experts, weights);
+  };
+  return base::readJson<ExpertLoads>("popularity.unreadable", "record", read);
+}
+
+} // namespace bergamot::sidecar
--- a/tests/sidecar/test_sidecar.cpp
+++ b/tests/sidecar/test_sidecar.cpp
@@ -3,6 +3,7 @@
 #include "sidecar/duty.h"
 #include "sidecar/loadestimate.h"
 #include "sidecar/peerrank.h"
+#include "sidecar/popularityrecord.h"
 #include "sidecar/rankcodec.h"
 
 #include <boost/asio/io_context.hpp>
@@ -339,6 +340,65 @@
   CHECK(estimate.loads()[0][0] == Approx(40000));
 }
 
+TEST_CASE("an estimate starts with what an earlier coordinator has seen") {
+  // Load pattern: a power loss; the first requests of a group that has formed
+  // anew choose few experts, which is no jump of popularity.
+  const GroupMap map = {{{0}, {1}, {2}, {3}}};
+  LoadEstimate estimate(1, 4, 0.7);
+  estimate.setEarlier({{500000, 500000, 500000, 500000}});
+  CHECK(estimate.weight() == Approx(2000000));
+  estimate.addCounts({60000, 0, 0, 0});
+  CHECK_FALSE(estimate.finishUpdate(map));
+  CHECK(experts::groupSkew(map, estimate.loads()) < 1.2);
+  // A real jump shows in a usual number of choices.
+  estimate.addCounts({700000, 10000, 10000, 10000});
+  CHECK(estimate.finishUpdate(map));
+  CHECK(estimate.loads()[0][0] == Approx(700000));
+}
+
+TEST_CASE("a popularity record survives its encoding, damaged ones don't") {
+  const experts::ExpertLoads loads = {{100000, 300, 0, 50000},
+                                      {1, 1, 1, 1000000}};
+  const std::string record = encodePopularity(loads);
+  const auto decoded = decodePopularity(record, 2, 4);
+  REQUIRE(decoded);
+  for (std::size_t s = 0; s < 2; ++s)
+    for (std::size_t e = 0; e < 4; ++e)
+      CHECK((*decoded)[s][e] == Approx(loads[s][e]).epsilon(0.02).margin(4000));
+  CHECK((*decoded)[0][2] == 0);
+  CHECK_FALSE(decodePopularity(record, 4, 2));
+  CHECK_FALSE(decodePopularity(record, 2, 5));
+  for (std::size_t i = 0; i < record.size(); ++i) {
+    std::string damaged = record;
+    damaged[i] = static_cast<char>(damaged[i] ^ 0x41);
+    CHECK_FALSE(decodePopularity(damaged, 2, 4));
+    CHECK_FALSE(decodePopularity(record.substr(0, i), 2, 4));
+  }
+  // 128 sets of 128 experts stay far below a record's limit of 256 KiB.
+  const experts::ExpertLoads large(128, std::vector<double>(128, 7));
+  CHECK(encodePopularity(large).size() < 20000);
+}
+
+TEST_CASE("the first plan of a new coordinator needs no counts of its own") {
+  // Load pattern: all VMs lose power; the group opens with map 0, and nothing
+  // is known of popularity but what the last coordinator has kept.
+  ModelRank::Shared shared;
+  shared.Popularity = std::vector<double>(Experts, 0);
+  Running group(shared);
+  experts::ExpertLoads earlier(1, std::vector<double>(Experts, 1000));
+  earlier[0][5] = 8000;
+  group.Acting->setEarlierLoads(earlier);
+  experts::ExpertLoads kept;
+  group.Acting->onApplied([&](const auto &loads) { kept = loads; });
+  REQUIRE(
+      group.runUntil([&] { return shared.Group.state(0).MapVersion != 0; }));
+  const auto version = shared.Group.state(0).MapVersion;
+  CHECK(experts::groupSkew(shared.Maps[version], earlier) <
+        0.8 * experts::groupSkew(initialMap(), earlier));
+  REQUIRE(group.runUntil([&] { return !kept.empty(); }));
+  CHECK(kept[0][5] > kept[0][4]);
+}
+
 TEST_CASE("plans are valid and never worse than the present map") {
   std::mt19937_64 random(17);
   for (int round = 0; round < 60; ++round) {
