gateway, entrypath: Statements of leaving and of rest, order of waiting, first configuration

A rest longer than an hour is cut, so that a faulty value can't take a target out for good.

A queue that stands at its bound made each served request wait 180 ms. Now (waitpolicy): those in time go before late ones; late ones fill at most 0.7 of the places and wait only if what is left over serves them before their caller leaves; a request that can't be in time behind those that wait is rejected at once; half of the room in a standstill is for streams that broke off; Retry-After is not before the backlog is served. A request that arrives before the first configuration waits for it (up to 1.5 s, a fifth of its time) in place of a 503 with Retry-After 0.05.

--- a/src/entrypath/dialect.h
+++ b/src/entrypath/dialect.h
@@ -26,6 +26,8 @@
   /// How long the caller waits.
   std::optional<std::chrono::milliseconds> TimeLeft;
   std::optional<GenerationSize> Generation;
+  /// The caller has received a part of the stream and wants the rest.
+  bool ContinuesStream = false;
   std::string Host;
 };
 
@@ -40,6 +42,12 @@
   bool IsSigned = false;
   /// How long the target stays cold.
   std::optional<std::chrono::milliseconds> ColdFor;
+  /// The target is leaving and takes no new work.
+  bool IsLeaving = false;
+  /// How long the target wants no requests from this process.
+  std::optional<std::chrono::milliseconds> RestFor;
+  /// The target stated a rest that can't be read.
+  bool HasInvalidRest = false;
   /// How long the target keeps an idle connection.
   std::optional<std::chrono::milliseconds> KeepAliveFor;
 };
--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -1,6 +1,7 @@
 #include "entrypath/entry.h"
 
 #include "entrypath/callerconnection.h"
+#include "entrypath/exchange.h"
 #include "libbergamotbase/error.h"
 #include "libbergamotbase/jsonlog.h"
 
@@ -24,6 +25,13 @@
 /// lost before its work is forgotten.
 constexpr milliseconds ReportLife{1500};
 constexpr int ListenBacklog = 1024;
+/// Load pattern: all entries start again at the same moment, and callers' next
+/// tries arrive while the configuration is still being read. Such a request
+/// waits at most this long and this part of its time.
+constexpr milliseconds ConfigurationWait{1500};
+constexpr double ConfigurationWaitPart = 0.2;
+/// Bodies of waiting requests take memory.
+constexpr std::size_t MaxHeld = 128;
 /// Without the store, the other entries' records come within this time.
 constexpr milliseconds RefreshTimeout{1000};
 
@@ -86,6 +94,7 @@
     checkPause(at, base::timeSinceBoot());
     if (RefreshBy && at >= *RefreshBy)
       refreshed();
+    rejectHeld(at);
     for (auto &[name, state] : Services)
       if (!state.Queue.isEmpty())
         pump(name);
@@ -158,6 +167,39 @@
   StreamLimits = gateway::streamLimits(*Table);
   Metrics.setGauge("bergamot_config_version", "",
                    static_cast<double>(Table->version()));
+  startHeld();
+}
+
+bool Entry::holdForConfiguration(const std::shared_ptr<Exchange> &exchange) {
+  const TimePoint at = now();
+  const auto left = std::chrono::duration_cast<Duration>(
+      ConfigurationWaitPart * (exchange->deadline() - exchange->arrivedAt()));
+  const TimePoint until =
+      exchange->arrivedAt() + std::min<Duration>(left, ConfigurationWait);
+  if (until <= at || Held.size() >= MaxHeld)
+    return false;
+  Held.push_back({exchange, until});
+  return true;
+}
+
+void Entry::startHeld() {
+  // Each start may end the exchange and change what is held.
+  for (auto &it : std::exchange(Held, {}))
+    post([request = std::move(it.Request)] {
+      if (!request->isFinished())
+        request->start();
+    });
+}
+
+void Entry::rejectHeld(TimePoint now) {
+  std::vector<std::shared_ptr<Exchange>> due;
+  std::erase_if(Held, [&](const HeldRequest &it) {
+    if (it.Until <= now)
+      due.push_back(it.Request);
+    return it.Until <= now || it.Request->isFinished();
+  });
+  for (const auto &it : due)
+    it->configurationMissing();
 }
 
 void Entry::setRetryBound(const gateway::RetryBound &bound) {
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -9,6 +9,7 @@
 #include "libbergamotgateway/attemptpolicy.h"
 #include "libbergamotgateway/enginelimit.h"
 #include "libbergamotgateway/groupprogress.h"
+#include "libbergamotgateway/leavingtargets.h"
 #include "libbergamotgateway/loadboard.h"
 #include "libbergamotgateway/placement.h"
 #include "libbergamotgateway/rankpaces.h"
@@ -17,7 +18,9 @@
 #include "libbergamotgateway/routetable.h"
 #include "libbergamotgateway/targetdirectory.h"
 #include "libbergamotgateway/targethealth.h"
+#include "libbergamotgateway/targetrests.h"
 #include "libbergamotgateway/targetshares.h"
+#include "libbergamotgateway/waitpolicy.h"
 #include "libbergamotgateway/waitqueue.h"
 
 #include <boost/asio/io_context.hpp>
@@ -32,6 +35,7 @@
 #include <set>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 namespace bergamot::entrypath {
 
@@ -137,13 +141,19 @@
   std::size_t waitingCount(const std::string &name);
   /// Returns how many entries run or may run, this one included.
   unsigned entryCount() const;
+  /// Lets a request wait for the first configuration, which comes soon after
+  /// the process has started. Returns false if too many wait or it has no time.
+  bool holdForConfiguration(const std::shared_ptr<Exchange> &exchange);
   void enqueue(const std::shared_ptr<Exchange> &exchange);
   void removeExchange(Exchange &exchange, const char *outcome, int status);
   void setRetryAfter(adaptertcp::HeaderFields &headers,
                      const Exchange &exchange);
   void addInFlight(const std::string &target);
   void removeInFlight(const Exchange &exchange, const std::string &target);
-  void noteResponse(const std::string &target, const TargetResponse &response);
+  /// Takes what a target says of itself in a response; `startedAtMs` is the
+  /// start that its record showed as it got the request.
+  void noteResponse(const std::string &target, std::int64_t startedAtMs,
+                    const TargetResponse &response);
   gateway::GroupProgress &groups() { return Groups; }
   /// Takes a sign that a group makes progress; what waits for it goes on.
   void noteProgress(const std::string &service, const std::string &group);
@@ -165,23 +175,38 @@
     gateway::WaitQueue Queue;
     std::map<std::uint64_t, std::shared_ptr<Exchange>> Waiting;
     gateway::RetryBudget Budget;
+    gateway::RateWindow Dispatched;
+    /// Requests that came and can be served in time.
+    gateway::RateWindow Arrived;
     bool PumpPosted = false;
   };
 
+  /// A request that waits for the first configuration.
+  struct HeldRequest {
+    std::shared_ptr<Exchange> Request;
+    base::TimePoint Until;
+  };
+
   void accept();
+  void startHeld();
+  void rejectHeld(base::TimePoint now);
   ServiceState &service(const std::string &name);
   void schedulePump(const std::string &name);
   void pump(const std::string &name);
+  void rejectWaiting(ServiceState &state, std::uint64_t number);
   void rejectExpired(const std::string &name, ServiceState &state);
+  gateway::WaitLoad waitLoad(const std::string &name, ServiceState &state);
+  gateway::WaitLimits waitLimits(const Exchange &exchange) const;
+  base::Duration restLeft(const std::string &name) const;
   bool standsStill(const std::string &name) const;
   std::size_t roomOfEntry(const std::string &name) const;
   bool dispatchNext(const std::string &name, ServiceState &state);
   std::vector<gateway::Candidate> candidates(const std::string &name,
                                              const Exchange &exchange);
+  bool isUsable(const gateway::KnownTarget &target) const;
   std::uint32_t limitOf(const gateway::KnownTarget &target) const;
   bool hasAllowance(const gateway::Service *service, const std::string &target);
   unsigned sharingEntries() const;
-  base::TimePoint rejectAt(const Exchange &exchange) const;
   void tick();
 
   boost::asio::io_context &Loop;
@@ -198,10 +223,13 @@
   gateway::LoadBoard Loads;
   gateway::TargetShares Shares;
   gateway::TargetHealth Health;
+  gateway::LeavingTargets TargetsLeaving;
+  gateway::TargetRests Rests;
   gateway::GroupProgress Groups;
   gateway::RankPaces Paces;
   std::map<std::string, gateway::RateWindow> RecentDispatches;
   std::map<std::string, ServiceState> Services;
+  std::vector<HeldRequest> Held;
   std::unordered_set<std::shared_ptr<CallerConnection>> Callers;
   std::mt19937_64 Random;
   std::uniform_real_distribution<double> Uniform{0.0, 1.0};
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -19,23 +19,11 @@
 
 namespace {
 
-/// Parts of the latency objective that a request may wait for a target. The
-/// rest is needed for its work: a stream's prompt and first pass take 200 to
-/// 300 ms of 500 while a group is full, a plain response takes some 100 of 300.
-constexpr double StreamWaitPart = 0.35;
-constexpr double PlainWaitPart = 0.6;
 /// How long a stream that broke off may wait for another target: callers give
 /// up after a gap of two seconds.
 constexpr milliseconds ResumeWait{1500};
-/// How long a request may wait while all groups of its service stand still, and
-/// which part of its time at most. A group that forms anew after a power loss
-/// is back after some 2.2 s.
-constexpr milliseconds StandstillWait{2500};
-constexpr double StandstillPart = 0.4;
-/// Parts of the time left after which a rejected caller is told to come back.
-/// Callers follow it up to a third of that time; the range spreads them.
-constexpr double RetryAfterLowest = 0.08;
-constexpr double RetryAfterHighest = 0.30;
+/// In seconds; less would be lost in the time of the way.
+constexpr double LeastRetryAfter = 0.05;
 /// Another entry can take the request of one that ends.
 constexpr auto LeavingRetryAfter = "0.02";
 /// Time without requests for a target that has fallen silent. A VM that stands
@@ -63,36 +51,46 @@
   return std::max(Loads.liveEntries(), Shares.entryCount());
 }
 
-TimePoint Entry::rejectAt(const Exchange &exchange) const {
-  if (exchange.isResuming())
-    return std::min(exchange.deadline(), now() + ResumeWait);
-  const gateway::Route &route = exchange.route();
-  const std::chrono::duration<double, std::milli> objective =
-      route.LatencyObjective;
-  const double part = route.Streams ? StreamWaitPart : PlainWaitPart;
-  const TimePoint byObjective =
-      exchange.arrivedAt() + duration_cast<Duration>(part * objective);
-  return std::min(exchange.deadline(), std::max(byObjective, now()));
+gateway::WaitLimits Entry::waitLimits(const Exchange &exchange) const {
+  if (!exchange.isResuming())
+    return gateway::waitLimits(exchange.route(), exchange.times());
+  const TimePoint until = std::min(exchange.deadline(), now() + ResumeWait);
+  return {until, until};
+}
+
+gateway::WaitLoad Entry::waitLoad(const std::string &name,
+                                  ServiceState &state) {
+  const TimePoint at = now();
+  return {state.Queue.inTimeCount(),  state.Queue.lateCount(),
+          state.Dispatched.count(at), state.Arrived.count(at),
+          standsStill(name),          roomOfEntry(name)};
 }
 
 void Entry::enqueue(const std::shared_ptr<Exchange> &exchange) {
   const std::string name = exchange->service();
+  const TimePoint at = now();
   ServiceState &state = service(name);
-  if (exchange->tried().empty())
-    state.Budget.addRequest(now());
-  if (standsStill(name) && state.Queue.size() >= roomOfEntry(name)) {
-    exchange->rejectWaiting("standstill");
+  const gateway::WaitLimits limits = waitLimits(*exchange);
+  if (exchange->tried().empty()) {
+    state.Budget.addRequest(at);
+    if (limits.InTimeUntil > at)
+      state.Arrived.add(at);
+  }
+  if (at + restLeft(name) > std::max(limits.UsefulUntil, at)) {
+    exchange->rejectWaiting("resting");
+    return;
+  }
+  const bool mustWait = !state.Queue.isEmpty() || !isFresh();
+  if (!exchange->isResuming() && mustWait &&
+      !gateway::mayWait(limits, exchange->times(), waitLoad(name, state), at)) {
+    exchange->rejectWaiting(standsStill(name) ? "standstill" : "overload");
     return;
   }
   state.Waiting.emplace(exchange->number(), exchange);
-  const Duration standstill = std::min<Duration>(
-      StandstillWait,
-      duration_cast<Duration>(StandstillPart *
-                              (exchange->deadline() - exchange->arrivedAt())));
-  state.Queue.add({exchange->number(),
-                   exchange->isResuming() ? 0 : exchange->priority(),
-                   exchange->arrivedAt(), rejectAt(*exchange),
-                   exchange->arrivedAt() + standstill});
+  state.Queue.add(
+      {exchange->number(), exchange->isResuming() ? 0 : exchange->priority(),
+       exchange->arrivedAt(), limits.InTimeUntil, limits.UsefulUntil},
+      at);
   pump(name);
 }
 
@@ -118,7 +116,7 @@
 bool Entry::standsStill(const std::string &name) const {
   bool hasGroups = false;
   for (const auto &[id, target] : Directory.targets()) {
-    if (target.Record.Service != name || !Directory.isUsable(target))
+    if (target.Record.Service != name || !isUsable(target))
       continue;
     const auto &membership = target.Record.Membership;
     if (!membership || Groups.isMoving(membership->Group, now()))
@@ -132,19 +130,29 @@
 std::size_t Entry::roomOfEntry(const std::string &name) const {
   std::size_t room = 0;
   for (const auto &[id, target] : Directory.targets())
-    if (target.Record.Service == name && Directory.isUsable(target))
+    if (target.Record.Service == name && isUsable(target))
       room += limitOf(target);
   return room / entryCount() + 1;
 }
 
+void Entry::rejectWaiting(ServiceState &state, std::uint64_t number) {
+  state.Queue.remove(number);
+  const auto waiting = state.Waiting.extract(number);
+  if (!waiting.empty())
+    waiting.mapped()->rejectWaiting("no_capacity");
+}
+
+/// Rejects what no target can serve any more while it is of use.
 void Entry::rejectExpired(const std::string &name, ServiceState &state) {
   if (state.Queue.isEmpty())
     return;
-  for (const auto &it : state.Queue.takeExpired(now(), standsStill(name))) {
-    const auto waiting = state.Waiting.extract(it.Number);
-    if (!waiting.empty())
-      waiting.mapped()->rejectWaiting("no_capacity");
-  }
+  const TimePoint at = now();
+  for (const auto &it : state.Queue.takeUseless(at))
+    rejectWaiting(state, it.Number);
+  for (const auto &it : state.Queue.moveLate(at))
+    if (!gateway::mayWaitLate({it.InTimeUntil, it.UsefulUntil},
+                              waitLoad(name, state), at))
+      rejectWaiting(state, it.Number);
 }
 
 bool Entry::dispatchNext(const std::string &name, ServiceState &state) {
@@ -161,6 +169,7 @@
   state.Queue.remove(exchange->number());
   state.Waiting.erase(exchange->number());
   RecentDispatches[target->Record.Id].add(now());
+  state.Dispatched.add(now());
   if (target->Record.Membership)
     Groups.noteSent(target->Record.Membership->Group, now());
   exchange->dispatchTo(*target);
@@ -171,18 +180,24 @@
                                                   const Exchange &exchange) {
   const TimePoint at = now();
   const gateway::Service *service = Table ? Table->service(name) : nullptr;
+  const bool isLate = !exchange.isResuming() &&
+                      waitLimits(exchange).InTimeUntil <= at &&
+                      !standsStill(name);
   std::vector<gateway::Candidate> choices;
   std::vector<gateway::Candidate> triedBefore;
   for (const auto &[id, target] : Directory.targets()) {
-    if (target.Record.Service != name || !Directory.isUsable(target) ||
-        Health.isSilent(id, at))
+    if (target.Record.Service != name || !isUsable(target) ||
+        Health.isSilent(id, at) ||
+        Rests.restsUntil(id, target.Record.StartedAtMs) > at)
       continue;
     if (!hasAllowance(service, id))
       continue;
     const auto &membership = target.Record.Membership;
     if (membership && !Groups.maySend(membership->Group, at))
       continue;
-    gateway::Candidate it{id, Loads.total(id), limitOf(target),
+    const std::uint32_t limit =
+        isLate ? gateway::lateLimit(limitOf(target)) : limitOf(target);
+    gateway::Candidate it{id, Loads.total(id), limit,
                           target.Record.Domain == Settings.Domain,
                           Health.penalty(id, at)};
     (exchange.tried().contains(id) ? triedBefore : choices)
@@ -191,6 +206,12 @@
   return choices.empty() ? triedBefore : choices;
 }
 
+/// Returns whether new work may be sent to a target at all.
+bool Entry::isUsable(const gateway::KnownTarget &target) const {
+  return Directory.isUsable(target) &&
+         !TargetsLeaving.contains(target.Record.Id, target.Record.StartedAtMs);
+}
+
 std::uint32_t Entry::limitOf(const gateway::KnownTarget &target) const {
   const std::uint32_t slots = std::max(1U, target.Record.Slots);
   const auto it = StreamLimits.find(target.Record.Service);
@@ -240,14 +261,33 @@
     headers.set("Retry-After", LeavingRetryAfter);
     return;
   }
-  const double part =
-      RetryAfterLowest + (RetryAfterHighest - RetryAfterLowest) * draw();
+  const std::string name = exchange.service();
+  const gateway::WaitLoad load =
+      name.empty() ? gateway::WaitLoad() : waitLoad(name, service(name));
+  const std::chrono::duration<double> delay = gateway::returnDelay(
+      duration_cast<Duration>(left), load, restLeft(name), draw());
   std::array<char, 16> text{};
   (void)std::snprintf(text.data(), text.size(), "%.2f",
-                      std::max(0.05, part * left.count()));
+                      std::max(LeastRetryAfter, delay.count()));
   headers.set("Retry-After", text.data());
 }
 
+/// Returns how long all targets of a service want no requests; 0 if one of them
+/// may get some.
+Duration Entry::restLeft(const std::string &name) const {
+  const TimePoint at = now();
+  std::optional<Duration> shortest;
+  for (const auto &[id, target] : Directory.targets()) {
+    if (target.Record.Service != name || !isUsable(target))
+      continue;
+    const Duration left = Rests.restsUntil(id, target.Record.StartedAtMs) - at;
+    if (left <= Duration::zero())
+      return Duration::zero();
+    shortest = std::min(shortest.value_or(left), left);
+  }
+  return shortest.value_or(Duration::zero());
+}
+
 void Entry::addInFlight(const std::string &target) { Loads.addOwn(target); }
 
 void Entry::removeInFlight(const Exchange &exchange,
@@ -256,10 +296,27 @@
   schedulePump(exchange.service());
 }
 
-void Entry::noteResponse(const std::string &target,
+void Entry::noteResponse(const std::string &target, std::int64_t startedAtMs,
                          const TargetResponse &response) {
+  const TimePoint at = now();
   if (response.ColdFor && response.ColdFor->count() > 0)
-    Directory.setColdUntil(target, now() + *response.ColdFor);
+    Directory.setColdUntil(target, at + *response.ColdFor);
+  // Another instance that has the address speaks of itself.
+  if (response.Misdirected)
+    return;
+  if (response.IsLeaving && !TargetsLeaving.contains(target, startedAtMs)) {
+    base::logDecision("target.leaving", {{"target", target}});
+    TargetsLeaving.add(target, startedAtMs, at);
+  }
+  if (response.RestFor)
+    Rests.setRest(target, startedAtMs, at + *response.RestFor, at);
+  const bool hasRest = response.RestFor || response.HasInvalidRest;
+  if (hasRest && Decisions.isAllowed("target.rest", at))
+    base::logDecision(
+        "target.rest",
+        {{"target", target},
+         {"valid", !response.HasInvalidRest},
+         {"ms", response.RestFor.value_or(milliseconds(0)).count()}});
 }
 
 void Entry::noteProgress(const std::string &service, const std::string &group) {
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -31,7 +31,9 @@
   }
   Table = Owner.routeTable();
   if (!Table) {
-    answer(503, "no_configuration");
+    Deadline = ArrivedAt + Facts.TimeLeft.value_or(milliseconds(0));
+    if (!Owner.holdForConfiguration(shared_from_this()))
+      answer(503, "no_configuration");
     return;
   }
   Route = Table->route(Facts.Host, Head.Target);
@@ -98,6 +100,8 @@
     Caller->respond(head, "");
 }
 
+void Exchange::configurationMissing() { answer(503, "no_configuration"); }
+
 void Exchange::rejectWaiting(const char *reason) {
   if (ResponseStarted) {
     cutResponse(reason);
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -8,6 +8,7 @@
 #include "libbergamotgateway/eventsplitter.h"
 #include "libbergamotgateway/routetable.h"
 #include "libbergamotgateway/targetdirectory.h"
+#include "libbergamotgateway/waitpolicy.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -29,8 +30,11 @@
            std::string body, base::TimePoint arrivedAt);
   ~Exchange();
 
-  /// Answers the request or puts it in its service's queue.
+  /// Answers the request or puts it in its service's queue. Called again when
+  /// the entry has read its first configuration.
   void start();
+  /// Ends the wait for the first configuration.
+  void configurationMissing();
   /// Ends all work, as the caller has closed its connection.
   void callerLeft();
   /// Handles a pause of the process: a request that waits is rejected, the
@@ -48,6 +52,10 @@
   const gateway::Route &route() const { return *Route; }
   base::TimePoint arrivedAt() const { return ArrivedAt; }
   base::TimePoint deadline() const { return Deadline; }
+  gateway::RequestTimes times() const {
+    return {ArrivedAt, Deadline, Facts.ContinuesStream};
+  }
+  bool isFinished() const { return Finished; }
   bool isResuming() const { return ResponseStarted; }
   std::uint32_t priority() const { return Priority; }
   const CallerRequest &request() const { return Facts; }
@@ -102,6 +110,8 @@
 
   /// The present attempt.
   std::string TargetId;
+  /// The start that the target's record showed, in Unix milliseconds.
+  std::int64_t TargetStartedAtMs = 0;
   /// The target's group of ranks; empty if it has none.
   std::string TargetGroup;
   std::shared_ptr<adaptertcp::TcpConnection> Connection;
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -39,6 +39,7 @@
 
 void Exchange::dispatchTo(const gateway::KnownTarget &target) {
   TargetId = target.Record.Id;
+  TargetStartedAtMs = target.Record.StartedAtMs;
   TargetGroup = target.Record.Membership ? target.Record.Membership->Group : "";
   ++AttemptNumber;
   Sent = false;
@@ -153,7 +154,7 @@
     return false;
   HeadAccepted = true;
   HeardAt = Owner.now();
-  Owner.noteResponse(TargetId, ResponseFacts);
+  Owner.noteResponse(TargetId, TargetStartedAtMs, ResponseFacts);
   return true;
 }
 
--- /dev/null
+++ b/src/libbergamotgateway/leavingtargets.cpp
@@ -0,0 +1,25 @@
+#include "libbergamotgateway/leavingtargets.h"
+
+namespace bergamot::gateway {
+
+namespace {
+
+/// A target that leaves ends within seconds; its id isn't used by another one.
+constexpr std::chrono::hours KeptFor{1};
+
+} // namespace
+
+void LeavingTargets::add(const std::string &target, std::int64_t startedAtMs,
+                         base::TimePoint now) {
+  std::erase_if(ByTarget,
+                [&](const auto &it) { return it.second.ForgetAt <= now; });
+  ByTarget[target] = {startedAtMs, now + KeptFor};
+}
+
+bool LeavingTargets::contains(const std::string &target,
+                              std::int64_t startedAtMs) const {
+  const auto it = ByTarget.find(target);
+  return it != ByTarget.end() && startedAtMs <= it->second.StartedAtMs;
+}
+
+} // namespace bergamot::gateway
--- a/src/libbergamotgateway/waitqueue.h
+++ b/src/libbergamotgateway/waitqueue.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <map>
-#include <string>
 #include <vector>
 
 namespace bergamot::gateway {
@@ -18,33 +17,37 @@
   /// 0 is the most urgent.
   std::uint32_t Priority = 0;
   TimePoint ArrivedAt;
-  /// The request is rejected if it still waits at this time: what is left
-  /// then is too little to be served within its objective.
-  TimePoint RejectAt;
-  /// The same while all targets of the service stand still, as after a power
-  /// loss: the wait is for their return then, not for room.
-  TimePoint RejectAtStandstill;
+  /// A request that is sent later can't be served within its objective.
+  TimePoint InTimeUntil;
+  /// A request that is sent later is of no use, as its caller leaves.
+  TimePoint UsefulUntil;
 };
 
-/// The requests of one service that wait at this entry. Urgent ones go first,
-/// then those that arrived first.
+/// The requests of one service that wait at this entry. Those that can still be
+/// served in time go before the late ones, then urgent ones first, then those
+/// that arrived first. Load pattern: after a power loss or a burst there are
+/// more requests than places. Strictly by arrival, the backlog would make all
+/// that follows late, too.
 class WaitQueue {
 public:
-  void add(const WaitingRequest &request);
+  /// A request whose InTimeUntil has passed is late from the start.
+  void add(const WaitingRequest &request, TimePoint now);
   void remove(std::uint64_t number);
   /// Returns the request that goes next; null if none waits.
   const WaitingRequest *next() const;
-  /// Removes and returns the requests that have waited too long. `standstill`
-  /// says that no target of the service makes progress.
-  std::vector<WaitingRequest> takeExpired(TimePoint now,
-                                          bool standstill = false);
-  /// Returns how many requests would go before one of this priority.
-  std::size_t countBefore(std::uint32_t priority) const;
+  /// Puts the requests that have become late behind those in time, and returns
+  /// them.
+  std::vector<WaitingRequest> moveLate(TimePoint now);
+  /// Removes and returns the requests that are of no use any more.
+  std::vector<WaitingRequest> takeUseless(TimePoint now);
   std::size_t size() const { return Waiting.size(); }
+  std::size_t lateCount() const { return Late; }
+  std::size_t inTimeCount() const { return Waiting.size() - Late; }
   bool isEmpty() const { return Waiting.empty(); }
 
 private:
   struct Rank {
+    bool IsLate;
     std::uint32_t Priority;
     TimePoint ArrivedAt;
     std::uint64_t Number;
@@ -53,6 +56,7 @@
 
   std::map<Rank, WaitingRequest> Waiting;
   std::map<std::uint64_t, Rank> ByNumber;
+  std::size_t Late = 0;
 };
 
 } // namespace bergamot::gateway
--- a/tests/entrypath/testpath.cpp
+++ b/tests/entrypath/testpath.cpp
@@ -69,6 +69,7 @@
   if (const auto left = head.Headers.value("X-Left"))
     it.TimeLeft =
         std::chrono::milliseconds(adaptertcp::parseNumber(*left).value_or(0));
+  it.ContinuesStream = head.Headers.value("X-After").has_value();
   return it;
 }
 
@@ -79,6 +80,10 @@
   it.IsSigned = head.Headers.value("X-Signed").has_value();
   it.NotExecuted = head.Headers.value("X-Not-Executed").has_value();
   it.Misdirected = head.Status == 421;
+  it.IsLeaving = head.Headers.value("X-Leaving").has_value();
+  if (const auto rest = head.Headers.value("X-Rest"))
+    it.RestFor =
+        std::chrono::milliseconds(adaptertcp::parseNumber(*rest).value_or(0));
   return it;
 }
 
@@ -160,7 +165,7 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-TestPath::TestPath() {
+TestPath::TestPath(Configured configured) {
   EntrySettings settings;
   settings.Name = "entry";
   settings.Domain = "d";
@@ -168,10 +173,13 @@
   settings.Retries = {0.2, 80, 10s};
   settings.SilentAfter = 150ms;
   Path = std::make_unique<Entry>(Loop, settings, Names, Metrics);
-  Path->setRouteTable(table());
+  if (configured == Configured::AtOnce)
+    configure();
   Path->listen();
 }
 
+void TestPath::configure() { Path->setRouteTable(table()); }
+
 TestPath::~TestPath() {
   for (auto &[received, connection] : Callers)
     connection->close();
--- a/tests/entrypath/testpath.h
+++ b/tests/entrypath/testpath.h
@@ -77,9 +77,15 @@
 /// An entry with targets and callers on one event loop.
 class TestPath {
 public:
-  TestPath();
+  /// When the entry gets its configuration.
+  enum class Configured { AtOnce, Later };
+
+  explicit TestPath(Configured configured = Configured::AtOnce);
   ~TestPath();
 
+  /// Gives the entry its configuration.
+  void configure();
+
   /// Adds a target to the service "s", as a rank of a group unless `group` is
   /// empty.
   TestTarget &addTarget(const std::string &id, TestTarget::Script script,
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -10,7 +10,6 @@
 #include "libbergamotgateway/targetdirectory.h"
 #include "libbergamotgateway/targethealth.h"
 #include "libbergamotgateway/targetshares.h"
-#include "libbergamotgateway/waitqueue.h"
 
 #include <catch2/catch.hpp>
 
@@ -369,21 +368,6 @@
   CHECK(health.penalty("t", at(30000ms)) < 0.01);
 }
 
-TEST_CASE("urgent requests go first, then those that arrived first") {
-  WaitQueue queue;
-  queue.add({1, 2, at(0ms), at(300ms)});
-  queue.add({2, 1, at(20ms), at(320ms)});
-  queue.add({3, 1, at(10ms), at(310ms)});
-  CHECK(queue.next()->Number == 3);
-  CHECK(queue.countBefore(1) == 2);
-  queue.remove(3);
-  CHECK(queue.next()->Number == 2);
-  const auto expired = queue.takeExpired(at(305ms));
-  REQUIRE(expired.size() == 1);
-  CHECK(expired.front().Number == 1);
-  CHECK(queue.size() == 1);
-}
-
 TEST_CASE("what follows a failed attempt never breaks a promise") {
   // Goes through all cases; each is checked against the promises themselves.
   const AttemptFailure failures[] = {
@@ -475,15 +459,6 @@
   CHECK(groups.isMoving("g", at(30ms)));
 }
 
-TEST_CASE("requests wait longer while their targets stand still") {
-  WaitQueue queue;
-  queue.add({1, 1, at(0ms), at(175ms), at(2500ms)});
-  CHECK(queue.takeExpired(at(2000ms), true).empty());
-  CHECK(queue.takeExpired(at(2000ms), false).size() == 1);
-  queue.add({2, 1, at(0ms), at(175ms), at(2500ms)});
-  CHECK(queue.takeExpired(at(2500ms), true).size() == 1);
-}
-
 TEST_CASE("slow ranks get fewer requests, very slow ones none") {
   // Load pattern: one engine of a group takes two to twelve times as long.
   RankPaces paces;
--- /dev/null
+++ b/tests/gateway/test_targetnotices.cpp
@@ -0,0 +1,53 @@
+// What targets say of themselves in responses: that they leave, or want rest.
+#include "libbergamotgateway/leavingtargets.h"
+#include "libbergamotgateway/targetrests.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamot;
+using namespace bergamot::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+base::TimePoint at(std::chrono::milliseconds time) {
+  return base::TimePoint() + time;
+}
+
+} // namespace
+
+TEST_CASE("a target that says it leaves is out until it starts again") {
+  LeavingTargets leaving;
+  CHECK_FALSE(leaving.contains("t", 100));
+  leaving.add("t", 100, at(0ms));
+  CHECK(leaving.contains("t", 100));
+  CHECK_FALSE(leaving.contains("other", 100));
+  // An older record that returns late doesn't bring it back.
+  CHECK(leaving.contains("t", 90));
+  CHECK_FALSE(leaving.contains("t", 101));
+}
+
+TEST_CASE("statements of targets that are long gone are forgotten") {
+  LeavingTargets leaving;
+  for (int i = 0; i < 1000; ++i)
+    leaving.add("t" + std::to_string(i), 1, at(1min * i));
+  CHECK(leaving.size() <= 61);
+  CHECK(leaving.contains("t999", 1));
+}
+
+TEST_CASE("a target rests until the latest time that it has asked for") {
+  TargetRests rests;
+  rests.setRest("t", 1, at(2000ms), at(0ms));
+  rests.setRest("t", 1, at(500ms), at(100ms));
+  CHECK(rests.restsUntil("t", 1) == at(2000ms));
+  CHECK(rests.restsUntil("other", 1) <= at(0ms));
+  SECTION("a target that has started again knows nothing of it") {
+    CHECK(rests.restsUntil("t", 2) <= at(0ms));
+    rests.setRest("t", 2, at(300ms), at(200ms));
+    CHECK(rests.restsUntil("t", 2) == at(300ms));
+  }
+  SECTION("a huge wish doesn't take it out for good") {
+    rests.setRest("t", 1, at(240h), at(0ms));
+    CHECK(rests.restsUntil("t", 1) <= at(1h));
+  }
+}
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -344,3 +344,29 @@
   head.Headers.add("Keep-Alive", "timeout=5, max=3");
   CHECK(dialect.decodeResponse(head).KeepAliveFor == 5000ms);
 }
+
+TEST_CASE("a target's statements on leaving and rest are decoded") {
+  const PlatformDialect dialect;
+  const auto decode = [&](int status, const char *name, const char *value) {
+    adaptertcp::ResponseHead head;
+    head.Status = status;
+    head.Headers.add(name, value);
+    return dialect.decodeResponse(head);
+  };
+  CHECK(decode(200, "Server-Leaving", "1").IsLeaving);
+  CHECK(decode(500, "server-leaving", "1").IsLeaving);
+  CHECK_FALSE(decode(200, "Server-Leaving", "0").IsLeaving);
+  CHECK(decode(503, "Retry-After", "2").RestFor == 2000ms);
+  CHECK(decode(503, "Retry-After", "0.25").RestFor == 250ms);
+  CHECK(decode(503, "Retry-After", "0").RestFor == 0ms);
+  CHECK_FALSE(decode(429, "Retry-After", "2").RestFor);
+  // Huge values stay within the range of the clock.
+  CHECK(decode(503, "Retry-After", "99999999999999999999").RestFor == 24h);
+  for (const char *bad : {"", "soon", "-1", "1s", "nan", "inf", "1e3",
+                          "Fri, 04 Dec 2026 12:00:00 GMT"}) {
+    CAPTURE(bad);
+    const auto response = decode(503, "Retry-After", bad);
+    CHECK_FALSE(response.RestFor);
+    CHECK(response.HasInvalidRest);
+  }
+}
