gateway, experts: Forming groups are known to be open early; copies have to pay for their time

Entries sent one every 300 ms, each caller whose request was refused twice got its final refusal, and the group, open at 36.3, was known to move only at 36.63, after the first event. Change: a refusal at once marks the group as forming; the first request that it doesn't refuse within 30 ms shows that it is open; a refused one goes back to wait, and others find out.

Change: what a copy has to gain grows with its time (minCopyGain).

--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -201,6 +201,8 @@
   bool standsStill(const std::string &name) const;
   std::size_t roomOfEntry(const std::string &name) const;
   bool dispatchNext(const std::string &name, ServiceState &state);
+  bool dispatch(const std::string &name, ServiceState &state,
+                std::shared_ptr<Exchange> exchange);
   std::vector<gateway::Candidate> candidates(const std::string &name,
                                              const Exchange &exchange);
   bool isUsable(const gateway::KnownTarget &target) const;
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -81,7 +81,9 @@
     return;
   }
   const bool mustWait = !state.Queue.isEmpty() || !isFresh();
-  if (!exchange->isResuming() && mustWait &&
+  const bool hasWaited = exchange->isResuming() ||
+                         (!exchange->tried().empty() && standsStill(name));
+  if (!hasWaited && mustWait &&
       !gateway::mayWait(limits, exchange->times(), waitLoad(name, state), at)) {
     exchange->rejectWaiting(standsStill(name) ? "standstill" : "overload");
     return;
@@ -159,7 +161,21 @@
   const gateway::WaitingRequest *next = state.Queue.next();
   if (!next)
     return false;
-  const auto exchange = state.Waiting.at(next->Number);
+  if (dispatch(name, state, state.Waiting.at(next->Number)))
+    return true;
+  if (!standsStill(name))
+    return false;
+  // The first one may have been refused already; others find out whether a
+  // group moves again.
+  for (const auto &[number, exchange] : state.Waiting)
+    if (exchange->tried().empty() && dispatch(name, state, exchange))
+      return true;
+  return false;
+}
+
+/// Sends a waiting request to the best target; returns false if none has room.
+bool Entry::dispatch(const std::string &name, ServiceState &state,
+                     std::shared_ptr<Exchange> exchange) {
   const auto choices = candidates(name, *exchange);
   const int chosen = gateway::chooseTarget(choices, draw());
   if (chosen < 0)
@@ -183,6 +199,10 @@
   const bool isLate = !exchange.isResuming() &&
                       waitLimits(exchange).InTimeUntil <= at &&
                       !standsStill(name);
+  // A request that finds out whether a group moves may be refused, and needs a
+  // further try then.
+  const bool mayProbe = hasRepeat(name) && (exchange.tried().empty() ||
+                                            exchange.attemptsLeft() > 1);
   std::vector<gateway::Candidate> choices;
   std::vector<gateway::Candidate> triedBefore;
   for (const auto &[id, target] : Directory.targets()) {
@@ -193,7 +213,8 @@
     if (!hasAllowance(service, id))
       continue;
     const auto &membership = target.Record.Membership;
-    if (membership && !Groups.maySend(membership->Group, at))
+    if (membership && !Groups.isMoving(membership->Group, at) &&
+        (!mayProbe || !Groups.maySend(membership->Group, at)))
       continue;
     const std::uint32_t limit =
         isLate ? gateway::lateLimit(limitOf(target)) : limitOf(target);
@@ -323,7 +344,7 @@
   if (group.empty())
     return;
   const bool wasMoving = Groups.isMoving(group, now());
-  Groups.noteProgress(group);
+  Groups.noteProgress(group, now());
   if (wasMoving)
     return;
   base::logDecision("group.moves", {{"group", group}});
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <set>
 #include <string>
@@ -59,6 +60,10 @@
   bool isResuming() const { return ResponseStarted; }
   std::uint32_t priority() const { return Priority; }
   const CallerRequest &request() const { return Facts; }
+  /// Returns to how many targets the request may still be sent.
+  std::uint32_t attemptsLeft() const {
+    return Route->MaxAttempts - std::min(Dispatches, Route->MaxAttempts);
+  }
   /// Targets that have failed this request.
   const std::set<std::string> &tried() const { return Tried; }
 
--- a/src/libbergamotexperts/groupplanner.cpp
+++ b/src/libbergamotexperts/groupplanner.cpp
@@ -21,6 +21,10 @@
 /// deployments takes as long, and two were worse there.
 constexpr std::chrono::milliseconds CopyBudget{400};
 
+/// What a copy has to gain at least, and for each second that it takes.
+constexpr double LeastCopyGain = 0.01;
+constexpr double CopyGainPerSecond = 0.17;
+
 constexpr std::uint32_t NoExpertIndex = 0xffffffff;
 
 /// A placement of an expert on a rank, in place of another one or in an
@@ -268,6 +272,11 @@
       std::max<std::int64_t>(1, base::Duration(CopyBudget) / copyTime));
 }
 
+double minCopyGain(base::Duration copyTime) {
+  const std::chrono::duration<double> seconds = copyTime;
+  return std::max(LeastCopyGain, CopyGainPerSecond * seconds.count());
+}
+
 double groupSkew(const GroupMap &map, const ExpertLoads &loads,
                  const std::vector<double> &rankPace) {
   return meanSkew(makeSets(map, loads, rankPace));
--- a/src/libbergamotexperts/groupplanner.h
+++ b/src/libbergamotexperts/groupplanner.h
@@ -25,7 +25,7 @@
   /// whole group, so its experts' tokens go to the others.
   std::vector<double> RankPace;
   /// A placement is added only if it lowers the sum of the sets' skews by
-  /// this much.
+  /// this much, see minCopyGain().
   double MinGain = 0.01;
 };
 
@@ -55,6 +55,11 @@
 /// copied.
 std::uint32_t copiesPerChange(base::Duration copyTime);
 
+/// Returns how much a copy has to gain, see GroupPlanLimits::MinGain. Large
+/// experts take the ranks' links and slow their passes for longer, and
+/// popularity changes again before a small gain has paid for that.
+double minCopyGain(base::Duration copyTime);
+
 /// Returns the skew of a map under the loads, see GroupPlan and RankPace.
 double groupSkew(const GroupMap &map, const ExpertLoads &loads,
                  const std::vector<double> &rankPace = {});
--- a/src/libbergamotgateway/groupprogress.cpp
+++ b/src/libbergamotgateway/groupprogress.cpp
@@ -14,6 +14,11 @@
 constexpr std::chrono::milliseconds SlowRefusal{250};
 /// Time between requests that find out whether a group moves again.
 constexpr std::chrono::milliseconds ProbePeriod{300};
+/// The same while the group forms. Each of them may be refused, and its repeat
+/// draws on the retry budget.
+constexpr std::chrono::milliseconds FormingProbePeriod{250};
+/// A group that forms refuses within some milliseconds.
+constexpr std::chrono::milliseconds AcceptedAfter{30};
 
 } // namespace
 
@@ -22,6 +27,9 @@
   if (it == ByGroup.end())
     return true;
   const State &state = it->second;
+  if (state.Forming)
+    return state.PendingSince && now >= *state.PendingSince + AcceptedAfter &&
+           now < *state.PendingSince + StallSign;
   if (state.Stalled || !state.PendingSince)
     return !state.Stalled;
   return state.HasMoved && now < *state.PendingSince + StallSign;
@@ -30,7 +38,9 @@
 bool GroupProgress::maySend(const std::string &group, TimePoint now) const {
   if (isMoving(group, now))
     return true;
-  return now >= ByGroup.at(group).LastSentAt + ProbePeriod;
+  const State &state = ByGroup.at(group);
+  return now >=
+         state.LastSentAt + (state.Forming ? FormingProbePeriod : ProbePeriod);
 }
 
 void GroupProgress::noteSent(const std::string &group, TimePoint now) {
@@ -40,19 +50,24 @@
     state.PendingSince = now;
 }
 
-void GroupProgress::noteProgress(const std::string &group) {
+void GroupProgress::noteProgress(const std::string &group, TimePoint now) {
   State &state = ByGroup[group];
   state.HasMoved = true;
   state.Stalled = false;
+  state.Forming = false;
+  state.LastProgressAt = now;
   state.PendingSince.reset();
 }
 
 void GroupProgress::noteRefusal(const std::string &group, TimePoint sentAt,
                                 TimePoint now) {
-  if (now - sentAt < SlowRefusal)
-    return;
   State &state = ByGroup[group];
-  state.Stalled = true;
+  const bool isQuick = now - sentAt < SlowRefusal;
+  // A target that is full refuses quickly, too, while its group moves.
+  if (isQuick && now < state.LastProgressAt + StallSign)
+    return;
+  state.Stalled = !isQuick;
+  state.Forming = isQuick;
   state.PendingSince.reset();
 }
 
--- a/src/libbergamotgateway/groupprogress.h
+++ b/src/libbergamotgateway/groupprogress.h
@@ -14,6 +14,10 @@
 /// back refused after a stall of 1.5 s and has used up a try of its caller and
 /// of the retry budget. A group that stands still, and one of which nothing is
 /// known yet, therefore gets single requests until one of them moves.
+///
+/// A group whose ranks run but that hasn't formed yet refuses at once. The
+/// first request that it doesn't refuse shows that it is open, long before its
+/// first event.
 class GroupProgress {
 public:
   /// Returns whether requests to the group are expected to be served now.
@@ -24,7 +28,7 @@
 
   void noteSent(const std::string &group, base::TimePoint now);
   /// Takes an event or a response of one of the group's ranks.
-  void noteProgress(const std::string &group);
+  void noteProgress(const std::string &group, base::TimePoint now);
   /// Takes a refusal of a request that was sent at `sentAt`.
   void noteRefusal(const std::string &group, base::TimePoint sentAt,
                    base::TimePoint now);
@@ -33,6 +37,9 @@
   struct State {
     bool HasMoved = false;
     bool Stalled = false;
+    /// The group refuses at once, as it hasn't formed yet.
+    bool Forming = false;
+    base::TimePoint LastProgressAt;
     /// The first request since the last progress.
     std::optional<base::TimePoint> PendingSince;
     base::TimePoint LastSentAt;
--- a/tests/entrypath/test_entrypath.cpp
+++ b/tests/entrypath/test_entrypath.cpp
@@ -300,7 +300,7 @@
   TestPath path;
   auto &slow = path.addTarget(
       "t1", [](const auto &, const auto &, const auto &) {}, 4, "g");
-  path.entry().groups().noteProgress("g");
+  path.entry().groups().noteProgress("g", path.entry().now());
   path.entry().paces().setPace("g", 0, 2,
                                path.entry().now() + std::chrono::hours(1));
   std::vector<std::shared_ptr<Received>> callers(4);
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -440,7 +440,7 @@
   }
   CHECK(sent == 6); // The naive version sends all 180.
   CHECK_FALSE(groups.isMoving("g", at(1800ms)));
-  groups.noteProgress("g");
+  groups.noteProgress("g", at(1800ms));
   CHECK(groups.isMoving("g", at(1800ms)));
   for (auto t = 1800ms; t < 2200ms; t += 10ms) {
     REQUIRE(groups.maySend("g", at(t)));
@@ -451,10 +451,37 @@
   CHECK(groups.isMoving("other", at(2300ms)));
 }
 
+TEST_CASE("a group that forms is known to be open before its first event") {
+  // Load pattern: a power loss; the ranks are back and refuse at once until
+  // their group has formed at 1,000 ms. Its first event comes at 1,110 ms.
+  GroupProgress groups;
+  TimePoint sentAt;
+  int refused = 0;
+  auto openSince = 0ms;
+  for (auto t = 0ms; t < 1300ms && openSince == 0ms; t += 5ms) {
+    if (groups.isMoving("g", at(t)) && refused > 0) {
+      openSince = t;
+    } else if (groups.maySend("g", at(t))) {
+      groups.noteSent("g", at(t));
+      sentAt = at(t);
+      if (t < 1000ms) {
+        groups.noteRefusal("g", sentAt, sentAt + 2ms);
+        ++refused;
+      }
+    }
+  }
+  CHECK(openSince > 1000ms);
+  CHECK(openSince <= 1290ms);
+  CHECK(refused <= 10);
+  // If no event follows, it wasn't open, and single requests find out again.
+  CHECK_FALSE(groups.isMoving("g", at(2000ms)));
+  CHECK(groups.maySend("g", at(2000ms)));
+}
+
 TEST_CASE("a quick refusal is for want of room, not of progress") {
   GroupProgress groups;
   groups.noteSent("g", at(0ms));
-  groups.noteProgress("g");
+  groups.noteProgress("g", at(5ms));
   groups.noteRefusal("g", at(10ms), at(20ms));
   CHECK(groups.isMoving("g", at(30ms)));
 }
