tests, docs: Replay of the worst loads; rate windows that nobody reads don't grow

RateWindow removed old events only when it was asked for their number, which services without a limit for cold targets never do: 8 bytes a request for the life of an entry. Found by reading; the test fails without the change.

--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -202,7 +202,7 @@
   std::size_t roomOfEntry(const std::string &name) const;
   bool dispatchNext(const std::string &name, ServiceState &state);
   bool dispatch(const std::string &name, ServiceState &state,
-                std::shared_ptr<Exchange> exchange);
+                std::uint64_t number);
   std::vector<gateway::Candidate> candidates(const std::string &name,
                                              const Exchange &exchange);
   bool isUsable(const gateway::KnownTarget &target) const;
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -161,21 +161,23 @@
   const gateway::WaitingRequest *next = state.Queue.next();
   if (!next)
     return false;
-  if (dispatch(name, state, state.Waiting.at(next->Number)))
+  if (dispatch(name, state, next->Number))
     return true;
   if (!standsStill(name))
     return false;
-  // The first one may have been refused already; others find out whether a
-  // group moves again.
-  for (const auto &[number, exchange] : state.Waiting)
-    if (exchange->tried().empty() && dispatch(name, state, exchange))
-      return true;
-  return false;
+  // The first one may have been refused already; another one finds out whether
+  // a group moves again.
+  const auto untried =
+      std::find_if(state.Waiting.begin(), state.Waiting.end(),
+                   [](const auto &it) { return it.second->tried().empty(); });
+  return untried != state.Waiting.end() &&
+         dispatch(name, state, untried->first);
 }
 
 /// Sends a waiting request to the best target; returns false if none has room.
 bool Entry::dispatch(const std::string &name, ServiceState &state,
-                     std::shared_ptr<Exchange> exchange) {
+                     std::uint64_t number) {
+  const auto exchange = state.Waiting.at(number);
   const auto choices = candidates(name, *exchange);
   const int chosen = gateway::chooseTarget(choices, draw());
   if (chosen < 0)
@@ -201,8 +203,7 @@
                       !standsStill(name);
   // A request that finds out whether a group moves may be refused, and needs a
   // further try then.
-  const bool mayProbe = hasRepeat(name) && (exchange.tried().empty() ||
-                                            exchange.attemptsLeft() > 1);
+  const bool mayProbe = exchange.tried().empty() || exchange.attemptsLeft() > 1;
   std::vector<gateway::Candidate> choices;
   std::vector<gateway::Candidate> triedBefore;
   for (const auto &[id, target] : Directory.targets()) {
@@ -282,7 +283,7 @@
     headers.set("Retry-After", LeavingRetryAfter);
     return;
   }
-  const std::string name = exchange.service();
+  const std::string &name = exchange.service();
   const gateway::WaitLoad load =
       name.empty() ? gateway::WaitLoad() : waitLoad(name, service(name));
   const std::chrono::duration<double> delay = gateway::returnDelay(
--- a/src/libbergamotgateway/ratewindow.h
+++ b/src/libbergamotgateway/ratewindow.h
@@ -7,18 +7,27 @@
 
 namespace bergamot::gateway {
 
-/// Counts events in a sliding second.
+/// Counts events in a sliding second. It holds no more than those, whether or
+/// not anybody asks for their number.
 class RateWindow {
 public:
-  void add(base::TimePoint now) { Times.push_back(now); }
+  void add(base::TimePoint now) {
+    expire(now);
+    Times.push_back(now);
+  }
   /// Returns the number of events in the second that ends now.
   std::size_t count(base::TimePoint now) {
-    while (!Times.empty() && Times.front() + std::chrono::seconds(1) <= now)
-      Times.pop_front();
+    expire(now);
     return Times.size();
   }
+  std::size_t heldCount() const { return Times.size(); }
 
 private:
+  void expire(base::TimePoint now) {
+    while (!Times.empty() && Times.front() + std::chrono::seconds(1) <= now)
+      Times.pop_front();
+  }
+
   std::deque<base::TimePoint> Times;
 };
 
--- a/tests/gateway/test_waiting.cpp
+++ b/tests/gateway/test_waiting.cpp
@@ -1,5 +1,6 @@
 // How requests wait for a target, in which order they go, and when a rejected
 // caller is told to come back.
+#include "libbergamotgateway/ratewindow.h"
 #include "libbergamotgateway/waitpolicy.h"
 #include "libbergamotgateway/waitqueue.h"
 
@@ -159,3 +160,12 @@
   load.StandsStill = true;
   CHECK(delay(0) == 1200ms);
 }
+
+TEST_CASE("a window that nobody reads doesn't grow") {
+  // Services without a limit for cold targets never ask how many were sent.
+  RateWindow window;
+  for (auto t = 0ms; t < 60000ms; t += 10ms)
+    window.add(at(t));
+  CHECK(window.heldCount() <= 101);
+  CHECK(window.count(at(60500ms)) == 49);
+}
--- /dev/null
+++ b/tests/worstload/loadreplay.h
@@ -0,0 +1,137 @@
+#ifndef BERGAMOT_TESTS_WORSTLOAD_LOADREPLAY_H
+#define BERGAMOT_TESTS_WORSTLOAD_LOADREPLAY_H
+
+#include "libbergamotgateway/ratewindow.h"
+#include "libbergamotgateway/waitpolicy.h"
+#include "libbergamotgateway/waitqueue.h"
+
+#include <algorithm>
+#include <concepts>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace bergamot::worstload {
+
+using base::TimePoint;
+using std::chrono::milliseconds;
+
+/// A load for one entry and the part of the targets' places that it has.
+struct Load {
+  /// Requests per second, in each span from its start on.
+  std::map<milliseconds, double> Rates;
+  milliseconds Length{10000};
+  /// All targets stand still until then.
+  milliseconds OpensAt{0};
+  std::uint32_t Places = 28;
+  /// How long a stream keeps its place, and how long until its first event.
+  milliseconds Work{1100};
+  milliseconds FirstEvent{330};
+  std::uint64_t Seed = 1;
+};
+
+/// What became of the requests.
+struct Result {
+  unsigned InTime = 0;
+  unsigned Late = 0;
+  unsigned Refused = 0;
+  /// Sent to a target after their callers had left.
+  unsigned Wasted = 0;
+  /// Longest time that a request waited before it was refused.
+  milliseconds LongestHeld{0};
+
+  /// A late response is worth half of one in time, as on the deployments.
+  double worth() const { return InTime + 0.5 * Late; }
+};
+
+/// How an entry lets requests wait. `arrive` returns whether the request waits,
+/// `next` the request to send now, if any, and `drop` those to refuse.
+template <typename T>
+concept WaitingPolicy = requires(T policy,
+                                 const gateway::WaitingRequest &request,
+                                 TimePoint now, bool standsStill,
+                                 std::uint32_t used, std::uint32_t places) {
+  { policy.arrive(request, now, standsStill, places) } -> std::same_as<bool>;
+  {
+    policy.next(now, used, places)
+    } -> std::same_as<std::optional<gateway::WaitingRequest>>;
+  {
+    policy.drop(now, standsStill, places)
+    } -> std::same_as<std::vector<gateway::WaitingRequest>>;
+};
+
+inline TimePoint at(milliseconds time) { return TimePoint() + time; }
+
+/// Returns the arrival times of a load, the same for the same seed.
+inline std::vector<milliseconds> arrivals(const Load &load) {
+  std::mt19937_64 random(load.Seed);
+  std::vector<milliseconds> times;
+  double t = 0;
+  while (t < static_cast<double>(load.Length.count())) {
+    const auto rate = std::prev(
+        load.Rates.upper_bound(milliseconds(static_cast<std::int64_t>(t))));
+    t += std::exponential_distribution<double>(rate->second / 1000)(random);
+    times.emplace_back(static_cast<std::int64_t>(t));
+  }
+  return times;
+}
+
+/// Replays a load in virtual time.
+template <WaitingPolicy Policy> Result replay(const Load &load, Policy policy) {
+  gateway::Route route;
+  route.Streams = true;
+  route.LatencyObjective = milliseconds(500);
+  route.GapObjective = milliseconds(120);
+  constexpr milliseconds CallerTime{8000};
+  constexpr milliseconds CallerStays{2000};
+  constexpr milliseconds Tick{5};
+  Result result;
+  std::vector<TimePoint> busyUntil;
+  const auto times = arrivals(load);
+  std::size_t arrived = 0;
+  const auto refuse = [&](TimePoint arrivedAt, TimePoint now) {
+    ++result.Refused;
+    result.LongestHeld =
+        std::max(result.LongestHeld,
+                 std::chrono::duration_cast<milliseconds>(now - arrivedAt));
+  };
+  for (milliseconds t{0}; t < load.Length + CallerStays; t += Tick) {
+    const TimePoint now = at(t);
+    const bool standsStill = t < load.OpensAt;
+    for (; arrived < times.size() && times[arrived] <= t; ++arrived) {
+      const TimePoint since = at(times[arrived]);
+      const auto limits =
+          gateway::waitLimits(route, {since, since + CallerTime, false});
+      const gateway::WaitingRequest request{
+          arrived, 1, since, limits.InTimeUntil, limits.UsefulUntil};
+      if (!policy.arrive(request, now, standsStill, load.Places))
+        refuse(since, now);
+    }
+    std::erase_if(busyUntil, [&](TimePoint it) { return it <= now; });
+    const auto next = [&]() -> std::optional<gateway::WaitingRequest> {
+      if (standsStill)
+        return std::nullopt;
+      return policy.next(now, static_cast<std::uint32_t>(busyUntil.size()),
+                         load.Places);
+    };
+    for (auto it = next(); it; it = next()) {
+      busyUntil.push_back(now + load.Work);
+      const auto first = now + load.FirstEvent - it->ArrivedAt;
+      if (first <= route.LatencyObjective)
+        ++result.InTime;
+      else if (first <= CallerStays)
+        ++result.Late;
+      else
+        ++result.Wasted;
+    }
+    for (const auto &it : policy.drop(now, standsStill, load.Places))
+      refuse(it.ArrivedAt, now);
+  }
+  return result;
+}
+
+} // namespace bergamot::worstload
+
+#endif
