--- a/src/sidecar/loadestimate.cpp
+++ b/src/sidecar/loadestimate.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/loadestimate.h"
 
+#include <algorithm>
 #include <numeric>
 
 namespace bergamot::sidecar {
@@ -11,9 +12,9 @@
 constexpr double JumpGrowth = 1.5;
 /// Choices that an update must hold to be judged.
 constexpr double MinUpdateWeight = 20000;
-/// Part of the estimate's choices that an update must hold to show a jump: the
-/// first few requests of a group that has formed anew are no sample of all.
-constexpr double MinJumpPart = 0.1;
+/// Part of the estimate's choices that an update must hold, too: the first few
+/// requests of a group that has formed anew are no sample of all.
+constexpr double MinUpdatePart = 0.1;
 
 } // namespace
 
@@ -35,11 +36,13 @@
 }
 
 bool LoadEstimate::finishUpdate(const experts::GroupMap &map) {
-  if (NewestWeight < MinUpdateWeight)
-    return false; // Left for the next update.
-  const bool jumped = Weight > 0 && NewestWeight >= MinJumpPart * Weight &&
-                      experts::groupSkew(map, Newest) >
-                          JumpGrowth * experts::groupSkew(map, Loads);
+  // What is too little to be judged is left for the next update. If it became
+  // part of the estimate, it would hide a jump that it belongs to.
+  if (NewestWeight < std::max(MinUpdateWeight, MinUpdatePart * Weight))
+    return false;
+  const bool jumped =
+      Weight > 0 && experts::groupSkew(map, Newest) >
+                        JumpGrowth * experts::groupSkew(map, Loads);
   const double keep = jumped ? 0 : Keep;
   for (std::size_t s = 0; s < Loads.size(); ++s)
     for (std::size_t e = 0; e < Loads[s].size(); ++e) {
