--- /dev/null
+++ b/tests/drainlapse/test_drainlapse.cpp
@@ -0,0 +1,22 @@
+// A target that leaves while an entry isn't sure of the store. Listed in
+// KNOWN-RED.txt.
+#include "libbergamotgateway/targetdirectory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bergamot;
+using namespace bergamot::gateway;
+using namespace std::chrono_literals;
+
+TEST_CASE("a target that left in doubt isn't used past the drain bound") {
+  // The store acknowledges the removal at 0 ms; an entry whose calls to the
+  // store have just failed sees it at 461 ms. The drain bound is two seconds.
+  const TimePoint acknowledged;
+  TargetDirectory directory(2000ms);
+  TargetRecord record;
+  record.Id = "a";
+  directory.setTarget(record, acknowledged);
+  directory.removeTarget("a", false, acknowledged + 461ms);
+  directory.removeLapsed(acknowledged + 2000ms);
+  CHECK_FALSE(directory.target("a"));
+}
