--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -2,9 +2,6 @@
 // go to, and when a rejected caller is told to come back.
 #include "entrypath/entry.h"
 #include "entrypath/exchange.h"
-#include "libbergamotbase/jsonlog.h"
-
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cstdio>
@@ -13,8 +10,6 @@
 
 using base::Duration;
 using base::TimePoint;
-using gateway::AttemptFailure;
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 namespace {
@@ -26,16 +21,9 @@
 constexpr double LeastRetryAfter = 0.05;
 /// Another entry can take the request of one that ends.
 constexpr auto LeavingRetryAfter = "0.02";
-/// Time without requests for a target that has fallen silent. A VM that stands
-/// still does so for some four seconds.
-constexpr milliseconds SilentRest{1500};
 /// Part of the allowance of a cold target that is used, since arrivals of
 /// several entries bunch on the way.
 constexpr double ColdPart = 0.9;
-/// Idle time after which a kept connection is closed if its target states
-/// none, and the margin before a stated one.
-constexpr milliseconds DefaultKeepAlive{4000};
-constexpr milliseconds KeepAliveMargin{900};
 
 } // namespace
 
@@ -277,8 +265,7 @@
 
 void Entry::setRetryAfter(adaptertcp::HeaderFields &headers,
                           const Exchange &exchange) {
-  const std::chrono::duration<double> left =
-      std::max(Duration::zero(), exchange.deadline() - now());
+  const Duration left = std::max(Duration::zero(), exchange.deadline() - now());
   if (Leaving) {
     headers.set("Retry-After", LeavingRetryAfter);
     return;
@@ -286,8 +273,8 @@
   const std::string &name = exchange.service();
   const gateway::WaitLoad load =
       name.empty() ? gateway::WaitLoad() : waitLoad(name, service(name));
-  const std::chrono::duration<double> delay = gateway::returnDelay(
-      duration_cast<Duration>(left), load, restLeft(name), draw());
+  const std::chrono::duration<double> delay =
+      gateway::returnDelay(left, load, restLeft(name), draw());
   std::array<char, 16> text{};
   (void)std::snprintf(text.data(), text.size(), "%.2f",
                       std::max(LeastRetryAfter, delay.count()));
@@ -318,61 +305,6 @@
   schedulePump(exchange.service());
 }
 
-void Entry::noteResponse(const std::string &target, std::int64_t startedAtMs,
-                         const TargetResponse &response) {
-  const TimePoint at = now();
-  if (response.ColdFor && response.ColdFor->count() > 0)
-    Directory.setColdUntil(target, at + *response.ColdFor);
-  // Another instance that has the address speaks of itself.
-  if (response.Misdirected)
-    return;
-  if (response.IsLeaving && !TargetsLeaving.contains(target, startedAtMs)) {
-    base::logDecision("target.leaving", {{"target", target}});
-    TargetsLeaving.add(target, startedAtMs, at);
-  }
-  if (response.RestFor)
-    Rests.setRest(target, startedAtMs, at + *response.RestFor, at);
-  const bool hasRest = response.RestFor || response.HasInvalidRest;
-  if (hasRest && Decisions.isAllowed("target.rest", at))
-    base::logDecision(
-        "target.rest",
-        {{"target", target},
-         {"valid", !response.HasInvalidRest},
-         {"ms", response.RestFor.value_or(milliseconds(0)).count()}});
-}
-
-void Entry::noteProgress(const std::string &service, const std::string &group) {
-  if (group.empty())
-    return;
-  const bool wasMoving = Groups.isMoving(group, now());
-  Groups.noteProgress(group, now());
-  if (wasMoving)
-    return;
-  base::logDecision("group.moves", {{"group", group}});
-  schedulePump(service);
-}
-
-void Entry::noteSuccess(const std::string &target) {
-  Health.addResult(target, false, now());
-}
-
-void Entry::noteFailure(const std::string &target, AttemptFailure failure) {
-  if (failure == AttemptFailure::Misdirected) {
-    base::logDecision("target.replaced", {{"target", target}});
-    Directory.removeReplaced(target);
-    return;
-  }
-  if (failure != AttemptFailure::Refused)
-    Health.addResult(target, true, now());
-}
-
-void Entry::noteSilence(const std::string &target) {
-  const TimePoint at = now();
-  if (!Health.isSilent(target, at))
-    base::logDecision("target.silent", {{"target", target}});
-  Health.setSilent(target, at + SilentRest);
-}
-
 /// Returns how many entries share the retry budget, at least those that may
 /// exist.
 unsigned Entry::sharingEntries() const {
@@ -387,17 +319,4 @@
   return service(name).Budget.takeRepeat(sharingEntries(), now());
 }
 
-void Entry::keepConnection(const std::string &target,
-                           TargetPool::Connection connection,
-                           const TargetResponse &response, TimePoint now) {
-  Duration keep = DefaultKeepAlive;
-  if (response.KeepAliveFor)
-    keep = *response.KeepAliveFor - KeepAliveMargin;
-  if (keep <= Duration::zero()) {
-    connection->close();
-    return;
-  }
-  Pool.put(target, std::move(connection), now + keep, now);
-}
-
 } // namespace bergamot::entrypath
--- a/src/libbergamotgateway/waitpolicy.h
+++ b/src/libbergamotgateway/waitpolicy.h
@@ -66,8 +66,8 @@
 /// Returns after which time a rejected caller should come back. `left` is the
 /// time that it has; callers follow the advice up to a third of that. `draw` in
 /// [0, 1) spreads those that are rejected together. The advice is not before
-/// what waits now has been served, nor before `restEnd`, when the first target
-/// wants requests again.
+/// what waits now has been served, nor before the first target wants requests
+/// again, in `restLeft`.
 Duration returnDelay(Duration left, const WaitLoad &load, Duration restLeft,
                      double draw);
 
