gateway: End the grace period of a removed target within the drain bound

A removal that an entry saw while its calls to the store failed kept the target for two seconds from then on. The follower now knows when the removed record was last read from the store: the removal was acknowledged later, so the drain bound counts from that read if it is shorter than the outage. The grace period counts from the store's return. retainOnly() had no user.

--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -22,6 +22,9 @@
 /// connections, target records and peers' reports at CleanupPeriod.
 constexpr milliseconds TickPeriod{25};
 constexpr milliseconds CleanupPeriod{250};
+/// A target is removed this long before the drain bound: the directory is
+/// cleaned up at CleanupPeriod, and a request takes time to reach its target.
+constexpr milliseconds DrainMargin{2 * CleanupPeriod};
 /// How long a peer's report is used. It is several times the report period,
 /// since reports may be lost.
 constexpr milliseconds PeerReportLifetime{1500};
@@ -44,7 +47,8 @@
              const HeaderCodec &codec, base::Metrics &metrics)
     : Loop(loop), Settings(settings), Codec(codec), Metrics(metrics),
       EventLog(settings.LogLinesPerSecond), Acceptor(loop), Ticker(loop),
-      Pool(loop), Directory(settings.RemovalGrace),
+      Pool(loop),
+      Directory(settings.RemovalGrace, settings.DrainBound - DrainMargin),
       TargetLoads(PeerReportLifetime), Health(gateway::HealthSettings{}),
       Random(settings.Seed), Suspensions(now(), base::timeSinceBoot()) {}
 
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -54,6 +54,9 @@
   /// Time after an outage of the platform's store within which the records of
   /// live targets reappear in it.
   base::Duration RemovalGrace = std::chrono::milliseconds(2000);
+  /// Time after the acknowledgement of its removal within which a target must
+  /// get no new requests any more.
+  base::Duration DrainBound = std::chrono::milliseconds(2000);
   /// Time without progress after which a stream is resumed at another rank if
   /// its group still makes progress. It is longer than a forward pass in which
   /// one rank is 12 times slower (700 ms), and shorter than the two seconds
--- a/src/entrypath/topicfollower.cpp
+++ b/src/entrypath/topicfollower.cpp
@@ -41,6 +41,7 @@
   if (afterKey.empty()) {
     SeenKeys.clear();
     FirstTopicEnd.reset();
+    ReadStartedAt = Clock::now();
   }
   Log->readNewest(afterKey, Clock::now() + FullReadTimeout,
                   [this](const ReadResult &page) { onNewestPage(page); });
@@ -63,6 +64,7 @@
     return;
   }
   removeMissing();
+  ConfirmedAt = ReadStartedAt;
   End = std::max(End, *FirstTopicEnd);
   Loaded = true;
   NeedsFullRead = false;
@@ -82,7 +84,7 @@
       removed.push_back({key, std::nullopt, *FirstTopicEnd - 1});
   for (const auto &it : removed) {
     Records[it.Key] = it;
-    OnChange(it.Key, std::nullopt, wasStoreReachable());
+    OnChange(it.Key, std::nullopt);
   }
 }
 
@@ -91,7 +93,8 @@
     readNewestPage("");
     return;
   }
-  const TimePoint longPollUntil = Clock::now() + Settings.PollTimeout;
+  ReadStartedAt = Clock::now();
+  const TimePoint longPollUntil = ReadStartedAt + Settings.PollTimeout;
   Log->read(End, longPollUntil, longPollUntil + Settings.ReadTimeoutMargin,
             [this](const ReadResult &page) { onRead(page); });
 }
@@ -113,6 +116,7 @@
     apply(it);
     End = std::max(End, it.Offset + 1);
   }
+  ConfirmedAt = ReadStartedAt;
   scheduleRead(Settings.PollInterval);
 }
 
@@ -139,6 +143,8 @@
   if (reachable == Reachable)
     return;
   Reachable = reachable;
+  if (reachable)
+    ReachableSince = Clock::now();
   base::logInfo(reachable ? "store.regained" : "store.lost",
                 {{"topic", Settings.Topic}, {"end", End}});
 }
@@ -147,6 +153,10 @@
   return Clock::now() >= RecentOutageUntil;
 }
 
+std::optional<TimePoint> TopicFollower::reachableSince() const {
+  return Reachable ? std::optional(ReachableSince) : std::nullopt;
+}
+
 void TopicFollower::apply(const TopicRecord &record) {
   const auto it = Records.find(record.Key);
   if (it != Records.end() && it->second.Offset >= record.Offset)
@@ -154,7 +164,7 @@
   const bool changed = it == Records.end() || it->second.Value != record.Value;
   Records[record.Key] = record;
   if (changed)
-    OnChange(record.Key, record.Value, wasStoreReachable());
+    OnChange(record.Key, record.Value);
 }
 
 void TopicFollower::addPeerRecords(const std::vector<TopicRecord> &records,
--- a/src/entrypath/topicfollower.h
+++ b/src/entrypath/topicfollower.h
@@ -40,12 +40,9 @@
 class TopicFollower {
 public:
   /// Called for each change with the key and its value; the value is nullopt if
-  /// the key was removed. `storeWasReachable` is false if the store is
-  /// unreachable or was so until recently: records that are still valid may
-  /// then be missing from it.
+  /// the key was removed.
   using ChangeHandler = std::function<void(
-      const std::string &key, const std::optional<std::string> &value,
-      bool storeWasReachable)>;
+      const std::string &key, const std::optional<std::string> &value)>;
 
   TopicFollower(boost::asio::io_context &loop, FollowerSettings settings,
                 std::unique_ptr<CompactedTopic> log, ChangeHandler change);
@@ -68,6 +65,14 @@
   bool isLoaded() const { return Loaded; }
   /// Returns whether the last read from the store succeeded.
   bool isStoreReachable() const { return Reachable; }
+  /// Returns false if the store is unreachable or was so until recently:
+  /// records that are still valid may then be missing from it.
+  bool wasStoreReachable() const;
+  /// Returns when the store became reachable; std::nullopt while it isn't.
+  std::optional<base::TimePoint> reachableSince() const;
+  /// Returns a time at which all records known before the current change were
+  /// in the store: the start of the last successful read before it.
+  base::TimePoint confirmedAt() const { return ConfirmedAt; }
   const std::string &topic() const { return Settings.Topic; }
 
 private:
@@ -78,7 +83,6 @@
   void scheduleRead(std::chrono::milliseconds delay);
   void setReachable(bool reachable);
   void scheduleRetry();
-  bool wasStoreReachable() const;
   void apply(const TopicRecord &record);
   void removeMissing();
 
@@ -95,7 +99,11 @@
   std::optional<std::uint64_t> FirstTopicEnd;
   std::uint64_t End = 0;
   base::TimePoint NextFullReadAt;
-  /// Changes before this time are reported with `storeWasReachable` false.
+  /// When the read in progress and the last successful one were started.
+  base::TimePoint ReadStartedAt;
+  base::TimePoint ConfirmedAt;
+  base::TimePoint ReachableSince;
+  /// Records may have expired in an outage until this time.
   base::TimePoint RecentOutageUntil;
   bool Loaded = false;
   bool Reachable = false;
--- a/src/libbergamotgateway/targetdirectory.cpp
+++ b/src/libbergamotgateway/targetdirectory.cpp
@@ -18,25 +18,26 @@
   it.RemoveAt.reset();
 }
 
-void TargetDirectory::removeTarget(const std::string &id, bool reliable,
+void TargetDirectory::removeTarget(const std::string &id,
+                                   const RecordRemoval &removal,
                                    TimePoint now) {
   const auto it = Targets.find(id);
   if (it == Targets.end())
     return;
-  if (reliable || it->second.Record.Draining)
+  if (removal.Reliable || it->second.Record.Draining)
     Targets.erase(it);
   else if (!it->second.RemoveAt)
-    it->second.RemoveAt = now + RemovalGrace;
+    it->second.RemoveAt = removalDeadline(removal, now);
 }
 
-void TargetDirectory::retainOnly(const std::set<std::string> &ids,
-                                 bool reliable, TimePoint now) {
-  std::vector<std::string> missing;
-  for (const auto &[id, target] : Targets)
-    if (!ids.contains(id))
-      missing.push_back(id);
-  for (const auto &id : missing)
-    removeTarget(id, reliable, now);
+TimePoint TargetDirectory::removalDeadline(const RecordRemoval &removal,
+                                           TimePoint now) const {
+  const TimePoint graceEnd =
+      removal.ReachableSince.value_or(now) + RemovalGrace;
+  const TimePoint drainDeadline = removal.PresentAt + DrainBound;
+  // After an outage that was longer than the drain bound, the time of the
+  // acknowledgement is unknown, and an expired record is more likely.
+  return drainDeadline > now ? std::min(graceEnd, drainDeadline) : graceEnd;
 }
 
 void TargetDirectory::removeExpiredTargets(TimePoint now) {
--- a/src/libbergamotgateway/targetdirectory.h
+++ b/src/libbergamotgateway/targetdirectory.h
@@ -56,27 +56,38 @@
   std::optional<TimePoint> RemoveAt;
 };
 
+/// How a removed record was seen.
+struct RecordRemoval {
+  /// False if the record may merely have expired, because the store was
+  /// unreachable at the time of the removal or shortly before it.
+  bool Reliable = true;
+  /// The record was still in the store at this time, so the store acknowledged
+  /// the removal later.
+  TimePoint PresentAt;
+  /// When the store became reachable again after the last outage; unset while
+  /// it is unreachable.
+  std::optional<TimePoint> ReachableSince;
+};
+
 /// The targets of all services as listed in the platform's store, and the
 /// failure domains that operators have evacuated. Records expire during an
 /// outage of the store although the targets are still running, so a removal
 /// seen during or shortly after an outage takes effect only after a grace
-/// period.
+/// period. The grace period counts from the store's return. It is cut short if
+/// the removal may be the target's own and the drain bound would be exceeded.
 class TargetDirectory {
 public:
   /// `removalGrace` is how long after an outage running targets may take to
-  /// register again.
-  explicit TargetDirectory(base::Duration removalGrace)
-      : RemovalGrace(removalGrace) {}
+  /// register again; `drainBound` is how long after the acknowledgement of its
+  /// removal a target may still be used.
+  TargetDirectory(base::Duration removalGrace, base::Duration drainBound)
+      : RemovalGrace(removalGrace), DrainBound(drainBound) {}
 
   /// Adds or replaces a target.
   void setTarget(const TargetRecord &record, TimePoint now);
-  /// Removes a target whose record is gone. `reliable` is false if the record
-  /// may merely have expired, because the store was unavailable at the time of
-  /// the removal or shortly before it.
-  void removeTarget(const std::string &id, bool reliable, TimePoint now);
-  /// Removes all targets that are not in `ids`, after a full read of the list.
-  void retainOnly(const std::set<std::string> &ids, bool reliable,
-                  TimePoint now);
+  /// Removes a target whose record is gone.
+  void removeTarget(const std::string &id, const RecordRemoval &removal,
+                    TimePoint now);
   /// Removes targets whose grace period has ended.
   void removeExpiredTargets(TimePoint now);
   /// Removes a target whose address has been taken over by another target.
@@ -97,7 +108,10 @@
   const KnownTarget *target(const std::string &id) const;
 
 private:
+  TimePoint removalDeadline(const RecordRemoval &removal, TimePoint now) const;
+
   base::Duration RemovalGrace;
+  base::Duration DrainBound;
   std::map<std::string, KnownTarget> Targets;
   std::set<std::string> EvacuatedFailureDomains;
 };
--- a/tests/drainlapse/test_drainlapse.cpp
+++ b/tests/drainlapse/test_drainlapse.cpp
@@ -1,5 +1,4 @@
-// A target is removed shortly after an outage of the store. Listed in
-// KNOWN-RED.txt.
+// A target is removed while an entry can't reach the store.
 #include "libbergamotgateway/targetdirectory.h"
 
 #include <catch2/catch.hpp>
@@ -10,14 +9,16 @@
 
 TEST_CASE("target removed while the store is unreliable isn't used past the "
           "drain bound") {
-  // The store acknowledges the removal at 0 ms. An entry whose calls to the
-  // store have just failed sees it at 461 ms. The drain bound is two seconds.
+  // The store acknowledges the removal at 0 ms, just after an entry has read
+  // the record. The entry's next calls to the store fail, and it sees the
+  // removal at 461 ms. The drain bound is two seconds.
   const TimePoint acknowledged;
-  TargetDirectory directory(2000ms);
+  TargetDirectory directory(2000ms, 2000ms);
   TargetRecord record;
   record.Id = "a";
   directory.setTarget(record, acknowledged);
-  directory.removeTarget("a", false, acknowledged + 461ms);
+  const RecordRemoval removal{false, acknowledged, acknowledged + 461ms};
+  directory.removeTarget("a", removal, acknowledged + 461ms);
   directory.removeExpiredTargets(acknowledged + 2000ms);
   CHECK_FALSE(directory.target("a"));
 }
--- a/tests/entrypath/test_targetnotices.cpp
+++ b/tests/entrypath/test_targetnotices.cpp
@@ -53,13 +53,13 @@
   // The target's record reappears with the same start time, so the target isn't
   // used again.
   const auto record = fixture.entry().directory().target("t1")->Record;
-  fixture.entry().directory().removeTarget("t1", true, fixture.entry().now());
+  fixture.entry().directory().removeTarget("t1", {}, fixture.entry().now());
   fixture.entry().directory().setTarget(record, fixture.entry().now());
   sendSafe(fixture, "b", 6);
   CHECK(draining.requestCount() == 1);
   fixture.entry().directory().setTarget(restartedRecord(fixture.entry(), "t1"),
                                         fixture.entry().now());
-  fixture.entry().directory().removeTarget("t2", true, fixture.entry().now());
+  fixture.entry().directory().removeTarget("t2", {}, fixture.entry().now());
   sendSafe(fixture, "c", 1);
   CHECK(draining.requestCount() == 2);
 }
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -87,9 +87,10 @@
 struct FollowerFixture {
   explicit FollowerFixture(FakeLog::Topic &topic)
       : Follower(Loop, settings(), std::make_unique<FakeLog>(Loop, topic),
-                 [this](const auto &key, const auto &value, bool reliable) {
+                 [this](const auto &key, const auto &value) {
                    Values[key] = value.value_or("-");
-                   Reliable[key] = reliable;
+                   Reliable[key] = Follower.wasStoreReachable();
+                   ConfirmedAt[key] = Follower.confirmedAt();
                  }) {
     Follower.start();
   }
@@ -109,6 +110,7 @@
   boost::asio::io_context Loop;
   std::map<std::string, std::string> Values;
   std::map<std::string, bool> Reliable;
+  std::map<std::string, base::TimePoint> ConfirmedAt;
   entrypath::TopicFollower Follower;
 };
 
@@ -128,6 +130,28 @@
         std::map<std::string, std::string>{{"a", "2"}, {"b", "-"}});
 }
 
+TEST_CASE("a follower knows when a removed record was last in the store") {
+  // Guards against targets that are used past the drain bound, which counts
+  // from the store's acknowledgement of their removal.
+  FakeLog::Topic topic;
+  topic.Records = {{"a", "1", 0}};
+  FollowerFixture fixture(topic);
+  fixture.run();
+  const base::TimePoint lost = std::chrono::steady_clock::now();
+  topic.Reachable = false;
+  fixture.run();
+  CHECK_FALSE(fixture.Follower.reachableSince());
+  const base::TimePoint removed = std::chrono::steady_clock::now();
+  topic.Records.push_back({"a", std::nullopt, 1});
+  topic.Reachable = true;
+  fixture.run();
+  REQUIRE(fixture.Values["a"] == "-");
+  CHECK(fixture.ConfirmedAt["a"] <= lost);
+  CHECK(fixture.ConfirmedAt["a"] > lost - 60ms);
+  REQUIRE(fixture.Follower.reachableSince());
+  CHECK(*fixture.Follower.reachableSince() >= removed);
+}
+
 TEST_CASE("a follower detects keys removed by a compaction") {
   FakeLog::Topic topic;
   topic.Records = {{"a", "1", 0}, {"b", "1", 1}};
