sidecar: Let a coordinator yield whose changes are replaced while ranks copy

Two coordinators that plan at the same time replaced each other's change every 70 to 81 ms, forever: each planned again at once under a higher version. One whose change was replaced twice in a row now leaves the group to the other for a second, or until the map changes. The first replacement doesn't count, since ranks also refuse the versions below those that a coordinator that is gone has left them copying.

The new case makes copies last longer than planning, so that the former code fails it.

--- a/src/libbergamotexperts/mapchange.cpp
+++ b/src/libbergamotexperts/mapchange.cpp
@@ -138,7 +138,7 @@
   }
   if (CurrentPhase == Phase::Preparing &&
       (state.PreparedVersion > Version || state.Armed)) {
-    CurrentOutcome = Outcome::Superseded;
+    supersedePreparation();
     return;
   }
   if (CurrentPhase == Phase::RollingBack && rank.SentFenceVersion != 0 &&
@@ -236,11 +236,16 @@
 void MapChange::onPrepareResult(Rank &rank, OrderResult result) {
   const bool refused = result == OrderResult::Conflict;
   if (refused && !rank.MayBeCopying)
-    CurrentOutcome = Outcome::Superseded;
+    supersedePreparation();
   rank.Copying = result == OrderResult::Accepted || refused;
   rank.MayBeCopying = rank.MayBeCopying || result == OrderResult::Unknown;
 }
 
+void MapChange::supersedePreparation() {
+  CurrentOutcome = Outcome::Superseded;
+  ReplacedWhilePreparing = true;
+}
+
 void MapChange::advance(TimePoint now) {
   if (CurrentOutcome != Outcome::Running)
     return;
--- a/src/libbergamotexperts/mapchange.h
+++ b/src/libbergamotexperts/mapchange.h
@@ -121,6 +121,9 @@
   }
   /// Returns whether the ranks are still copying experts, the longest phase.
   bool isPreparing() const { return CurrentPhase == Phase::Preparing; }
+  /// Returns whether another coordinator's change has replaced this one while
+  /// the ranks were copying.
+  bool wasReplacedWhilePreparing() const { return ReplacedWhilePreparing; }
   const char *phaseName() const;
   std::uint64_t version() const { return Version; }
   std::uint64_t step() const { return Step; }
@@ -173,6 +176,7 @@
   bool allRanks(bool Rank::*flag, std::uint32_t firstRank = 0) const;
   void onHoldRankState();
   void onPrepareResult(Rank &rank, OrderResult result);
+  void supersedePreparation();
 
   MapChangeSettings Settings;
   std::uint64_t Version;
@@ -190,6 +194,7 @@
   /// During a rollback: some rank can no longer be armed, so the others may be
   /// disarmed.
   bool Blocked = false;
+  bool ReplacedWhilePreparing = false;
 };
 
 } // namespace bergamot::experts
--- a/src/sidecar/coordinator.cpp
+++ b/src/sidecar/coordinator.cpp
@@ -28,6 +28,12 @@
 /// Minimum time between state reads while the group may be held, which doesn't
 /// last long.
 constexpr milliseconds HeldReadPeriod{30};
+/// Number of replaced changes in a row after which a coordinator leaves the
+/// other one's change alone. The first one may have been replaced by the copies
+/// of a coordinator that no longer runs.
+constexpr unsigned ReplacementsBeforeYield = 2;
+/// How long it does so. A change usually takes half a second.
+constexpr milliseconds YieldTime{1000};
 /// A change that takes longer is given up, and the group's state is read again.
 constexpr std::chrono::seconds MaxChangeTime{14};
 /// Low bits of a version, reserved for the orders of a rollback (see
@@ -236,6 +242,9 @@
   const TimePoint now = Clock::now();
   const bool worsened =
       Skew >= RejectedPlanSkew * (1 + Settings.MinSkewReduction);
+  if (now < YieldUntil && View.state(0)->MapVersion == ReplacedMapVersion)
+    return;
+  YieldUntil = {};
   if (Estimator.selections() < Settings.MinEstimateSelections ||
       (now < NextPlanAt && !worsened))
     return;
@@ -250,6 +259,7 @@
     return;
   }
   ActivePlan = std::move(plan);
+  ReplacedMapVersion = View.state(0)->MapVersion;
   ChangeStartedAt = Clock::now();
   ChangeDeadline = ChangeStartedAt + MaxChangeTime;
   Settings.ChangeSettings.StepMargin =
@@ -357,6 +367,10 @@
        {"phase", Change->phaseName()},
        {"took_ms", base::wholeMilliseconds(Clock::now() - ChangeStartedAt)}});
   const bool applied = outcome == MapChange::Outcome::Applied;
+  if (Change->wasReplacedWhilePreparing())
+    recordReplacement();
+  else
+    ReplacedChanges = 0;
   if (applied)
     View.setMap(Change->version(), ActivePlan.Map);
   Change.reset();
@@ -377,4 +391,15 @@
   poll();
 }
 
+/// Two coordinators that replace each other's changes at once would do so
+/// forever, so the one whose changes are replaced lets the other one finish.
+void Coordinator::recordReplacement() {
+  if (++ReplacedChanges < ReplacementsBeforeYield)
+    return;
+  ReplacedChanges = 0;
+  YieldUntil = Clock::now() + YieldTime;
+  base::logDecision(
+      "map.yield", {{"version", Change->version()}, {"ms", YieldTime.count()}});
+}
+
 } // namespace bergamot::sidecar
--- a/src/sidecar/coordinator.h
+++ b/src/sidecar/coordinator.h
@@ -103,6 +103,7 @@
   void scheduleAdvance();
   void fetchStateForChange(std::uint32_t rank, base::TimePoint now);
   void finishChange();
+  void recordReplacement();
 
   boost::asio::io_context &Loop;
   CoordinatorSettings Settings;
@@ -123,6 +124,14 @@
   /// Number of polls that showed a held step since one last showed none.
   unsigned PollsWithHold = 0;
   base::TimePoint NextPlanAt;
+  /// Number of changes in a row that another coordinator's changes have
+  /// replaced while the ranks were copying.
+  unsigned ReplacedChanges = 0;
+  /// Until this time, or until the group's map changes, the other coordinator's
+  /// change is left alone.
+  base::TimePoint YieldUntil;
+  /// The map version that the most recent change was to replace.
+  std::uint64_t ReplacedMapVersion = 0;
   /// Skew at which planning last found no worthwhile change.
   double RejectedPlanSkew = 0;
   std::function<void(const experts::ExpertLoads &)> ChangeAppliedHandler;
--- a/tests/sidecar/test_sidecar.cpp
+++ b/tests/sidecar/test_sidecar.cpp
@@ -56,6 +56,10 @@
     bool FirstRankUnresponsive = false;
     /// If false, copies don't complete until a rank accepts an order.
     bool CompletesCopies = true;
+    /// How long a copy takes.
+    std::chrono::milliseconds CopyTime{0};
+    std::vector<base::TimePoint> CopiesUntil =
+        std::vector<base::TimePoint>(Ranks);
     std::mt19937_64 Random{3};
   };
 
@@ -63,7 +67,8 @@
       : Loop(loop), Model(shared), Index(rank) {}
 
   void fetchState(base::TimePoint, StateCompletion done) override {
-    if (Model.CompletesCopies)
+    if (Model.CompletesCopies &&
+        std::chrono::steady_clock::now() >= Model.CopiesUntil[Index])
       Model.Group.finishCopy(Index);
     if (isUnresponsive())
       return post([done] { done(std::nullopt); });
@@ -98,6 +103,9 @@
     const bool responseLost =
         Model.LosesOrderResponses && Model.Random() % 3 == 0;
     const bool accepted = Model.Group.execute(Index, order);
+    if (accepted && order.Kind == experts::OrderKind::Prepare)
+      Model.CopiesUntil[Index] =
+          std::chrono::steady_clock::now() + Model.CopyTime;
     Model.CompletesCopies = Model.CompletesCopies || accepted;
     post([=] {
       done(responseLost ? OrderResult::Unknown
@@ -266,6 +274,23 @@
   }
 }
 
+TEST_CASE("two coordinators don't replace each other's changes forever",
+          "[coordinators]") {
+  // Each of them plans again as soon as its change has been replaced, and a
+  // copy takes longer than that.
+  for (int round = 0; round < 4; ++round) {
+    ModelRank::Shared shared;
+    shared.CopyTime = 120ms;
+    CoordinatedGroup group(shared);
+    group.addSecondCoordinator();
+    group.run(60ms);
+    shared.Popularity[static_cast<std::size_t>(round) % Experts] = 9000;
+    CAPTURE(round);
+    CHECK(group.runUntil([&] { return group.skew() < 1.5; }));
+    CHECK(shared.Group.violation().empty());
+  }
+}
+
 TEST_CASE("the sidecar of a rank that holds a step for too long takes over") {
   CoordinatorElection election(at(0ms));
   election.setGroupOpen(true, at(0ms));
