adaptertcp: Reset connections of calls that time out, and check a condition before sending

A request that is held up in the network could arrive long after its caller had given up. A VM that is suspended while a connection is being opened sent its request afterwards, however late; calls that need a permission can now check it immediately before the first byte.

--- a/src/adaptertcp/asynchttpclient.cpp
+++ b/src/adaptertcp/asynchttpclient.cpp
@@ -30,7 +30,7 @@
   Timer.expires_at(deadline);
   Timer.async_wait([self = shared_from_this(), number](const error_code &ec) {
     if (!ec && number == self->CallNumber && self->PendingCompletion) {
-      self->closeConnection();
+      self->abortConnection();
       self->complete({self->RequestSent ? CallResult::Outcome::Unknown
                                         : CallResult::Outcome::NotSent,
                       {},
@@ -65,6 +65,11 @@
 }
 
 void AsyncHttpClient::sendRequest() {
+  if (SendCondition && !SendCondition()) {
+    closeConnection();
+    complete({CallResult::Outcome::NotSent, {}, {}});
+    return;
+  }
   RequestSent = true;
   Connection->send(RequestBytes);
 }
@@ -108,6 +113,12 @@
   Connection.reset();
 }
 
+void AsyncHttpClient::abortConnection() {
+  if (Connection)
+    Connection->abort();
+  Connection.reset();
+}
+
 void AsyncHttpClient::complete(CallResult result) {
   Timer.cancel();
   boost::asio::post(Loop, [self = shared_from_this(), cancelCount = CancelCount,
@@ -124,7 +135,7 @@
   ++CancelCount;
   PendingCompletion = nullptr;
   Timer.cancel();
-  closeConnection();
+  abortConnection();
 }
 
 std::shared_ptr<AsyncHttpClient> &
--- a/src/adaptertcp/asynchttpclient.h
+++ b/src/adaptertcp/asynchttpclient.h
@@ -33,8 +33,9 @@
 };
 
 /// Asynchronous HTTP client that makes one call at a time to a fixed peer over
-/// a persistent connection. A call that times out closes the connection, so an
-/// unresponsive connection is never reused.
+/// a persistent connection. A call that times out resets the connection, so
+/// that an unresponsive connection is never reused and a request that is held
+/// up in the network doesn't arrive later.
 class AsyncHttpClient : public std::enable_shared_from_this<AsyncHttpClient> {
 public:
   using Completion = std::function<void(const CallResult &)>;
@@ -42,6 +43,13 @@
   AsyncHttpClient(boost::asio::io_context &loop,
                   boost::asio::ip::tcp::endpoint peer);
 
+  /// Sets a condition that is checked immediately before a request is sent. If
+  /// it is false, the call fails with Outcome::NotSent. The time between the
+  /// start of a call and its request is not bounded by the deadline if the VM
+  /// is suspended meanwhile.
+  void setSendCondition(std::function<bool()> condition) {
+    SendCondition = std::move(condition);
+  }
   /// Starts a call; no other call may be in progress. The completion is invoked
   /// once on the event loop, never from within this function.
   void call(const RequestHead &head, std::string_view body,
@@ -59,6 +67,7 @@
   void onData(std::string_view bytes);
   void onClosed(CloseReason reason);
   void closeConnection();
+  void abortConnection();
   void complete(CallResult result);
 
   boost::asio::io_context &Loop;
@@ -68,6 +77,7 @@
   MessageParser Parser{MessageParser::Kind::Response};
   std::string RequestBytes;
   Completion PendingCompletion;
+  std::function<bool()> SendCondition;
   std::uint64_t CallNumber = 0;
   std::uint64_t CancelCount = 0;
   bool RequestSent = false;
--- a/tests/tcp/test_tcp.cpp
+++ b/tests/tcp/test_tcp.cpp
@@ -187,6 +187,63 @@
   CHECK_FALSE(client->isBusy());
 }
 
+TEST_CASE("a request isn't sent if its condition has become false") {
+  // Guards against a report that leaves a VM after its permission has ended,
+  // because the VM was suspended while the connection was being opened.
+  boost::asio::io_context loop;
+  const auto address = freeEndpoint();
+  int calls = 0;
+  AsyncHttpServer server(loop, [&](const auto &, const auto &, auto respond) {
+    ++calls;
+    respond({200, "text/plain", ""});
+  });
+  server.listen(address);
+  const auto client = std::make_shared<AsyncHttpClient>(loop, address);
+  RequestHead head;
+  head.Method = "GET";
+  head.Target = "/";
+  head.Headers.add("Host", "x");
+  bool maySend = true;
+  client->setSendCondition([&] { return maySend; });
+  std::optional<CallResult::Outcome> outcome;
+  client->call(head, "", deadlineIn(2s), [&](const CallResult &it) {
+    outcome = it.Result;
+    loop.stop();
+  });
+  maySend = false;
+  loop.run_for(5s);
+  CHECK(outcome == CallResult::Outcome::NotSent);
+  CHECK(calls == 0);
+  CHECK_FALSE(client->isBusy());
+}
+
+TEST_CASE("a call that times out resets its connection") {
+  // Guards against a request that is held up in the network and takes effect
+  // long after its caller has given up.
+  boost::asio::io_context loop;
+  const auto address = freeEndpoint();
+  tcp::acceptor acceptor(loop, address);
+  std::shared_ptr<TcpConnection> peer;
+  std::optional<CloseReason> closed;
+  acceptor.async_accept([&](const auto &ec, tcp::socket socket) {
+    REQUIRE_FALSE(ec);
+    peer = std::make_shared<TcpConnection>(std::move(socket));
+    peer->start({[](std::string_view) {},
+                 [&](CloseReason reason) {
+                   closed = reason;
+                   loop.stop();
+                 },
+                 {}});
+  });
+  const auto client = std::make_shared<AsyncHttpClient>(loop, address);
+  RequestHead head;
+  head.Method = "GET";
+  head.Target = "/";
+  client->call(head, "", deadlineIn(100ms), [](const CallResult &) {});
+  loop.run_for(5s);
+  CHECK(closed == CloseReason::Reset);
+}
+
 TEST_CASE("a queued completion doesn't run after cancel") {
   // Guards against a completion that accesses a destroyed owner.
   boost::asio::io_context loop;
