--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -104,6 +104,13 @@
   void setReloadHandler(std::function<void()> reload) {
     OnReload = std::move(reload);
   }
+  /// Sets the function that is called once for each request that has begun to
+  /// run at a target, with its client account and when it began.
+  void setExecutionHandler(
+      std::function<void(const std::string &account, base::TimePoint begunAt)>
+          handler) {
+    OnExecution = std::move(handler);
+  }
   /// Checks whether the process was suspended, for example because its VM was
   /// paused or stopped. If so, queued requests are rejected, and nothing is
   /// sent to a target until the state has been reloaded: targets may have been
@@ -164,6 +171,10 @@
   void removeExchange(Exchange &exchange, const char *outcome, int status);
   void setRetryAfter(adaptertcp::HeaderFields &headers,
                      const Exchange &exchange);
+  void recordExecution(const std::string &account, base::TimePoint begunAt) {
+    if (OnExecution)
+      OnExecution(account, begunAt);
+  }
   void addInFlight(const std::string &target);
   void removeInFlight(const Exchange &exchange, const std::string &target);
   /// Applies what a target states about itself in a response; `startedAtMs` is
@@ -263,6 +274,7 @@
   base::TimePoint NextCleanupAt;
   base::PauseDetector Suspensions;
   std::function<void()> OnReload;
+  std::function<void(const std::string &, base::TimePoint)> OnExecution;
   /// Set while the state is reloaded after a suspension. If the reload hasn't
   /// completed by then, the existing state is used.
   std::optional<base::TimePoint> ReloadDeadline;
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -98,6 +98,8 @@
   void handleAttemptFailure(gateway::AttemptFailure failure,
                             const char *detail);
   void endAttempt();
+  void recordExecution(base::TimePoint begunAt);
+  bool mayHaveRun() const;
   void retry(gateway::AttemptFailure failure);
   void relayError();
   void relayCompleteResponse(const char *outcome, int status);
@@ -139,6 +141,8 @@
   std::size_t DiscardedBytes = 0;
   boost::asio::steady_timer SilenceTimer;
   bool Sent = false;
+  /// Whether the execution of this attempt has been recorded.
+  bool ExecutionRecorded = false;
   bool ResponseHeadValidated = false;
 
   gateway::EventSplitter Events;
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -4,6 +4,8 @@
 #include "entrypath/entry.h"
 #include "entrypath/exchange.h"
 
+#include <utility>
+
 namespace bergamot::entrypath {
 
 using adaptertcp::CloseReason;
@@ -45,6 +47,7 @@
   TargetGroup = target.Record.Membership ? target.Record.Membership->Group : "";
   ++AttemptNumber;
   Sent = false;
+  ExecutionRecorded = false;
   ResponseHeadValidated = false;
   DiscardedBytes = 0;
   Events.dropPartialEvent();
@@ -190,6 +193,7 @@
     return;
   const TimePoint now = Owner.now();
   LastProgressAt = now;
+  recordExecution(now);
   if (ResponseStarted)
     LongestEventGap = std::max(LongestEventGap, now - LastEventAt);
   else
@@ -323,9 +327,27 @@
                        reason == CloseReason::Reset ? "reset" : "closed");
 }
 
+/// Records that the target has begun to run the request in this attempt.
+void Exchange::recordExecution(TimePoint begunAt) {
+  if (std::exchange(ExecutionRecorded, true) || Account.empty())
+    return;
+  Owner.recordExecution(Account, begunAt);
+}
+
+/// Returns whether the target may have run the request in this attempt, as far
+/// as its response or its silence tells. A stream has begun to run only with
+/// its first event.
+bool Exchange::mayHaveRun() const {
+  const bool refused = ResponseHeadValidated &&
+                       (ResponseInfo.NotExecuted || ResponseInfo.Misdirected);
+  return Sent && !refused && !Route->Streaming;
+}
+
 void Exchange::endAttempt() {
   if (TargetId.empty())
     return;
+  if (mayHaveRun())
+    recordExecution(SentAt);
   if (Connection) {
     // Closing the connection makes the target cancel the request.
     Connection->abort();
--- a/src/entrypath/peerlink.cpp
+++ b/src/entrypath/peerlink.cpp
@@ -77,7 +77,12 @@
 }
 
 void PeerLink::onDatagram(std::size_t n) {
-  auto report = decodeReport(std::string_view(Buffer.data(), n));
+  const std::string_view bytes(Buffer.data(), n);
+  if (MessageHandler && !isReport(bytes)) {
+    MessageHandler(bytes);
+    return;
+  }
+  auto report = decodeReport(bytes);
   if (!report) {
     Owner.eventLog().write("peer.malformed",
                            {{"from", Sender.address().to_string()}},
@@ -90,6 +95,22 @@
   Owner.setPeerRequestCounts(report->Entry, std::move(report->Counts));
 }
 
+void PeerLink::sendMessage(const std::string &peer, const std::string &bytes) {
+  const auto it = Peers.find(peer);
+  if (it == Peers.end())
+    return;
+  error_code ec;
+  // Errors are ignored, as lost datagrams are: messages are repeated.
+  Socket.send_to(boost::asio::buffer(bytes), it->second.Address, 0, ec);
+}
+
+std::vector<std::string> PeerLink::peerNames() const {
+  std::vector<std::string> names;
+  for (const auto &[name, peer] : Peers)
+    names.push_back(name);
+  return names;
+}
+
 void PeerLink::sendPeriodically() {
   const TimePoint now = Owner.now();
   const std::string message =
--- a/src/entrypath/peerlink.h
+++ b/src/entrypath/peerlink.h
@@ -8,9 +8,11 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bergamot::entrypath {
@@ -49,6 +51,14 @@
   /// Adds an entry or updates its address; reports are sent to it from now on.
   void addPeer(const std::string &name,
                const boost::asio::ip::udp::endpoint &address);
+  /// Sets the handler of datagrams that aren't reports of requests in flight.
+  void setMessageHandler(std::function<void(std::string_view)> handler) {
+    MessageHandler = std::move(handler);
+  }
+  /// Sends a datagram to another entry, unless that entry is unknown.
+  void sendMessage(const std::string &peer, const std::string &bytes);
+  /// Returns the names of the other entries that are or may be running.
+  std::vector<std::string> peerNames() const;
   /// Returns the response body for another entry's fetch: the records of a
   /// topic from the given offset on, in CBOR. The body is empty if the topic
   /// isn't followed or hasn't been loaded.
@@ -69,6 +79,7 @@
   void onRecords(TopicFollower &follower, const adaptertcp::CallResult &result);
 
   boost::asio::io_context &Loop;
+  std::function<void(std::string_view)> MessageHandler;
   Settings Config;
   Entry &Owner;
   std::vector<TopicFollower *> Followers;
--- a/src/entrypath/peerreport.cpp
+++ b/src/entrypath/peerreport.cpp
@@ -33,6 +33,11 @@
   return bytes;
 }
 
+bool isReport(std::string_view bytes) {
+  return !bytes.empty() &&
+         static_cast<unsigned char>(bytes.front()) == FormatVersion;
+}
+
 std::optional<PeerReport> decodeReport(std::string_view bytes) {
   const auto byte = [&](std::size_t i) {
     return static_cast<unsigned char>(bytes[i]);
--- a/src/entrypath/peerreport.h
+++ b/src/entrypath/peerreport.h
@@ -22,6 +22,8 @@
 /// (capped at 255). Every entry receives the reports of all others, so they are
 /// short and are decoded without an allocation per target.
 std::string encodeReport(const PeerReport &report);
+/// Returns whether a datagram has the format of a report.
+bool isReport(std::string_view bytes);
 /// Decodes a report. Returns nullopt if the bytes are malformed.
 std::optional<PeerReport> decodeReport(std::string_view bytes);
 
