--- a/src/entrypath/usageservice.cpp
+++ b/src/entrypath/usageservice.cpp
@@ -260,9 +260,11 @@
         nlohmann::json fields = {{"result", resultName(result)},
                                  {"token", record.Token},
                                  {"last_fixed", record.LastFixed}};
-        if (!record.Unconfirmed.empty())
-          fields["requests"] =
-              usage::totalRequests(record.Unconfirmed.back().Counts);
+        if (!record.Unconfirmed.empty()) {
+          const usage::WindowUsage &newest = record.Unconfirmed.back();
+          fields["requests"] = usage::totalRequests(newest.Counts);
+          fields["entries"] = Ledger.totalByEntry(newest.Window);
+        }
         base::logDecision("usage.record", fields);
         Reporter.recordAppend(result, bootNow());
         act();
--- a/src/libbergamotusage/usageledger.cpp
+++ b/src/libbergamotusage/usageledger.cpp
@@ -70,6 +70,17 @@
   return total;
 }
 
+std::map<std::string, std::uint64_t>
+UsageLedger::totalByEntry(WindowNumber window) const {
+  std::map<std::string, std::uint64_t> totals;
+  const auto sources = Windows.find(window);
+  if (sources == Windows.end())
+    return totals;
+  for (const auto &[source, it] : sources->second)
+    totals[source.Entry] += totalRequests(it.Usage.Counts);
+  return totals;
+}
+
 bool UsageLedger::hasOpenSources(WindowNumber window) const {
   const auto sources = Windows.find(window);
   if (sources != Windows.end() &&
--- a/src/libbergamotusage/usageledger.h
+++ b/src/libbergamotusage/usageledger.h
@@ -67,6 +67,8 @@
   std::vector<SourceUsage> ownUsage(WindowNumber window) const;
   /// Returns the sum over all sources.
   AccountCounts total(WindowNumber window) const;
+  /// Returns the number of requests of a window by entry.
+  std::map<std::string, std::uint64_t> totalByEntry(WindowNumber window) const;
   /// Returns whether counts of a window may still be missing: a source hasn't
   /// finalized it, or has finalized the window before and not yet mentioned
   /// this one.
--- a/tests/usage/test_usage.cpp
+++ b/tests/usage/test_usage.cpp
@@ -99,6 +99,7 @@
   exchange(before, holder);
   exchange(after, holder);
   CHECK(holder.total(FirstWindow) == AccountCounts{{"x", 2}});
+  CHECK(holder.totalByEntry(FirstWindow)["b"] == 2);
 }
 
 TEST_CASE("a request that is noticed late counts in the next open window") {
