--- a/tests/usage/test_usage.cpp
+++ b/tests/usage/test_usage.cpp
@@ -116,6 +116,7 @@
     UsageLedger holder = makeLedger("holder");
     holder.advance(at(0ms));
     std::vector<UsageLedger> sources;
+    sources.reserve(4);
     for (int i = 0; i < 4; ++i)
       sources.push_back(makeLedger("e" + std::to_string(i % 3), 7 + i));
     std::map<WindowNumber, AccountCounts> expected;
