--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace bergamot::entrypath {
 
 using adaptertcp::ResponseHead;
@@ -149,6 +151,22 @@
     Connection->setReading(true);
 }
 
+/// Records that the target has begun to run the request in this attempt.
+void Exchange::recordExecution(TimePoint begunAt) {
+  if (std::exchange(ExecutionRecorded, true) || Account.empty())
+    return;
+  Owner.recordExecution(Account, begunAt);
+}
+
+/// Returns whether the target may have run the request in this attempt, as far
+/// as its response or its silence tells. A stream has begun to run only with
+/// its first event.
+bool Exchange::mayHaveRun() const {
+  const bool refused = ResponseHeadValidated &&
+                       (ResponseInfo.NotExecuted || ResponseInfo.Misdirected);
+  return Sent && !refused && !Route->Streaming;
+}
+
 void Exchange::finish(const char *outcome, int status) {
   if (Finished)
     return;
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -4,8 +4,6 @@
 #include "entrypath/entry.h"
 #include "entrypath/exchange.h"
 
-#include <utility>
-
 namespace bergamot::entrypath {
 
 using adaptertcp::CloseReason;
@@ -327,22 +325,6 @@
                        reason == CloseReason::Reset ? "reset" : "closed");
 }
 
-/// Records that the target has begun to run the request in this attempt.
-void Exchange::recordExecution(TimePoint begunAt) {
-  if (std::exchange(ExecutionRecorded, true) || Account.empty())
-    return;
-  Owner.recordExecution(Account, begunAt);
-}
-
-/// Returns whether the target may have run the request in this attempt, as far
-/// as its response or its silence tells. A stream has begun to run only with
-/// its first event.
-bool Exchange::mayHaveRun() const {
-  const bool refused = ResponseHeadValidated &&
-                       (ResponseInfo.NotExecuted || ResponseInfo.Misdirected);
-  return Sent && !refused && !Route->Streaming;
-}
-
 void Exchange::endAttempt() {
   if (TargetId.empty())
     return;
--- a/src/libbergamotusage/usagereporter.h
+++ b/src/libbergamotusage/usagereporter.h
@@ -120,7 +120,6 @@
   std::uint64_t token() const { return Token; }
   /// Returns the last window known to be fixed.
   WindowNumber lastFixed() const;
-  std::size_t unconfirmedCount() const { return Record.Unconfirmed.size(); }
 
 private:
   enum class Phase {
