entrypath: Log the state of the retry budget with each retry

The logs couldn't tell which budget an entry had, what used it and by how many entries the slack was divided. No change of behaviour.

--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -188,7 +188,10 @@
   void recordSuccess(const std::string &target);
   void recordFailure(const std::string &target,
                      gateway::AttemptFailure failure);
-  bool consumeRetryBudget(const std::string &serviceName);
+  /// Takes one retry of a service's requests from the budget, after a failure;
+  /// returns false if the budget is exhausted.
+  bool consumeRetryBudget(const std::string &serviceName,
+                          gateway::AttemptFailure failure);
   bool hasRetryBudget(const std::string &serviceName);
   /// Records that a target has stopped responding; it is sent no requests for a
   /// while.
@@ -205,6 +208,8 @@
     gateway::WaitQueue Queue;
     std::map<std::uint64_t, std::shared_ptr<Exchange>> QueuedExchanges;
     gateway::RetryBudget Budget;
+    /// Retries that the budget has granted since the process started.
+    std::uint64_t GrantedRetries = 0;
     gateway::RateWindow Dispatched;
     /// Arrived requests that can still be served within their latency
     /// objective.
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -2,6 +2,9 @@
 // and the Retry-After of rejected requests.
 #include "entrypath/entry.h"
 #include "entrypath/exchange.h"
+#include "libbergamotbase/jsonlog.h"
+
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cstdio>
@@ -329,8 +332,29 @@
   return service(serviceName).Budget.canRetry(budgetEntryCount(), now());
 }
 
-bool Entry::consumeRetryBudget(const std::string &serviceName) {
-  return service(serviceName).Budget.takeRetry(budgetEntryCount(), now());
+bool Entry::consumeRetryBudget(const std::string &serviceName,
+                               gateway::AttemptFailure failure) {
+  const TimePoint at = now();
+  const unsigned entries = budgetEntryCount();
+  ServiceState &state = service(serviceName);
+  const bool granted = state.Budget.takeRetry(entries, at);
+  state.GrantedRetries += granted ? 1 : 0;
+  const char *cause = gateway::failureName(failure);
+  Metrics.addCount("bergamot_retries_total",
+                   std::string("cause=\"") + cause + "\",granted=\"" +
+                       (granted ? "true" : "false") + "\"");
+  if (EventLog.admit("retry.budget", at)) {
+    const gateway::RetryBudgetUsage used = state.Budget.usage(entries, at);
+    base::logDecision("retry.budget",
+                      {{"service", serviceName},
+                       {"cause", cause},
+                       {"granted", granted},
+                       {"retries", used.Retries},
+                       {"max_retries", used.MaxRetries},
+                       {"entries", entries},
+                       {"granted_total", state.GrantedRetries}});
+  }
+  return granted;
 }
 
 } // namespace bergamot::entrypath
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -379,7 +379,7 @@
 
 void Exchange::retry(AttemptFailure failure) {
   const bool consumesBudget = failure != AttemptFailure::NotSent;
-  if (consumesBudget && !Owner.consumeRetryBudget(Service)) {
+  if (consumesBudget && !Owner.consumeRetryBudget(Service, failure)) {
     if (failure == AttemptFailure::ErrorResponse && !ResponseStarted)
       relayError();
     else
--- a/src/libbergamotgateway/retrybudget.cpp
+++ b/src/libbergamotgateway/retrybudget.cpp
@@ -16,11 +16,17 @@
   Requests.push_back(now);
 }
 
-bool RetryBudget::canRetry(unsigned maxEntryCount, base::TimePoint now) {
+RetryBudgetUsage RetryBudget::usage(unsigned maxEntryCount,
+                                    base::TimePoint now) {
   expire(now);
   const double maxRetries = Bound.Ratio * static_cast<double>(Requests.size()) +
                             Bound.Slack / std::max(1U, maxEntryCount);
-  return static_cast<double>(Retries.size()) + 1 <= maxRetries;
+  return {Retries.size(), maxRetries};
+}
+
+bool RetryBudget::canRetry(unsigned maxEntryCount, base::TimePoint now) {
+  const RetryBudgetUsage used = usage(maxEntryCount, now);
+  return static_cast<double>(used.Retries) + 1 <= used.MaxRetries;
 }
 
 bool RetryBudget::takeRetry(unsigned maxEntryCount, base::TimePoint now) {
--- a/src/libbergamotgateway/retrybudget.h
+++ b/src/libbergamotgateway/retrybudget.h
@@ -3,7 +3,7 @@
 
 #include "libbergamotbase/timetypes.h"
 
-#include <cstdint>
+#include <cstddef>
 #include <deque>
 
 namespace bergamot::gateway {
@@ -16,6 +16,14 @@
   base::Duration Window = std::chrono::seconds(10);
 };
 
+/// The state of a retry budget at a point in time.
+struct RetryBudgetUsage {
+  /// Retries that count at present.
+  std::size_t Retries = 0;
+  /// Maximum of Retries; retries are whole, so its fraction is unused.
+  double MaxRetries = 0;
+};
+
 /// One entry's part of the retry bound. Requests are counted at the entry where
 /// they arrive, so the ratio needs no division among the entries; the slack is
 /// divided by the number of entries that may exist. Retries count for a whole
@@ -32,6 +40,8 @@
   /// Returns whether the budget allows another retry. `maxEntryCount` is the
   /// number of entries that may exist.
   bool canRetry(unsigned maxEntryCount, base::TimePoint now);
+  /// Returns how much of the budget is used, for logs.
+  RetryBudgetUsage usage(unsigned maxEntryCount, base::TimePoint now);
   /// Takes one retry from the budget; returns false if the budget is exhausted.
   bool takeRetry(unsigned maxEntryCount, base::TimePoint now);
 
