gateway: Keep the retry bound however often entries restart

Cause: an entry's share of the slack and its count of retries are state of its process. Each start granted them anew, and the ratio too, for the requests of up to half a window before its end. The class: a permission that belongs to a place outlives its holder's memory. Ruled out: arrivals of attempts that count as not sent (entries grant 501, 462 arrive), the number of entries (24 of 24 known at the first retry after each start).

Now a process grants no slack for one window from its start and 0.4 of the ratio for its own requests since then. Half a window's requests of its predecessor at the full ratio plus a window's at half of it are what the bound allows; the rest is a margin. Slack also needs the names of the entries to have been read. A fleet that has run for a window grants what it granted before.

Tests of gateway, entrypath, platform and worstload passed.

--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -223,9 +223,11 @@
     scheduleQueueProcessing(serviceName);
 }
 
-void Entry::setEntryNames(const std::set<std::string> &names) {
+void Entry::setEntryNames(const std::set<std::string> &names,
+                          bool areComplete) {
   Shares.setEntries(Settings.Name, names);
-  if (!std::exchange(AllEntriesKnown, true))
+  AllEntriesKnown = areComplete;
+  if (!std::exchange(EntryNamesSet, true))
     onTargetsChanged();
 }
 
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -62,6 +62,8 @@
   /// one rank is 12 times slower (700 ms), and shorter than the two seconds
   /// after which callers disconnect.
   base::Duration StreamSilenceTimeout = std::chrono::milliseconds(1200);
+  /// When the process started.
+  base::TimePoint StartedAt = std::chrono::steady_clock::now();
   unsigned LogLinesPerSecond = 40;
   std::uint64_t Seed = 1;
 };
@@ -128,8 +130,9 @@
   void setPeerRequestCounts(const std::string &entry,
                             gateway::RequestCounts counts);
   /// Sets the names of the entries that may be running. This entry's own name
-  /// may be omitted.
-  void setEntryNames(const std::set<std::string> &names);
+  /// may be omitted. `areComplete` is false as long as only entries are known
+  /// that have sent something to this one.
+  void setEntryNames(const std::set<std::string> &names, bool areComplete);
 
   gateway::TargetDirectory &directory() { return Directory; }
   gateway::RankSlowdowns &slowdowns() { return Slowdowns; }
@@ -204,7 +207,8 @@
 
 private:
   struct ServiceState {
-    explicit ServiceState(const gateway::RetryBound &bound) : Budget(bound) {}
+    explicit ServiceState(const EntrySettings &settings)
+        : Budget(settings.Retries, settings.StartedAt) {}
     gateway::WaitQueue Queue;
     std::map<std::uint64_t, std::shared_ptr<Exchange>> QueuedExchanges;
     gateway::RetryBudget Budget;
@@ -246,7 +250,7 @@
   std::uint32_t requestLimit(const gateway::KnownTarget &target) const;
   bool isWithinColdRate(const gateway::Service *service,
                         const std::string &target);
-  unsigned budgetEntryCount() const;
+  std::optional<unsigned> budgetEntryCount() const;
   void tick();
 
   boost::asio::io_context &Loop;
@@ -274,6 +278,8 @@
   std::mt19937_64 Random;
   std::uniform_real_distribution<double> Uniform{0.0, 1.0};
   std::uint64_t LastExchangeId = 0;
+  /// Whether setEntryNames() has been called, and with all names.
+  bool EntryNamesSet = false;
   bool AllEntriesKnown = false;
   /// When expired targets, peers' reports and connections are next removed.
   base::TimePoint NextCleanupAt;
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -32,7 +32,7 @@
 } // namespace
 
 Entry::ServiceState &Entry::service(const std::string &serviceName) {
-  return Services.try_emplace(serviceName, Settings.Retries).first->second;
+  return Services.try_emplace(serviceName, Settings).first->second;
 }
 
 std::size_t Entry::queuedCount(const std::string &serviceName) {
@@ -253,7 +253,7 @@
                              const std::string &target) {
   if (!service || service->ColdRequestsPerSecond <= 0)
     return true;
-  if (!AllEntriesKnown)
+  if (!EntryNamesSet)
     return false;
   const double maxPerSecond = Shares.requestsPerSecond(
       target, ColdRateFraction * service->ColdRequestsPerSecond);
@@ -322,9 +322,12 @@
   scheduleQueueProcessing(exchange.service());
 }
 
-/// Returns the number of entries by which the retry budget is divided: at least
-/// MinAssumedEntryCount, since some may not be known yet.
-unsigned Entry::budgetEntryCount() const {
+/// Returns the number of entries by which the slack of the retry budget is
+/// divided, if it is known: at least MinAssumedEntryCount, since some may have
+/// been added just now.
+std::optional<unsigned> Entry::budgetEntryCount() const {
+  if (!AllEntriesKnown)
+    return std::nullopt;
   return std::max(entryCount(), Settings.MinAssumedEntryCount);
 }
 
@@ -335,7 +338,7 @@
 bool Entry::consumeRetryBudget(const std::string &serviceName,
                                gateway::AttemptFailure failure) {
   const TimePoint at = now();
-  const unsigned entries = budgetEntryCount();
+  const std::optional<unsigned> entries = budgetEntryCount();
   ServiceState &state = service(serviceName);
   const bool granted = state.Budget.takeRetry(entries, at);
   state.GrantedRetries += granted ? 1 : 0;
@@ -351,7 +354,7 @@
                        {"granted", granted},
                        {"retries", used.Retries},
                        {"max_retries", used.MaxRetries},
-                       {"entries", entries},
+                       {"entries", entries.value_or(0)},
                        {"granted_total", state.GrantedRetries}});
   }
   return granted;
--- a/src/entrypath/peerlink.cpp
+++ b/src/entrypath/peerlink.cpp
@@ -133,9 +133,10 @@
     }
     return expired;
   });
-  if (EntryNamesChanged &&
-      (EntryNamesFollower.isLoaded() || now >= EntryNamesTimeoutAt))
-    setEntryNames();
+  const bool loaded = EntryNamesFollower.isLoaded();
+  if ((EntryNamesChanged && now >= EntryNamesTimeoutAt) ||
+      (loaded && (EntryNamesChanged || !EntryNamesComplete)))
+    setEntryNames(loaded);
   SendTimer.expires_after(std::max<base::Duration>(
       Config.MinPeriod,
       Config.PeriodPerPeer * static_cast<std::int64_t>(Peers.size())));
@@ -145,12 +146,13 @@
   });
 }
 
-void PeerLink::setEntryNames() {
+void PeerLink::setEntryNames(bool areComplete) {
   std::set<std::string> names;
   for (const auto &[name, peer] : Peers)
     names.insert(name);
   EntryNamesChanged = false;
-  Owner.setEntryNames(names);
+  EntryNamesComplete = areComplete;
+  Owner.setEntryNames(names, areComplete);
 }
 
 void PeerLink::fetchPeriodically() {
--- a/src/entrypath/peerlink.h
+++ b/src/entrypath/peerlink.h
@@ -73,7 +73,7 @@
   void receive();
   void onDatagram(std::size_t n);
   void sendPeriodically();
-  void setEntryNames();
+  void setEntryNames(bool areComplete);
   void fetchPeriodically();
   void fetch(TopicFollower &follower);
   void onRecords(TopicFollower &follower, const adaptertcp::CallResult &result);
@@ -95,6 +95,7 @@
   std::map<std::string, std::shared_ptr<adaptertcp::AsyncHttpClient>>
       HttpClients;
   bool EntryNamesChanged = true;
+  bool EntryNamesComplete = false;
   base::TimePoint EntryNamesTimeoutAt;
   std::string LastSent;
   base::TimePoint NextResendAt;
--- a/src/libbergamotgateway/retrybudget.h
+++ b/src/libbergamotgateway/retrybudget.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <optional>
 
 namespace bergamot::gateway {
 
@@ -30,25 +31,38 @@
 /// window but requests only for half a window, so that the bound holds however
 /// a span of length Window is aligned: if requests counted for a whole window,
 /// requests from before a span could permit all the retries in it.
+///
+/// The retries of an earlier process at this entry are unknown; it may have
+/// used its whole budget just before it ended. For one window from its start, a
+/// process therefore grants a part of the ratio for the requests since its
+/// start and no slack, so that the sum over any number of starts stays within
+/// the bound.
 class RetryBudget {
 public:
-  explicit RetryBudget(const RetryBound &bound) : Bound(bound) {}
+  /// `startedAt` is when the process started.
+  RetryBudget(const RetryBound &bound, base::TimePoint startedAt)
+      : Bound(bound), StartedAt(startedAt) {}
 
   /// Changes the bound. Requests and retries counted so far still count.
   void setBound(const RetryBound &bound) { Bound = bound; }
   void addRequest(base::TimePoint now);
   /// Returns whether the budget allows another retry. `maxEntryCount` is the
-  /// number of entries that may exist.
-  bool canRetry(unsigned maxEntryCount, base::TimePoint now);
+  /// number of entries that may exist; without it no slack is granted.
+  bool canRetry(std::optional<unsigned> maxEntryCount, base::TimePoint now);
   /// Returns how much of the budget is used, for logs.
-  RetryBudgetUsage usage(unsigned maxEntryCount, base::TimePoint now);
+  RetryBudgetUsage usage(std::optional<unsigned> maxEntryCount,
+                         base::TimePoint now);
   /// Takes one retry from the budget; returns false if the budget is exhausted.
-  bool takeRetry(unsigned maxEntryCount, base::TimePoint now);
+  bool takeRetry(std::optional<unsigned> maxEntryCount, base::TimePoint now);
 
 private:
+  bool isYoung(base::TimePoint now) const {
+    return now < StartedAt + Bound.Window;
+  }
   void expire(base::TimePoint now);
 
   RetryBound Bound;
+  base::TimePoint StartedAt;
   std::deque<base::TimePoint> Requests;
   std::deque<base::TimePoint> Retries;
 };
--- a/tests/entrypath/entryfixture.cpp
+++ b/tests/entrypath/entryfixture.cpp
@@ -172,8 +172,11 @@
   settings.FailureDomain = "d";
   settings.Listen = freeEndpoint();
   settings.Retries = {0.2, 80, 10s};
+  // The entry has run for long, so that its retry budget isn't reduced.
+  settings.StartedAt -= 1h;
   settings.StreamSilenceTimeout = 150ms;
   TestedEntry = std::make_unique<Entry>(Loop, settings, Codec, Metrics);
+  TestedEntry->setEntryNames({}, true);
   if (configured == Configured::Immediately)
     configure();
   TestedEntry->listen();
