--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstring>
 #include <utility>
 
 namespace bergamot::entrypath {
@@ -199,6 +200,11 @@
     fields["waiting"] = Owner.queuedCount(Service);
     fields["entries"] = Owner.entryCount();
   }
+  if (std::strcmp(event, "attempt.failed") == 0) {
+    fields["begun"] = AttemptBegun;
+    if (!RequestInfo.SharedPromptParts.empty())
+      fields["prompt"] = RequestInfo.SharedPromptParts;
+  }
   if (Dispatches > 0)
     fields["dispatches"] = Dispatches;
   if (Events.eventCount() > 0) {
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -144,6 +144,9 @@
   /// Whether the execution of this attempt has been recorded.
   bool ExecutionRecorded = false;
   bool ResponseHeadValidated = false;
+  /// The target has sent an event of a stream, or a whole response, in this
+  /// attempt.
+  bool AttemptBegun = false;
 
   gateway::EventSplitter Events;
   std::set<std::string> FailedTargets;
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -46,6 +46,7 @@
   ++AttemptNumber;
   Sent = false;
   ExecutionRecorded = false;
+  AttemptBegun = false;
   ResponseHeadValidated = false;
   DiscardedBytes = 0;
   Events.dropPartialEvent();
@@ -191,6 +192,7 @@
     return;
   const TimePoint now = Owner.now();
   LastProgressAt = now;
+  AttemptBegun = true;
   recordExecution(now);
   if (ResponseStarted)
     LongestEventGap = std::max(LongestEventGap, now - LastEventAt);
@@ -255,6 +257,7 @@
     handleAttemptFailure(AttemptFailure::Lost, "incomplete_event");
     return;
   }
+  AttemptBegun = true;
   Owner.recordSuccess(TargetId);
   if (Route->Streaming)
     sendResponseHead();
--- a/src/entrypath/headercodec.h
+++ b/src/entrypath/headercodec.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace bergamot::entrypath {
 
@@ -26,6 +27,9 @@
   /// How much longer the caller waits for the response.
   std::optional<std::chrono::milliseconds> TimeLeft;
   std::optional<GenerationTokens> Generation;
+  /// The ids of the prompt's parts that other requests may share, in their
+  /// order: all but the last, which is the request's own.
+  std::vector<std::string> SharedPromptParts;
   /// The caller has received part of the stream and requests the rest.
   bool ContinuesStream = false;
   std::string Host;
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -116,6 +116,27 @@
 
 } // namespace
 
+TEST_CASE("shared parts of a prompt are all parts but the last") {
+  const auto parts = [](const std::string &text) {
+    adaptertcp::RequestHead head;
+    head.Headers.add("Bergamotloft-Prompt-Prefix", text);
+    return PlatformHeaderCodec().decodeRequest(head).SharedPromptParts;
+  };
+  using Parts = std::vector<std::string>;
+  CHECK(parts("5c1e07a2:800,91bd3f06:410,e4402b7d:250") ==
+        Parts{"5c1e07a2", "91bd3f06"});
+  CHECK(parts("5c1e07a2:800, 91bd3f06:410 ,e4402b7d:250") ==
+        Parts{"5c1e07a2", "91bd3f06"});
+  CHECK(parts("e4402b7d:250").empty());
+  CHECK(parts("").empty());
+  CHECK(parts(",,:7,a").empty());
+  CHECK(parts(std::string(1000, 'a') + ":1,b:2,c:3") == Parts{"b"});
+  std::string many;
+  for (int i = 0; i < 1000; ++i)
+    many += "a:1,";
+  CHECK(parts(many).size() == 32);
+}
+
 TEST_CASE("a follower applies changes and removals in order") {
   FakeLog::Topic topic;
   topic.Records = {{"a", "1", 0}, {"b", "1", 1}};
