gateway: Withhold requests whose prompts crash targets

Cause: nothing tied a crash to the requests that its target had not begun to respond to. The class: one input that kills its worker is retried against healthy workers (a poison pill). Ruled out: load and cold starts, as no target crashes from 4 s on without such a request.

Now an entry tests, when a connection is lost before a response, whether the target refuses connections. If so, the parts of the prompts without a response are suspects (PromptSuspects). A response clears all parts of its prompt; a part in two crashes without a response between them is blocked, in three if it ever had one. Until then one request at a time probes it, four seconds after the crash. Entries exchange the evidence at once, as a datagram that the former version discards, and one of them keeps it in the entries' topic, so that a part stays known after a common restart.

Weighed: a block after the first crash (accuses sound parts for good), a count by account or first part (withholds sound requests), the store only (a second too late for the second request), aborting all requests in flight with a suspected part (they would clear it).

--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -215,6 +215,13 @@
     exchange->handleSuspension(missedTime);
 }
 
+void CallerConnection::abortBlockedRequest() {
+  const auto self = shared_from_this();
+  const auto exchange = CurrentExchange;
+  if (exchange)
+    exchange->abortIfBlocked();
+}
+
 void CallerConnection::closeIfIdle() {
   if (!isIdle() || Closed)
     return;
--- a/src/entrypath/callerconnection.h
+++ b/src/entrypath/callerconnection.h
@@ -44,6 +44,8 @@
   /// `missedTime` is the part of the suspension that the monotonic clock didn't
   /// count.
   void handleSuspension(base::Duration missedTime);
+  /// Aborts the request in progress if its prompt is blocked.
+  void abortBlockedRequest();
   /// Closes the connection and aborts its request.
   void disconnect();
   bool isIdle() const;
--- a/src/entrypath/connectionpool.cpp
+++ b/src/entrypath/connectionpool.cpp
@@ -61,31 +61,53 @@
 
 void ConnectionPool::connect(const std::string &address, TimePoint deadline,
                              Completion completion) {
+  open(address, deadline,
+       [completion = std::move(completion)](const Connection &connection,
+                                            const error_code &) {
+         completion(connection);
+       });
+}
+
+void ConnectionPool::checkRefused(const std::string &address,
+                                  TimePoint deadline,
+                                  std::function<void(bool)> completion) {
+  open(address, deadline,
+       [completion = std::move(completion)](const Connection &connection,
+                                            const error_code &ec) {
+         if (connection)
+           connection->close();
+         completion(ec == boost::asio::error::connection_refused);
+       });
+}
+
+/// Opens a connection. The completion gets null and the error if that fails.
+void ConnectionPool::open(const std::string &address, TimePoint deadline,
+                          OpenCompletion completion) {
   const auto endpoint = parseEndpoint(address);
   if (!endpoint) {
-    completion(nullptr);
+    completion(nullptr, boost::asio::error::invalid_argument);
     return;
   }
   auto connection = std::make_shared<adaptertcp::TcpConnection>(
       adaptertcp::TcpConnection::Socket(Loop));
   auto timer = std::make_shared<boost::asio::steady_timer>(Loop, deadline);
-  auto done = std::make_shared<Completion>(std::move(completion));
+  auto done = std::make_shared<OpenCompletion>(std::move(completion));
   timer->async_wait([connection, done](const error_code &ec) {
     if (ec || !*done)
       return;
-    const Completion callback = std::move(*done);
+    const OpenCompletion callback = std::move(*done);
     *done = nullptr;
     connection->close();
-    callback(nullptr);
+    callback(nullptr, boost::asio::error::timed_out);
   });
   connection->socket().async_connect(
       *endpoint, [connection, timer, done](const error_code &ec) {
         if (!*done)
           return;
-        const Completion callback = std::move(*done);
+        const OpenCompletion callback = std::move(*done);
         *done = nullptr;
         timer->cancel();
-        callback(ec ? nullptr : connection);
+        callback(ec ? nullptr : connection, ec);
       });
 }
 
--- a/src/entrypath/connectionpool.h
+++ b/src/entrypath/connectionpool.h
@@ -38,6 +38,11 @@
   /// Opens a new connection to a target.
   void connect(const std::string &address, base::TimePoint deadline,
                Completion completion);
+  /// Tests whether a target's address refuses connections, as it does once the
+  /// target's process has ended. The completion gets false if a connection was
+  /// opened or no response came by the deadline.
+  void checkRefused(const std::string &address, base::TimePoint deadline,
+                    std::function<void(bool refused)> completion);
   /// Adds an idle connection to the pool, which closes it at `expiresAt` if it
   /// hasn't been reused.
   void put(const std::string &target, Connection connection,
@@ -54,6 +59,10 @@
     base::TimePoint ExpiresAt;
   };
 
+  using OpenCompletion =
+      std::function<void(Connection, const boost::system::error_code &)>;
+  void open(const std::string &address, base::TimePoint deadline,
+            OpenCompletion completion);
   void drop(const std::string &target,
             const adaptertcp::TcpConnection *rawConnection);
 
--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -104,6 +104,7 @@
     if (ReloadDeadline && at >= *ReloadDeadline)
       reloadCompleted();
     rejectExpiredHeldRequests(at);
+    reviewSuspectedRequests();
     for (auto &[serviceName, state] : Services)
       if (!state.Queue.isEmpty())
         processQueue(serviceName);
@@ -111,6 +112,7 @@
       NextCleanupAt = at + CleanupPeriod;
       Directory.removeExpiredTargets(at);
       TargetLoads.removeExpired(at);
+      Suspects.removeExpired(at);
       Pool.removeStale(at, [this](const std::string &id) {
         return Directory.target(id) != nullptr;
       });
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -11,6 +11,7 @@
 #include "libbergamotgateway/enginelimit.h"
 #include "libbergamotgateway/groupprogress.h"
 #include "libbergamotgateway/loadtracker.h"
+#include "libbergamotgateway/promptsuspects.h"
 #include "libbergamotgateway/rankslowdowns.h"
 #include "libbergamotgateway/ratewindow.h"
 #include "libbergamotgateway/retrybudget.h"
@@ -156,6 +157,16 @@
     boost::asio::post(Loop, std::move(task));
   }
 
+  /// Merges what another entry or an earlier process knew of prompts that may
+  /// crash targets.
+  void mergePromptEvidence(const std::vector<gateway::PartEvidence> &evidence);
+  gateway::PromptSuspects &promptSuspects() { return Suspects; }
+  /// Sets the function that is called when other entries must learn of a change
+  /// of promptSuspects() at once.
+  void setPromptEvidenceHandler(std::function<void()> handler) {
+    OnPromptEvidence = std::move(handler);
+  }
+
   // Used by Exchange.
   const HeaderCodec &codec() const { return Codec; }
   ConnectionPool &pool() { return Pool; }
@@ -189,6 +200,12 @@
   /// queued requests are dispatched.
   void recordProgress(const std::string &serviceName, const std::string &group);
   void recordSuccess(const std::string &target);
+  void recordPromptBegun(const std::vector<gateway::PromptPart> &parts);
+  /// Finds out whether a target has crashed that closed its connection while a
+  /// request with this prompt had no response.
+  void checkForCrash(const std::string &target, std::int64_t startedAtMs,
+                     const std::string &address,
+                     const std::vector<gateway::PromptPart> &parts);
   void recordFailure(const std::string &target,
                      gateway::AttemptFailure failure);
   /// Takes one retry of a service's requests from the budget, after a failure;
@@ -227,7 +244,19 @@
     base::TimePoint Until;
   };
 
+  /// A request that waits for the verdict on its prompt.
+  struct SuspectedRequest {
+    std::shared_ptr<Exchange> Request;
+    base::TimePoint Until;
+  };
+
   void accept();
+  void addToQueue(const std::shared_ptr<Exchange> &exchange);
+  bool admitPrompt(const std::shared_ptr<Exchange> &exchange);
+  void onPromptSuspectsChanged();
+  /// Aborts requests in flight whose prompt is blocked.
+  void abortBlockedRequests();
+  void reviewSuspectedRequests();
   void startHeldRequests();
   void rejectExpiredHeldRequests(base::TimePoint now);
   ServiceState &service(const std::string &serviceName);
@@ -274,6 +303,9 @@
   std::map<std::string, gateway::RateWindow> DispatchesByTarget;
   std::map<std::string, ServiceState> Services;
   std::vector<HeldRequest> HeldRequests;
+  gateway::PromptSuspects Suspects;
+  std::vector<SuspectedRequest> SuspectedRequests;
+  std::function<void()> OnPromptEvidence;
   std::unordered_set<std::shared_ptr<CallerConnection>> Callers;
   std::mt19937_64 Random;
   std::uniform_real_distribution<double> Uniform{0.0, 1.0};
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds MaxResumeWait{1500};
 /// A shorter delay would be negligible next to the network delay.
 constexpr double MinRetryAfterSeconds = 0.05;
+/// Retry-After of a request whose prompt is blocked for longer or for good.
+constexpr std::chrono::minutes MaxRetryAfter{1};
 /// While this entry shuts down, another one can serve the request at once.
 constexpr auto ShutdownRetryAfter = "0.02";
 
@@ -58,12 +60,20 @@
   const std::string serviceName = exchange->service();
   const TimePoint at = now();
   ServiceState &state = service(serviceName);
-  const gateway::WaitLimits limits = waitLimits(*exchange);
   if (exchange->failedTargets().empty()) {
     state.Budget.addRequest(at);
-    if (limits.OnTimeUntil > at)
+    if (waitLimits(*exchange).OnTimeUntil > at)
       state.OnTimeArrivals.add(at);
   }
+  if (admitPrompt(exchange))
+    addToQueue(exchange);
+}
+
+void Entry::addToQueue(const std::shared_ptr<Exchange> &exchange) {
+  const std::string serviceName = exchange->service();
+  const TimePoint at = now();
+  ServiceState &state = service(serviceName);
+  const gateway::WaitLimits limits = waitLimits(*exchange);
   if (at + minBackoffLeft(serviceName) > std::max(limits.ExpiresAt, at)) {
     exchange->rejectQueued("resting");
     return;
@@ -170,6 +180,17 @@
 bool Entry::dispatch(const std::string &serviceName, ServiceState &state,
                      std::uint64_t exchangeId) {
   const auto exchange = state.QueuedExchanges.at(exchangeId);
+  if (!exchange->isPromptProbe() &&
+      Suspects.verdict(exchange->promptParts(), now()) !=
+          gateway::PromptVerdict::Free) {
+    state.Queue.remove(exchangeId);
+    state.QueuedExchanges.erase(exchangeId);
+    post([this, exchange] {
+      if (!exchange->isFinished() && admitPrompt(exchange))
+        addToQueue(exchange);
+    });
+    return true;
+  }
   const auto choices = candidates(serviceName, *exchange);
   const int chosen = gateway::chooseTarget(choices, drawUniform());
   if (chosen < 0)
@@ -285,8 +306,14 @@
   const gateway::QueueState queue =
       serviceName.empty() ? gateway::QueueState()
                           : queueState(serviceName, service(serviceName));
-  const std::chrono::duration<double> delay = gateway::retryAfterDelay(
+  std::chrono::duration<double> delay = gateway::retryAfterDelay(
       left, queue, minBackoffLeft(serviceName), drawUniform());
+  const TimePoint at = now();
+  if (Suspects.verdict(exchange.promptParts(), at) !=
+      gateway::PromptVerdict::Free)
+    delay = std::clamp<Duration>(
+        Suspects.nextDecisionAt(exchange.promptParts(), at) - at,
+        std::chrono::duration_cast<Duration>(delay), MaxRetryAfter);
   std::array<char, 16> text{};
   (void)std::snprintf(text.data(), text.size(), "%.2f",
                       std::max(MinRetryAfterSeconds, delay.count()));
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -53,6 +53,7 @@
   Deadline = ArrivedAt + std::min({RequestInfo.TimeLeft.value_or(limit), limit,
                                    milliseconds(std::chrono::hours(1))});
   Service = gateway::chooseService(*Route, Owner.drawUniform());
+  PromptParts = gateway::promptParts(Service, RequestInfo.SharedPromptParts);
   Owner.codec().prepareForwarding(Head.Headers, Account);
   startDeadlineTimer();
   Owner.enqueue(shared_from_this());
@@ -147,11 +148,27 @@
   startDeadlineTimer();
 }
 
+void Exchange::abortIfBlocked() {
+  if (Finished || TargetId.empty() || AttemptBegun || PromptProbe ||
+      Owner.promptSuspects().verdict(PromptParts, Owner.now()) !=
+          gateway::PromptVerdict::Blocked)
+    return;
+  handleAttemptFailure(Sent ? gateway::AttemptFailure::Lost
+                            : gateway::AttemptFailure::NotSent,
+                       "harmful_prompt");
+}
+
 void Exchange::onSendBufferEmpty() {
   if (Connection)
     Connection->setReading(true);
 }
 
+/// Records that the target has begun to respond in this attempt.
+void Exchange::recordBegun() {
+  if (!std::exchange(AttemptBegun, true))
+    Owner.recordPromptBegun(PromptParts);
+}
+
 /// Records that the target has begun to run the request in this attempt.
 void Exchange::recordExecution(TimePoint begunAt) {
   if (std::exchange(ExecutionRecorded, true) || Account.empty())
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -6,6 +6,7 @@
 #include "entrypath/headercodec.h"
 #include "libbergamotgateway/attemptpolicy.h"
 #include "libbergamotgateway/eventsplitter.h"
+#include "libbergamotgateway/promptsuspects.h"
 #include "libbergamotgateway/routetable.h"
 #include "libbergamotgateway/targetdirectory.h"
 #include "libbergamotgateway/waitpolicy.h"
@@ -42,6 +43,9 @@
   /// deadline of a dispatched one is moved earlier by `missedTime`, the part of
   /// the suspension that the monotonic clock didn't count.
   void handleSuspension(base::Duration missedTime);
+  /// Aborts the attempt if the prompt is blocked and the target hasn't begun to
+  /// respond, before it crashes.
+  void abortIfBlocked();
   /// Resumes reading from the target, which pauses while bytes for the caller
   /// are unsent, once all bytes for the caller have been handed to the kernel.
   void onSendBufferEmpty();
@@ -70,6 +74,13 @@
   std::uint32_t dispatchesLeft() const {
     return Route->MaxAttempts - std::min(Dispatches, Route->MaxAttempts);
   }
+  /// The parts of the prompt that other requests may share.
+  const std::vector<gateway::PromptPart> &promptParts() const {
+    return PromptParts;
+  }
+  /// Whether the request is sent to find out whether its prompt is harmful.
+  bool isPromptProbe() const { return PromptProbe; }
+  void setPromptProbe() { PromptProbe = true; }
   /// Targets at which an attempt of this request has failed.
   const std::set<std::string> &failedTargets() const { return FailedTargets; }
 
@@ -98,6 +109,7 @@
   void handleAttemptFailure(gateway::AttemptFailure failure,
                             const char *detail);
   void endAttempt();
+  void recordBegun();
   void recordExecution(base::TimePoint begunAt);
   bool mayHaveRun() const;
   void retry(gateway::AttemptFailure failure);
@@ -122,8 +134,12 @@
   base::TimePoint Deadline;
   boost::asio::steady_timer DeadlineTimer;
 
+  std::vector<gateway::PromptPart> PromptParts;
+  bool PromptProbe = false;
+
   /// The current attempt.
   std::string TargetId;
+  std::string TargetAddress;
   /// The start time in the target's record when it was chosen, in Unix
   /// milliseconds.
   std::int64_t TargetStartedAtMs = 0;
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -41,6 +41,7 @@
 
 void Exchange::dispatchTo(const gateway::KnownTarget &target) {
   TargetId = target.Record.Id;
+  TargetAddress = target.Record.Address;
   TargetStartedAtMs = target.Record.StartedAtMs;
   TargetGroup = target.Record.Membership ? target.Record.Membership->Group : "";
   ++AttemptNumber;
@@ -192,7 +193,7 @@
     return;
   const TimePoint now = Owner.now();
   LastProgressAt = now;
-  AttemptBegun = true;
+  recordBegun();
   recordExecution(now);
   if (ResponseStarted)
     LongestEventGap = std::max(LongestEventGap, now - LastEventAt);
@@ -257,7 +258,7 @@
     handleAttemptFailure(AttemptFailure::Lost, "incomplete_event");
     return;
   }
-  AttemptBegun = true;
+  recordBegun();
   Owner.recordSuccess(TargetId);
   if (Route->Streaming)
     sendResponseHead();
@@ -324,6 +325,9 @@
       onResponseComplete();
     return;
   }
+  if (Sent && !AttemptBegun)
+    Owner.checkForCrash(TargetId, TargetStartedAtMs, TargetAddress,
+                        PromptParts);
   handleAttemptFailure(AttemptFailure::Lost,
                        reason == CloseReason::Reset ? "reset" : "closed");
 }
@@ -339,6 +343,7 @@
     Connection.reset();
   }
   SilenceTimer.cancel();
+  PromptProbe = false;
   const std::string target = std::move(TargetId);
   TargetId.clear();
   ++AttemptNumber;
--- a/src/entrypath/peerlink.cpp
+++ b/src/entrypath/peerlink.cpp
@@ -1,6 +1,7 @@
 #include "entrypath/peerlink.h"
 
 #include "entrypath/peerreport.h"
+#include "entrypath/promptreport.h"
 #include "libbergamotbase/error.h"
 #include "libbergamotbase/jsoncodec.h"
 
@@ -42,6 +43,7 @@
                       e.what());
   }
   EntryNamesTimeoutAt = Owner.now() + Config.EntryNamesTimeout;
+  Owner.setPromptEvidenceHandler([this] { sendPromptReport(); });
   receive();
   sendPeriodically();
   fetchPeriodically();
@@ -78,6 +80,11 @@
 
 void PeerLink::onDatagram(std::size_t n) {
   const std::string_view bytes(Buffer.data(), n);
+  if (isPromptReport(bytes)) {
+    if (const auto evidence = decodePromptReport(bytes, Owner.now()))
+      Owner.mergePromptEvidence(*evidence);
+    return;
+  }
   if (MessageHandler && !isReport(bytes)) {
     MessageHandler(bytes);
     return;
@@ -104,6 +111,23 @@
   Socket.send_to(boost::asio::buffer(bytes), it->second.Address, 0, ec);
 }
 
+void PeerLink::sendToAll(const std::string &message) {
+  for (auto &[name, peer] : Peers) {
+    error_code ec;
+    // Errors are ignored, as lost datagrams are: each message contains
+    // everything and is repeated.
+    Socket.send_to(boost::asio::buffer(message), peer.Address, 0, ec);
+  }
+}
+
+void PeerLink::sendPromptReport() {
+  const TimePoint now = Owner.now();
+  NextPromptReportAt = now + Config.PromptReportPeriod;
+  const auto evidence = Owner.promptSuspects().evidence();
+  if (!evidence.empty())
+    sendToAll(encodePromptReport(evidence, now));
+}
+
 std::vector<std::string> PeerLink::peerNames() const {
   std::vector<std::string> names;
   for (const auto &[name, peer] : Peers)
@@ -116,15 +140,13 @@
   const std::string message =
       encodeReport({Config.Name, Owner.loadTracker().localCounts()});
   if (message != LastSent || now >= NextResendAt) {
-    for (auto &[name, peer] : Peers) {
-      error_code ec;
-      // Errors are ignored, as lost datagrams are: the next report contains all
-      // counts again.
-      Socket.send_to(boost::asio::buffer(message), peer.Address, 0, ec);
-    }
+    sendToAll(message);
     LastSent = message;
     NextResendAt = now + Config.ResendPeriod;
   }
+  const bool hasAnswer = Owner.promptSuspects().takePendingAnswer();
+  if (hasAnswer || now >= NextPromptReportAt)
+    sendPromptReport();
   std::erase_if(Peers, [&](const auto &it) {
     const bool expired = it.second.ExpiresAt <= now;
     if (expired) {
--- a/src/entrypath/peerlink.h
+++ b/src/entrypath/peerlink.h
@@ -20,8 +20,9 @@
 /// The exchange of state between entries. Every entry periodically sends the
 /// number of its requests in flight at each target to all others, as a
 /// datagram. An entry that can't reach the store also fetches the records that
-/// other entries have read from the store. Datagrams may be lost, so each one
-/// contains all counts.
+/// other entries have read from the store. What an entry knows of prompts that
+/// may crash targets goes out at once if it changes. Datagrams may be lost, so
+/// each one contains all counts.
 class PeerLink {
 public:
   struct Settings {
@@ -35,6 +36,9 @@
     std::chrono::microseconds PeriodPerPeer{1500};
     /// An unchanged report is sent again after this time.
     std::chrono::milliseconds ResendPeriod{400};
+    /// What is known of prompts that may crash targets is sent again after this
+    /// time, in case a datagram was lost or an entry was unreachable.
+    std::chrono::milliseconds PromptReportPeriod{1000};
     std::chrono::milliseconds FetchPeriod{250};
     /// After this time the set of known entries is considered complete even if
     /// the topic that lists them hasn't been read.
@@ -73,6 +77,8 @@
   void receive();
   void onDatagram(std::size_t n);
   void sendPeriodically();
+  void sendToAll(const std::string &message);
+  void sendPromptReport();
   void setEntryNames(bool areComplete);
   void fetchPeriodically();
   void fetch(TopicFollower &follower);
@@ -99,6 +105,7 @@
   base::TimePoint EntryNamesTimeoutAt;
   std::string LastSent;
   base::TimePoint NextResendAt;
+  base::TimePoint NextPromptReportAt;
   std::size_t NextFetchPeer = 0;
 };
 
--- a/tests/entrypath/entryfixture.cpp
+++ b/tests/entrypath/entryfixture.cpp
@@ -71,6 +71,8 @@
     it.TimeLeft =
         std::chrono::milliseconds(adaptertcp::parseNumber(*left).value_or(0));
   it.ContinuesStream = head.Headers.value("X-After").has_value();
+  if (const auto part = head.Headers.value("X-Part"))
+    it.SharedPromptParts.emplace_back(*part);
   return it;
 }
 
@@ -120,6 +122,13 @@
     it->close();
 }
 
+void TestTarget::crash() {
+  boost::system::error_code ec;
+  Acceptor.close(ec);
+  for (const auto &it : Open)
+    it->abort();
+}
+
 std::string TestTarget::address() const {
   const auto endpoint = Acceptor.local_endpoint();
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
--- a/tests/entrypath/entryfixture.h
+++ b/tests/entrypath/entryfixture.h
@@ -42,6 +42,10 @@
   TestTarget(boost::asio::io_context &loop, Handler handler);
   ~TestTarget();
 
+  /// Closes the listening socket and all connections, as if the process had
+  /// ended.
+  void crash();
+
   std::string address() const;
   std::uint32_t requestCount() const { return Requests; }
   std::uint32_t connectionCount() const { return Connections; }
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -1,3 +1,4 @@
+#include "entrypath/connectionpool.h"
 #include "entrypath/topicfollower.h"
 #include "platform/decode.h"
 #include "platform/engineclient.h"
@@ -116,6 +117,33 @@
 
 } // namespace
 
+TEST_CASE("the record of a suspected part of prompts is read as written") {
+  const base::TimePoint now{std::chrono::hours(1)};
+  const base::WallTime wall = base::fromUnixMilliseconds(1'900'000'000'000);
+  const gateway::PartEvidence part{
+      0xA7576C512F390022, {{~0ULL, now - 3s}, {2, now}}, {}, {}};
+  const std::string key = promptKey(part.Part);
+  const std::string value = encodePromptRecord(part, now, wall);
+  CHECK(key == "prompt/a7576c512f390022");
+  const auto decoded = decodePromptRecord(key, value, now + 10s, wall + 5s);
+  REQUIRE(decoded);
+  CHECK(decoded->Part == part.Part);
+  CHECK(decoded->Crashes.at(~0ULL) == now + 10s - 8s);
+  CHECK(decoded->Crashes.size() == 2);
+  // The former version takes other keys for names of entries and their values
+  // for addresses.
+  CHECK_FALSE(entrypath::parseEndpoint(value));
+  CHECK_FALSE(decodePromptKey("frontend-a-1"));
+  for (const char *bad : {"", "1", "[]", "{}", "{\"crashes\":1}",
+                          "{\"crashes\":[1]}", "{\"crashes\":[{\"id\":1}]}",
+                          "{\"crashes\":[{\"id\":1,\"at\":\"x\"}]}"})
+    CHECK_FALSE(decodePromptRecord(key, bad, now, wall));
+  CHECK(decodePromptRecord(key,
+                           R"({"crashes":[{"id":1,"at":9223372036854775807}]})",
+                           now, wall)
+            ->Crashes.empty());
+}
+
 TEST_CASE("shared parts of a prompt are all parts but the last") {
   const auto parts = [](const std::string &text) {
     adaptertcp::RequestHead head;
