--- a/src/libbergamotbase/jsoncodec.h
+++ b/src/libbergamotbase/jsoncodec.h
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <exception>
 #include <optional>
 #include <string>
 
@@ -22,7 +23,7 @@
 std::optional<T> readJson(const char *event, const char *what, Decode decode) {
   try {
     return decode();
-  } catch (const nlohmann::json::exception &e) {
+  } catch (const std::exception &e) {
     logWarning(event, {{"what", what}, {"error", e.what()}});
     return std::nullopt;
   }
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -117,6 +117,52 @@
 
 } // namespace
 
+// An odd entry from another writer ended the process or named a target.
+TEST_CASE("odd entries among the targets name none and leave the others") {
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,)"
+      R"("state":"ready","born":1900000000000,"size":2,)"
+      R"("group":{"name":"g","epoch":1,"rank":1,"state":"open"}})";
+  const auto replaced = [&](const std::string &from, const std::string &to) {
+    std::string text = good;
+    const std::size_t at = text.find(from);
+    REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+  };
+  const std::string nested =
+      std::string(100000, '[') + std::string(100000, ']');
+  std::vector<std::string> odd{
+      "",
+      "null",
+      "1e400",
+      nested,
+      std::string(100000, '['),
+      std::string(100000, '{'),
+      "\xff\xfe",
+      replaced("\"s\"", nested),
+      replaced("{\"name\"", "{\"x\":" + nested + ",\"nme\"")};
+  for (const char *port :
+       {"0", "65536", "99999", "-1", "4294967376", "1e3", ""})
+    odd.push_back(replaced(":80\"", ":" + std::string(port) + "\""));
+  for (const char *number : {"1e400", "1e300", "99999999999999999999999", "-1",
+                             "4294967296", "1.5", "\"4\"", "true", "{}"}) {
+    odd.push_back(replaced("\"slots\":4", "\"slots\":" + std::string(number)));
+    odd.push_back(replaced("\"size\":2", "\"size\":" + std::string(number)));
+    odd.push_back(replaced("\"rank\":1", "\"rank\":" + std::string(number)));
+  }
+  for (const char *number : {"1e300", "9223372036854775807", "-5", "\"x\""}) {
+    odd.push_back(
+        replaced("\"born\":1900000000000", "\"born\":" + std::string(number)));
+    odd.push_back(replaced("\"size\":2", "\"size\":2,\"cold-remaining-ms\":" +
+                                             std::string(number)));
+  }
+  REQUIRE(decodeTarget("i", good));
+  for (const auto &it : odd) {
+    CAPTURE(it.substr(0, 300));
+    CHECK_FALSE(decodeTarget("i", it));
+  }
+}
+
 TEST_CASE("the record of a suspected part of prompts is read as written") {
   const base::TimePoint now{std::chrono::hours(1)};
   const base::WallTime wall = base::fromUnixMilliseconds(1'900'000'000'000);
