entrypath: Abort a stream if the target that resumes it responds with an error

Operators of similar systems: a stream had begun and broke off, the next target answered with an error, and callers found its text and head in their stream. It could happen here with a 3xx or 4xx: relayError() sent the response, or a 502 in place of an unproven refusal, although a response was under way. Errors of 500 and more and marked refusals were right. Callers now see the stream break off.

Tests of entrypath passed.

--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -274,6 +274,11 @@
 }
 
 void Exchange::relayError() {
+  if (ResponseStarted) {
+    // The error's head and body would stand within the stream.
+    abortResponse("error_in_stream");
+    return;
+  }
   const int status = Parser.responseHead().Status;
   if (gateway::impliesNotExecuted(status)) {
     // This status would tell the caller that the request wasn't executed, which
