entrypath: Tell copies of earlier responses from the response to an attempt

Operators of similar systems: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that had run, or such a request ran twice. Copies with another request's id were discarded here. Two ways were open: a request that is retried at the same target on the same connection has one id for both attempts, so a copy of the first refusal was taken for the second one's while the target ran it; and a refusal without an id was taken for the request's own.

A retry at the same target now uses a new connection, and a response without an id on a reused connection ends the attempt with an unknown outcome. On a new connection it is still the request's own. The first two tests failed before, all pass now. Tests of entrypath passed.

--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -97,6 +97,7 @@
   bool canRetryElsewhere() const;
   void onTargetData(std::string_view bytes);
   void onTargetClose(adaptertcp::CloseReason reason);
+  bool isUnidentified();
   bool validateHead();
   void relayBody();
   void relayStream();
@@ -157,6 +158,8 @@
   std::size_t DiscardedBytes = 0;
   boost::asio::steady_timer SilenceTimer;
   bool Sent = false;
+  /// The connection has carried other requests before this one.
+  bool ConnectionReused = false;
   /// Whether the execution of this attempt has been recorded.
   bool ExecutionRecorded = false;
   bool ResponseHeadValidated = false;
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -54,7 +54,11 @@
   Owner.addInFlight(TargetId);
   const Duration maxIdle =
       Route->isRetryable() ? MaxIdleIdempotent : MaxIdleNonIdempotent;
-  Connection = Owner.pool().take(TargetId, maxIdle, Owner.now());
+  // On a connection on which this request was sent before, a copy of the
+  // earlier response couldn't be told from the new one.
+  if (!FailedTargets.contains(TargetId))
+    Connection = Owner.pool().take(TargetId, maxIdle, Owner.now());
+  ConnectionReused = Connection != nullptr;
   if (Connection)
     sendRequest();
   else
@@ -127,6 +131,10 @@
     }
     if (!Parser.isHeadComplete())
       return;
+    if (!ResponseHeadValidated && isUnidentified()) {
+      handleAttemptFailure(AttemptFailure::Lost, "unidentified");
+      return;
+    }
     if (!ResponseHeadValidated && !validateHead()) {
       DiscardedBytes += Parser.body().size();
       Parser.body().clear();
@@ -149,6 +157,14 @@
   }
 }
 
+/// Returns whether a response without a request id came on a connection that
+/// has carried other requests: it may be a copy of the response to one of them.
+bool Exchange::isUnidentified() {
+  const ResponseHead &head = Parser.responseHead();
+  return ConnectionReused && head.Status >= 200 && !RequestInfo.Id.empty() &&
+         !Owner.codec().decodeResponse(head).RequestId;
+}
+
 /// Returns whether the response belongs to this request; a late response to an
 /// earlier request on the connection is read and discarded.
 bool Exchange::validateHead() {
--- a/tests/entrypath/test_faultytargets.cpp
+++ b/tests/entrypath/test_faultytargets.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+std::string refusal(const RequestHead &head) {
+  return signedResponse(head, "full", 503, "X-Not-Executed: 1\r\n");
+}
+
 std::string streamStart(const RequestHead &head) {
   return "HTTP/1.1 200 X\r\nX-Id: " +
          std::string(head.Headers.value("X-Id").value_or("")) +
@@ -21,6 +25,66 @@
 
 } // namespace
 
+// The first refusal, written once more, was taken for that of the second
+// attempt, which the target was running.
+TEST_CASE("a refusal that a target repeats isn't taken for that of a later "
+          "attempt") {
+  EntryFixture fixture;
+  std::uint32_t executions = 0;
+  Connection refused;
+  RequestHead refusedHead;
+  auto &target = fixture.addTarget(
+      "t1", [&](const auto &head, const auto &, const Connection &it) {
+        if (!refused) {
+          refused = it;
+          refusedHead = head;
+          it->send(refusal(head));
+          return;
+        }
+        ++executions;
+        // The request runs, and the earlier refusal comes once more on the
+        // connection on which it came before.
+        refused->send(refusal(refusedHead));
+      });
+  const auto received = fixture.send(requestText("safe", "r1"));
+  REQUIRE(fixture.runUntil([&] { return target.requestCount() == 2; }));
+  fixture.run(100ms);
+  CHECK(executions == 1);
+  CHECK_FALSE(received->has("HTTP/1.1 503"));
+  CHECK(target.connectionCount() == 2);
+}
+
+// Without an id it can't be told from a copy of an earlier request's refusal.
+TEST_CASE("a refusal without an id on a reused connection proves nothing") {
+  EntryFixture fixture;
+  std::uint32_t requests = 0;
+  fixture.addTarget("t1",
+                    [&](const auto &head, const auto &, const Connection &it) {
+                      if (++requests == 1)
+                        it->send(signedResponse(head, "body"));
+                      else
+                        it->send("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n"
+                                 "Content-Length: 0\r\n\r\n");
+                    });
+  const auto first = fixture.send(requestText("once", "r1"));
+  REQUIRE(fixture.runUntil([&] { return first->has("HTTP/1.1 200"); }));
+  const auto second = fixture.send(requestText("once", "r2"));
+  REQUIRE(fixture.runUntil([&] { return second->has("HTTP/1.1 "); }));
+  CHECK(second->has("HTTP/1.1 502"));
+  CHECK(requests == 2);
+}
+
+TEST_CASE("a refusal without an id on a new connection is the request's own") {
+  EntryFixture fixture;
+  fixture.addTarget("t1", [&](const auto &, const auto &, const auto &it) {
+    it->send("HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n"
+             "Content-Length: 0\r\n\r\n");
+  });
+  const auto received = fixture.send(requestText("once", "r1"));
+  REQUIRE(fixture.runUntil([&] { return received->has("HTTP/1.1 "); }));
+  CHECK(received->has("HTTP/1.1 503"));
+}
+
 // The head and the text of the error stood in the middle of the stream.
 TEST_CASE("an error in response to a resumed stream doesn't reach the caller") {
   const int status = GENERATE(302, 400, 404, 409, 421, 429, 500, 503);
