--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -1,5 +1,5 @@
-// The part of Exchange that communicates with a target: sends the request,
-// relays the response and handles failed attempts.
+// The part of Exchange that communicates with a target: sends the request and
+// relays the response.
 #include "entrypath/callerconnection.h"
 #include "entrypath/entry.h"
 #include "entrypath/exchange.h"
@@ -11,7 +11,6 @@
 using base::Duration;
 using base::TimePoint;
 using gateway::AttemptFailure;
-using gateway::RetryDecision;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
@@ -289,22 +288,6 @@
   finish("served", 200);
 }
 
-void Exchange::relayError() {
-  if (ResponseStarted) {
-    // The error's head and body would stand within the stream.
-    abortResponse("error_in_stream");
-    return;
-  }
-  const int status = Parser.responseHead().Status;
-  if (gateway::impliesNotExecuted(status)) {
-    // This status would tell the caller that the request wasn't executed, which
-    // the target hasn't confirmed.
-    respondWithStatus(502, "unproven_refusal");
-    return;
-  }
-  relayCompleteResponse("relayed_error", status);
-}
-
 /// Relays a complete response of which nothing has been sent yet.
 void Exchange::relayCompleteResponse(const char *outcome, int status) {
   ResponseHead out = Parser.responseHead();
@@ -371,52 +354,4 @@
   Owner.removeInFlight(*this, target);
 }
 
-void Exchange::handleAttemptFailure(AttemptFailure failure,
-                                    const char *detail) {
-  const auto self = shared_from_this();
-  const bool mayHaveExecuted = failure == AttemptFailure::Lost ||
-                               failure == AttemptFailure::ErrorResponse;
-  if (mayHaveExecuted)
-    ++PossiblyExecutedAttempts;
-  if (failure == AttemptFailure::Misdirected)
-    --Dispatches;
-  FailedTargets.insert(TargetId);
-  Owner.recordFailure(TargetId, failure);
-  log("attempt.failed", gateway::failureName(failure),
-      Parser.responseHead().Status);
-  const RetryDecision decision = gateway::decideRetry(
-      {failure, Route->Idempotency, Route->Resumable, ResponseStarted,
-       PossiblyExecutedAttempts, Dispatches, Route->MaxAttempts});
-  switch (decision) {
-  case RetryDecision::Retry:
-    retry(failure);
-    return;
-  case RetryDecision::Reject:
-    respondWithStatus(503, detail);
-    return;
-  case RetryDecision::RelayError:
-    relayError();
-    return;
-  case RetryDecision::ReportUnknown:
-    respondWithStatus(502, detail);
-    return;
-  case RetryDecision::AbortResponse:
-    abortResponse(detail);
-    return;
-  }
-}
-
-void Exchange::retry(AttemptFailure failure) {
-  const bool consumesBudget = failure != AttemptFailure::NotSent;
-  if (consumesBudget && !Owner.consumeRetryBudget(Service, failure)) {
-    if (failure == AttemptFailure::ErrorResponse && !ResponseStarted)
-      relayError();
-    else
-      rejectQueued("retry_budget");
-    return;
-  }
-  endAttempt();
-  Owner.enqueue(shared_from_this());
-}
-
 } // namespace bergamot::entrypath
