--- a/src/libbergamotgateway/promptsuspects.cpp
+++ b/src/libbergamotgateway/promptsuspects.cpp
@@ -318,11 +318,14 @@
 PromptSuspects::CrashMap
 PromptSuspects::unexplainedCrashes(const Suspect &it) const {
   CrashMap open = openCrashes(it);
-  for (const auto &[otherPart, other] : Suspects)
-    if (&other != &it && isBlocked(otherPart, other))
-      std::erase_if(open, [&](const auto &crash) {
-        return other.Crashes.contains(crash.first);
-      });
+  for (const auto &[part, other] : Suspects) {
+    if (&other == &it || !isBlocked(part, other))
+      continue;
+    const CrashMap &explained = other.Crashes;
+    std::erase_if(open, [&](const auto &crash) {
+      return explained.contains(crash.first);
+    });
+  }
   return open;
 }
 
--- a/tests/entrypath/test_prompts.cpp
+++ b/tests/entrypath/test_prompts.cpp
@@ -10,7 +10,6 @@
 using namespace bergamot::entrypath;
 using namespace std::chrono_literals;
 using gateway::PartEvidence;
-using gateway::PromptVerdict;
 
 namespace {
 
--- a/tests/gateway/test_promptsuspects.cpp
+++ b/tests/gateway/test_promptsuspects.cpp
@@ -217,11 +217,10 @@
   suspects.settleCrash(7, true, at(1000ms));
   CHECK(suspects.verdict(known, at(1000ms)) == PromptVerdict::Free);
   SECTION("not even after many crashes with responses between them") {
-    for (int i = 1; i <= 10; ++i) {
+    for (CrashId i = 1; i <= 10; ++i) {
       suspects.recordBegun(known, at(i * 1000ms + 500ms));
-      suspects.addUnconfirmedCrash(static_cast<CrashId>(100 + i), known);
-      suspects.settleCrash(static_cast<CrashId>(100 + i), true,
-                           at(i * 1000ms + 900ms));
+      suspects.addUnconfirmedCrash(100 + i, known);
+      suspects.settleCrash(100 + i, true, at(i * 1000ms + 900ms));
       CHECK(suspects.verdict(known, at(i * 1000ms + 950ms)) ==
             PromptVerdict::Free);
     }
@@ -337,9 +336,7 @@
     "one entry writes the record of a part, and the next one if it fails") {
   const std::vector<std::string> names{"a", "b", "c"};
   const std::vector<PartEvidence> withheld{{42, {{7, at(0ms)}}, {}, {}}};
-  std::vector<PromptRecords> entries;
-  for (const auto &it : names)
-    entries.emplace_back(it);
+  std::vector<PromptRecords> entries(names.begin(), names.end());
   const auto othersOf = [&](std::size_t i) {
     std::vector<std::string> others = names;
     others.erase(others.begin() + static_cast<std::ptrdiff_t>(i));
