--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -195,6 +195,10 @@
   /// the start time that its record showed when the request was sent.
   void recordResponse(const std::string &target, std::int64_t startedAtMs,
                       const TargetResponse &response);
+  /// Logs the fields of a response that this version doesn't know, each name
+  /// once: a target may state something there that the entry should heed.
+  void recordUnknownFields(const std::string &target,
+                           const adaptertcp::ResponseHead &head);
   gateway::GroupProgress &groups() { return Groups; }
   /// Records that a group made progress; if it was stalled, the service's
   /// queued requests are dispatched.
@@ -301,6 +305,8 @@
   gateway::GroupProgress Groups;
   gateway::RankSlowdowns Slowdowns;
   std::map<std::string, gateway::RateWindow> DispatchesByTarget;
+  /// The unknown response fields that have been logged.
+  std::set<std::string> UnknownFields;
   std::map<std::string, ServiceState> Services;
   std::vector<HeldRequest> HeldRequests;
   gateway::PromptSuspects Suspects;
--- a/src/entrypath/entrytargets.cpp
+++ b/src/entrypath/entrytargets.cpp
@@ -22,6 +22,10 @@
 /// KeepAliveMargin before it ends.
 constexpr milliseconds DefaultKeepAlive{4000};
 constexpr milliseconds KeepAliveMargin{900};
+/// Bounds on the unknown response fields that are logged, as a faulty target
+/// may send any number of names.
+constexpr std::size_t MaxUnknownFields = 32;
+constexpr std::size_t MaxLoggedFieldBytes = 64;
 
 } // namespace
 
@@ -49,6 +53,21 @@
          {"ms", response.BackoffFor.value_or(milliseconds(0)).count()}});
 }
 
+void Entry::recordUnknownFields(const std::string &target,
+                                const adaptertcp::ResponseHead &head) {
+  for (const auto &it : head.Headers.fields()) {
+    if (Codec.isKnownResponseField(it.Name) ||
+        UnknownFields.size() >= MaxUnknownFields)
+      continue;
+    const std::string name = it.Name.substr(0, MaxLoggedFieldBytes);
+    if (UnknownFields.insert(name).second)
+      base::logInfo("response.unknown_field",
+                    {{"target", target},
+                     {"name", name},
+                     {"value", it.Value.substr(0, MaxLoggedFieldBytes)}});
+  }
+}
+
 void Entry::recordProgress(const std::string &serviceName,
                            const std::string &group) {
   if (group.empty())
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -176,6 +176,7 @@
   ResponseHeadValidated = true;
   LastProgressAt = Owner.now();
   Owner.recordResponse(TargetId, TargetStartedAtMs, ResponseInfo);
+  Owner.recordUnknownFields(TargetId, head);
   return true;
 }
 
--- a/src/entrypath/headercodec.h
+++ b/src/entrypath/headercodec.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bergamot::entrypath {
@@ -79,6 +80,9 @@
   decodeRequest(const adaptertcp::RequestHead &head) const = 0;
   virtual TargetResponse
   decodeResponse(const adaptertcp::ResponseHead &head) const = 0;
+  /// Returns whether a field of a target's response is one whose meaning this
+  /// version knows, even if it makes no use of it.
+  virtual bool isKnownResponseField(std::string_view name) const = 0;
   /// Removes the headers that targets mustn't see and those that only the load
   /// balancer may set, and adds the client account's name.
   virtual void prepareForwarding(adaptertcp::HeaderFields &headers,
--- a/tests/entrypath/entryfixture.cpp
+++ b/tests/entrypath/entryfixture.cpp
@@ -90,6 +90,10 @@
   return it;
 }
 
+bool TestHeaderCodec::isKnownResponseField(std::string_view name) const {
+  return name.starts_with("X-") || name == "Content-Length";
+}
+
 void TestHeaderCodec::prepareForwarding(HeaderFields &headers,
                                         const std::string &account) const {
   headers.removeHopByHopFields();
--- a/tests/entrypath/entryfixture.h
+++ b/tests/entrypath/entryfixture.h
@@ -22,6 +22,7 @@
   decodeRequest(const adaptertcp::RequestHead &head) const override;
   TargetResponse
   decodeResponse(const adaptertcp::ResponseHead &head) const override;
+  bool isKnownResponseField(std::string_view name) const override;
   void prepareForwarding(adaptertcp::HeaderFields &headers,
                          const std::string &account) const override;
   void setAttemptHeaders(adaptertcp::HeaderFields &headers,
