gateway: Keep to the request rates that targets name, summed over all entries

Targets in need got up to a third more requests than the rate they had named, with a caller's work sent where it isn't wanted.

Evidence: response.unknown_field at all entries 0.7 to 2.7 s after a target's limit began, and an unchanged rate of dispatches to it. Ruled out: retries (none of the 84 requests to the target was one), the whole limit at each entry (it was unknown).

Entries now divide a rate: floor(rate) + 1 of them, found by rendezvous hashing over those heard lately, send at even parts, from none saved up. What targets state goes to all entries in a new datagram, at once and every 0.5 s; an entry that has just started asks for it. Queueing and Retry-After go by the sum of this entry's parts if all targets of a service are limited.

Tests of gateway, entrypath, platform and worstload passed.

--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -112,6 +112,8 @@
       NextCleanupAt = at + CleanupPeriod;
       Directory.removeExpiredTargets(at);
       TargetLoads.removeExpired(at);
+      RateLimits.removeExpired(at);
+      updateRateLimitEntries();
       Suspects.removeExpired(at);
       Pool.removeStale(at, [this](const std::string &id) {
         return Directory.target(id) != nullptr;
@@ -132,6 +134,7 @@
       "process.paused",
       {{"ms", base::wholeMilliseconds(suspension.Length)},
        {"uncounted_ms", base::wholeMilliseconds(suspension.Suspended)}});
+  RateLimits.handleSuspension(now);
   if (OnReload) {
     ReloadDeadline = now + ReloadTimeout;
     OnReload();
@@ -227,7 +230,9 @@
 
 void Entry::setEntryNames(const std::set<std::string> &names,
                           bool areComplete) {
+  EntryNames = names;
   Shares.setEntries(Settings.Name, names);
+  updateRateLimitEntries();
   AllEntriesKnown = areComplete;
   if (!std::exchange(EntryNamesSet, true))
     onTargetsChanged();
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -19,6 +19,7 @@
 #include "libbergamotgateway/targetbackoffs.h"
 #include "libbergamotgateway/targetdirectory.h"
 #include "libbergamotgateway/targethealth.h"
+#include "libbergamotgateway/targetratelimits.h"
 #include "libbergamotgateway/targetselection.h"
 #include "libbergamotgateway/targetshares.h"
 #include "libbergamotgateway/waitpolicy.h"
@@ -167,6 +168,15 @@
     OnPromptEvidence = std::move(handler);
   }
 
+  /// Merges what other entries have heard from targets of their request rates.
+  void mergeRateStatements(const std::vector<gateway::RateStatement> &it);
+  const gateway::TargetRateLimits &rateLimits() const { return RateLimits; }
+  /// Sets the function that is called when other entries must learn of a change
+  /// of rateLimits() at once.
+  void setRateLimitHandler(std::function<void()> handler) {
+    OnRateLimit = std::move(handler);
+  }
+
   // Used by Exchange.
   const HeaderCodec &codec() const { return Codec; }
   ConnectionPool &pool() { return Pool; }
@@ -191,10 +201,11 @@
   }
   void addInFlight(const std::string &target);
   void removeInFlight(const Exchange &exchange, const std::string &target);
-  /// Applies what a target states about itself in a response; `startedAtMs` is
-  /// the start time that its record showed when the request was sent.
+  /// Applies what a target states about itself in a response to a request that
+  /// was sent at `sentAt`; `startedAtMs` is the start time that its record
+  /// showed then.
   void recordResponse(const std::string &target, std::int64_t startedAtMs,
-                      const TargetResponse &response);
+                      base::TimePoint sentAt, const TargetResponse &response);
   /// Logs the fields of a response that this version doesn't know, each name
   /// once: a target may state something there that the entry should heed.
   void recordUnknownFields(const std::string &target,
@@ -271,7 +282,13 @@
   gateway::QueueState queueState(const std::string &serviceName,
                                  ServiceState &state);
   gateway::WaitLimits waitLimits(const Exchange &exchange) const;
-  base::Duration minBackoffLeft(const std::string &serviceName) const;
+  void addTargetLimits(const std::string &serviceName,
+                       gateway::QueueState &state);
+  base::TimePoint nextSendAt(const gateway::KnownTarget &target,
+                             base::TimePoint now);
+  void updateRateLimitEntries();
+  void recordRateLimit(const std::string &target, std::int64_t startedAtMs,
+                       base::TimePoint sentAt, const TargetResponse &response);
   bool isStalled(const std::string &serviceName) const;
   std::size_t slotShare(const std::string &serviceName) const;
   bool dispatchNext(const std::string &serviceName, ServiceState &state);
@@ -302,6 +319,7 @@
   gateway::TargetHealth Health;
   gateway::DrainingTargets DrainingTargets;
   gateway::TargetBackoffs Backoffs;
+  gateway::TargetRateLimits RateLimits;
   gateway::GroupProgress Groups;
   gateway::RankSlowdowns Slowdowns;
   std::map<std::string, gateway::RateWindow> DispatchesByTarget;
@@ -312,10 +330,13 @@
   gateway::PromptSuspects Suspects;
   std::vector<SuspectedRequest> SuspectedRequests;
   std::function<void()> OnPromptEvidence;
+  std::function<void()> OnRateLimit;
   std::unordered_set<std::shared_ptr<CallerConnection>> Callers;
   std::mt19937_64 Random;
   std::uniform_real_distribution<double> Uniform{0.0, 1.0};
   std::uint64_t LastExchangeId = 0;
+  /// The names of the other entries that may be running.
+  std::set<std::string> EntryNames;
   /// Whether setEntryNames() has been called, and with all names.
   bool EntryNamesSet = false;
   bool AllEntriesKnown = false;
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -24,6 +24,8 @@
 constexpr double MinRetryAfterSeconds = 0.05;
 /// Retry-After of a request whose prompt is blocked for longer or for good.
 constexpr std::chrono::minutes MaxRetryAfter{1};
+/// Stands for a time at which no target takes a request from this entry.
+constexpr std::chrono::hours MaxNextSendDelay{1};
 /// While this entry shuts down, another one can serve the request at once.
 constexpr auto ShutdownRetryAfter = "0.02";
 
@@ -51,9 +53,12 @@
 gateway::QueueState Entry::queueState(const std::string &serviceName,
                                       ServiceState &state) {
   const TimePoint at = now();
-  return {state.Queue.onTimeCount(),  state.Queue.lateCount(),
-          state.Dispatched.count(at), state.OnTimeArrivals.count(at),
-          isStalled(serviceName),     slotShare(serviceName)};
+  gateway::QueueState queue{
+      state.Queue.onTimeCount(),  state.Queue.lateCount(),
+      state.Dispatched.count(at), state.OnTimeArrivals.count(at),
+      isStalled(serviceName),     slotShare(serviceName)};
+  addTargetLimits(serviceName, queue);
+  return queue;
 }
 
 void Entry::enqueue(const std::shared_ptr<Exchange> &exchange) {
@@ -74,8 +79,9 @@
   const TimePoint at = now();
   ServiceState &state = service(serviceName);
   const gateway::WaitLimits limits = waitLimits(*exchange);
-  if (at + minBackoffLeft(serviceName) > std::max(limits.ExpiresAt, at)) {
-    exchange->rejectQueued("resting");
+  const gateway::QueueState queue = queueState(serviceName, state);
+  if (at + queue.NextSendIn > std::max(limits.ExpiresAt, at)) {
+    exchange->rejectQueued(queue.MaxRate ? "rate_limited" : "resting");
     return;
   }
   const bool mustQueue = !state.Queue.isEmpty() || !isStateCurrent();
@@ -83,9 +89,10 @@
       exchange->hasResponseStarted() ||
       (!exchange->failedTargets().empty() && isStalled(serviceName));
   if (!isExempt && mustQueue &&
-      !gateway::shouldEnqueue(limits, exchange->times(),
-                              queueState(serviceName, state), at)) {
-    exchange->rejectQueued(isStalled(serviceName) ? "standstill" : "overload");
+      !gateway::shouldEnqueue(limits, exchange->times(), queue, at)) {
+    exchange->rejectQueued(queue.Stalled   ? "standstill"
+                           : queue.MaxRate ? "rate_limited"
+                                           : "overload");
     return;
   }
   state.QueuedExchanges.emplace(exchange->exchangeId(), exchange);
@@ -200,6 +207,7 @@
   state.Queue.remove(exchange->exchangeId());
   state.QueuedExchanges.erase(exchange->exchangeId());
   DispatchesByTarget[target->Record.Id].add(now());
+  RateLimits.recordSent(gateway::targetHash(target->Record.Id), now());
   state.Dispatched.add(now());
   if (target->Record.Membership)
     Groups.recordDispatch(target->Record.Membership->Group, now());
@@ -223,8 +231,7 @@
   std::vector<gateway::Candidate> failedBefore;
   for (const auto &[id, target] : Directory.targets()) {
     if (target.Record.Service != serviceName || !isUsable(target) ||
-        Health.isUnresponsive(id, at) ||
-        Backoffs.backoffUntil(id, target.Record.StartedAtMs) > at)
+        Health.isUnresponsive(id, at) || nextSendAt(target, at) > at)
       continue;
     if (!isWithinColdRate(service, id))
       continue;
@@ -306,8 +313,8 @@
   const gateway::QueueState queue =
       serviceName.empty() ? gateway::QueueState()
                           : queueState(serviceName, service(serviceName));
-  std::chrono::duration<double> delay = gateway::retryAfterDelay(
-      left, queue, minBackoffLeft(serviceName), drawUniform());
+  std::chrono::duration<double> delay =
+      gateway::retryAfterDelay(left, queue, drawUniform());
   const TimePoint at = now();
   if (Suspects.verdict(exchange.promptParts(), at) !=
       gateway::PromptVerdict::Free)
@@ -320,21 +327,47 @@
   headers.set("Retry-After", text.data());
 }
 
-/// Returns the time until the first back-off among the targets of a service
-/// ends; 0 if at least one target has none.
-Duration Entry::minBackoffLeft(const std::string &serviceName) const {
+/// Returns when the next request may be sent to a target, as far as its
+/// back-off and its request rate determine it.
+TimePoint Entry::nextSendAt(const gateway::KnownTarget &target, TimePoint now) {
+  const std::string &id = target.Record.Id;
+  const std::int64_t startedAtMs = target.Record.StartedAtMs;
+  const TimePoint backoffUntil = Backoffs.backoffUntil(id, startedAtMs);
+  if (RateLimits.isEmpty())
+    return backoffUntil;
+  const gateway::TargetHash hash = gateway::targetHash(id);
+  // This entry's share can't be computed before the number of entries is known.
+  if (!EntryNamesSet && RateLimits.share(hash, startedAtMs, now))
+    return TimePoint::max();
+  return std::max(backoffUntil, RateLimits.nextSendAt(hash, startedAtMs, now));
+}
+
+/// Adds what the back-offs and the request rates of a service's targets permit.
+void Entry::addTargetLimits(const std::string &serviceName,
+                            gateway::QueueState &state) {
   const TimePoint at = now();
-  std::optional<Duration> shortest;
+  TimePoint earliest = TimePoint::max();
+  double totalRate = 0;
+  bool allLimited = true;
+  bool hasTargets = false;
   for (const auto &[id, target] : Directory.targets()) {
     if (target.Record.Service != serviceName || !isUsable(target))
       continue;
-    const Duration left =
-        Backoffs.backoffUntil(id, target.Record.StartedAtMs) - at;
-    if (left <= Duration::zero())
-      return Duration::zero();
-    shortest = std::min(shortest.value_or(left), left);
+    hasTargets = true;
+    earliest = std::min(earliest, nextSendAt(target, at));
+    std::optional<double> share;
+    if (!RateLimits.isEmpty())
+      share = RateLimits.share(gateway::targetHash(id),
+                               target.Record.StartedAtMs, at);
+    allLimited = allLimited && share;
+    totalRate += share.value_or(0);
   }
-  return shortest.value_or(Duration::zero());
+  if (!hasTargets)
+    return;
+  state.NextSendIn =
+      std::clamp<TimePoint>(earliest, at, at + MaxNextSendDelay) - at;
+  if (allLimited)
+    state.MaxRate = totalRate;
 }
 
 void Entry::addInFlight(const std::string &target) {
--- a/src/entrypath/entrytargets.cpp
+++ b/src/entrypath/entrytargets.cpp
@@ -30,7 +30,7 @@
 } // namespace
 
 void Entry::recordResponse(const std::string &target, std::int64_t startedAtMs,
-                           const TargetResponse &response) {
+                           TimePoint sentAt, const TargetResponse &response) {
   const TimePoint at = now();
   if (response.ColdFor && response.ColdFor->count() > 0)
     Directory.setColdUntil(target, at + *response.ColdFor);
@@ -51,6 +51,39 @@
         {{"target", target},
          {"valid", !response.HasInvalidBackoff},
          {"ms", response.BackoffFor.value_or(milliseconds(0)).count()}});
+  recordRateLimit(target, startedAtMs, sentAt, response);
+}
+
+void Entry::recordRateLimit(const std::string &target, std::int64_t startedAtMs,
+                            TimePoint sentAt, const TargetResponse &response) {
+  const TimePoint at = now();
+  if (response.HasInvalidRateLimit) {
+    EventLog.write("target.limit", {{"target", target}, {"valid", false}}, at);
+    return;
+  }
+  const gateway::TargetHash hash = gateway::targetHash(target);
+  if (!RateLimits.recordResponse(
+          {hash, startedAtMs, response.RequestRateLimit, at}, sentAt))
+    return;
+  if (EventLog.admit("target.limit", at))
+    base::logDecision(
+        "target.limit",
+        {{"target", target},
+         {"valid", true},
+         {"limited", response.RequestRateLimit.has_value()},
+         {"per_second", response.RequestRateLimit.value_or(0)},
+         {"share", RateLimits.share(hash, startedAtMs, at).value_or(0)}});
+  if (OnRateLimit)
+    OnRateLimit();
+}
+
+void Entry::mergeRateStatements(const std::vector<gateway::RateStatement> &it) {
+  RateLimits.merge(it, now());
+}
+
+void Entry::updateRateLimitEntries() {
+  RateLimits.setEntries(Settings.Name, TargetLoads.liveEntryNames(),
+                        EntryNames);
 }
 
 void Entry::recordUnknownFields(const std::string &target,
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -175,7 +175,7 @@
     return false;
   ResponseHeadValidated = true;
   LastProgressAt = Owner.now();
-  Owner.recordResponse(TargetId, TargetStartedAtMs, ResponseInfo);
+  Owner.recordResponse(TargetId, TargetStartedAtMs, SentAt, ResponseInfo);
   Owner.recordUnknownFields(TargetId, head);
   return true;
 }
--- a/src/entrypath/headercodec.h
+++ b/src/entrypath/headercodec.h
@@ -55,6 +55,11 @@
   std::optional<std::chrono::milliseconds> BackoffFor;
   /// The target stated a back-off that can't be parsed.
   bool HasInvalidBackoff = false;
+  /// Requests per second that the target takes from all entries together;
+  /// unset if it names no limit.
+  std::optional<double> RequestRateLimit;
+  /// The target stated a request rate that can't be parsed.
+  bool HasInvalidRateLimit = false;
   /// How long the target keeps an idle connection open.
   std::optional<std::chrono::milliseconds> KeepAliveFor;
 };
--- a/src/entrypath/peerlink.cpp
+++ b/src/entrypath/peerlink.cpp
@@ -2,6 +2,7 @@
 
 #include "entrypath/peerreport.h"
 #include "entrypath/promptreport.h"
+#include "entrypath/ratereport.h"
 #include "libbergamotbase/error.h"
 #include "libbergamotbase/jsoncodec.h"
 
@@ -51,6 +52,12 @@
     else
       sendPromptReport();
   });
+  Owner.setRateLimitHandler([this] {
+    if (Owner.now() < LastRateReportAt + Config.MinRateReportPeriod)
+      NextRateReportAt = Owner.now();
+    else
+      sendRateReport();
+  });
   receive();
   sendPeriodically();
   fetchPeriodically();
@@ -70,6 +77,8 @@
   if (!added)
     return;
   EntryNamesChanged = true;
+  if (isNew())
+    sendTo(address, encodeRateReport({}, now));
   base::logInfo("peer.added",
                 {{"peer", name}, {"address", address.address().to_string()}});
 }
@@ -92,6 +101,10 @@
       Owner.mergePromptEvidence(*evidence);
     return;
   }
+  if (isRateReport(bytes)) {
+    onRateReport(bytes);
+    return;
+  }
   if (MessageHandler && !isReport(bytes)) {
     MessageHandler(bytes);
     return;
@@ -109,22 +122,35 @@
   Owner.setPeerRequestCounts(report->Entry, std::move(report->Counts));
 }
 
-void PeerLink::sendMessage(const std::string &peer, const std::string &bytes) {
-  const auto it = Peers.find(peer);
-  if (it == Peers.end())
+void PeerLink::onRateReport(std::string_view bytes) {
+  const auto statements = decodeRateReport(bytes, Owner.now());
+  if (!statements)
+    return;
+  Owner.mergeRateStatements(*statements);
+  if (!statements->empty())
     return;
+  const auto known = Owner.rateLimits().allStatements();
+  if (!known.empty())
+    sendTo(Sender, encodeRateReport(known, Owner.now()));
+}
+
+/// Sends a datagram. Errors are ignored, as lost datagrams are: messages are
+/// repeated.
+void PeerLink::sendTo(const boost::asio::ip::udp::endpoint &address,
+                      const std::string &bytes) {
   error_code ec;
-  // Errors are ignored, as lost datagrams are: messages are repeated.
-  Socket.send_to(boost::asio::buffer(bytes), it->second.Address, 0, ec);
+  Socket.send_to(boost::asio::buffer(bytes), address, 0, ec);
+}
+
+void PeerLink::sendMessage(const std::string &peer, const std::string &bytes) {
+  const auto it = Peers.find(peer);
+  if (it != Peers.end())
+    sendTo(it->second.Address, bytes);
 }
 
 void PeerLink::sendToAll(const std::string &message) {
-  for (auto &[name, peer] : Peers) {
-    error_code ec;
-    // Errors are ignored, as lost datagrams are: each message contains
-    // everything and is repeated.
-    Socket.send_to(boost::asio::buffer(message), peer.Address, 0, ec);
-  }
+  for (const auto &[name, peer] : Peers)
+    sendTo(peer.Address, message);
 }
 
 void PeerLink::sendPromptReport() {
@@ -136,6 +162,23 @@
     sendToAll(encodePromptReport(evidence, now));
 }
 
+/// Returns whether this entry has just started and asks the others what they
+/// know of the targets' request rates.
+bool PeerLink::isNew() const {
+  return Owner.now() < Owner.settings().StartedAt + Config.RateQueryPeriod;
+}
+
+void PeerLink::sendRateReport() {
+  const TimePoint now = Owner.now();
+  LastRateReportAt = now;
+  NextRateReportAt = now + Config.RateReportPeriod;
+  if (isNew())
+    sendToAll(encodeRateReport({}, now));
+  const auto statements = Owner.rateLimits().ownStatements();
+  if (!statements.empty())
+    sendToAll(encodeRateReport(statements, now));
+}
+
 std::vector<std::string> PeerLink::peerNames() const {
   std::vector<std::string> names;
   for (const auto &[name, peer] : Peers)
@@ -155,6 +198,8 @@
   const bool hasAnswer = Owner.promptSuspects().takePendingAnswer();
   if (hasAnswer || now >= NextPromptReportAt)
     sendPromptReport();
+  if (now >= NextRateReportAt)
+    sendRateReport();
   std::erase_if(Peers, [&](const auto &it) {
     const bool expired = it.second.ExpiresAt <= now;
     if (expired) {
--- a/src/entrypath/peerlink.h
+++ b/src/entrypath/peerlink.h
@@ -40,6 +40,13 @@
     /// time, in case a datagram was lost or an entry was unreachable.
     std::chrono::milliseconds PromptReportPeriod{1000};
     std::chrono::milliseconds MinPromptReportPeriod{100};
+    /// What targets have stated of their request rates is sent again after this
+    /// time, and after a change not before MinRateReportPeriod.
+    std::chrono::milliseconds RateReportPeriod{500};
+    std::chrono::milliseconds MinRateReportPeriod{50};
+    /// How long after its start an entry asks the others for what they know of
+    /// the targets' request rates.
+    std::chrono::milliseconds RateQueryPeriod{2000};
     std::chrono::milliseconds FetchPeriod{250};
     /// After this time the set of known entries is considered complete even if
     /// the topic that lists them hasn't been read.
@@ -78,8 +85,13 @@
   void receive();
   void onDatagram(std::size_t n);
   void sendPeriodically();
+  bool isNew() const;
+  void onRateReport(std::string_view bytes);
+  void sendTo(const boost::asio::ip::udp::endpoint &address,
+              const std::string &bytes);
   void sendToAll(const std::string &message);
   void sendPromptReport();
+  void sendRateReport();
   void setEntryNames(bool areComplete);
   void fetchPeriodically();
   void fetch(TopicFollower &follower);
@@ -108,6 +120,8 @@
   base::TimePoint NextResendAt;
   base::TimePoint LastPromptReportAt;
   base::TimePoint NextPromptReportAt;
+  base::TimePoint LastRateReportAt;
+  base::TimePoint NextRateReportAt;
   std::size_t NextFetchPeer = 0;
 };
 
--- a/src/libbergamotgateway/loadtracker.cpp
+++ b/src/libbergamotgateway/loadtracker.cpp
@@ -60,4 +60,11 @@
   return counts;
 }
 
+std::set<std::string> LoadTracker::liveEntryNames() const {
+  std::set<std::string> names;
+  for (const auto &[entry, report] : Reports)
+    names.insert(entry);
+  return names;
+}
+
 } // namespace bergamot::gateway
--- a/src/libbergamotgateway/loadtracker.h
+++ b/src/libbergamotgateway/loadtracker.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -47,6 +48,8 @@
   unsigned liveEntryCount() const {
     return static_cast<unsigned>(Reports.size()) + 1;
   }
+  /// Returns the names of the other entries with a current report.
+  std::set<std::string> liveEntryNames() const;
 
 private:
   struct Report {
--- a/src/libbergamotgateway/waitpolicy.cpp
+++ b/src/libbergamotgateway/waitpolicy.cpp
@@ -50,6 +50,14 @@
       std::chrono::duration<double>(static_cast<double>(requests) / perSecond));
 }
 
+/// Returns the time until a request can be sent that has `ahead` others before
+/// it, as far as the targets' limits and back-offs determine it.
+Duration limitedWait(const QueueState &state, std::size_t ahead) {
+  if (!state.MaxRate)
+    return state.NextSendIn;
+  return state.NextSendIn + drainTime(ahead, *state.MaxRate);
+}
+
 } // namespace
 
 WaitLimits waitLimits(const Route &route, const RequestTimes &times) {
@@ -83,6 +91,9 @@
                                   : state.SlotsOfThisEntry / 2;
     return state.OnTimeWaiting + state.LateWaiting <= slots;
   }
+  if (state.MaxRate)
+    return now + limitedWait(state, state.OnTimeWaiting + state.LateWaiting) <=
+           limits.ExpiresAt;
   if (limits.OnTimeUntil <= now) {
     QueueState withRequest = state;
     ++withRequest.LateWaiting;
@@ -99,6 +110,10 @@
                       TimePoint now) {
   if (state.Stalled)
     return true;
+  if (state.MaxRate)
+    return now + limitedWait(state,
+                             state.OnTimeWaiting + state.LateWaiting - 1) <=
+           limits.ExpiresAt;
   const double spareRate = static_cast<double>(state.Dispatched) -
                            static_cast<double>(state.OnTimeArrived);
   return now + drainTime(state.LateWaiting, spareRate) <= limits.ExpiresAt;
@@ -109,7 +124,7 @@
 }
 
 Duration retryAfterDelay(Duration timeLeft, const QueueState &state,
-                         Duration backoffLeft, double draw) {
+                         double draw) {
   const Duration highest = scaled(timeLeft, MaxRetryAfterFraction);
   const double minFraction =
       state.Stalled ? StalledMinRetryAfterFraction : MinRetryAfterFraction;
@@ -118,7 +133,9 @@
                     : drainTime(state.OnTimeWaiting + state.LateWaiting,
                                 static_cast<double>(state.Dispatched));
   const Duration lowest = std::min(
-      highest, std::max({scaled(timeLeft, minFraction), backlog, backoffLeft}));
+      highest,
+      std::max({scaled(timeLeft, minFraction), backlog,
+                limitedWait(state, state.OnTimeWaiting + state.LateWaiting)}));
   return lowest + scaled(highest - lowest, draw);
 }
 
--- a/src/libbergamotgateway/waitpolicy.h
+++ b/src/libbergamotgateway/waitpolicy.h
@@ -4,6 +4,7 @@
 #include "libbergamotgateway/routetable.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace bergamot::gateway {
 
@@ -44,6 +45,12 @@
   bool Stalled = false;
   /// This entry's share of the slots at the service's targets.
   std::size_t SlotsOfThisEntry = 0;
+  /// Requests per second that this entry may send, if every target of the
+  /// service limits them; unset if one doesn't.
+  std::optional<double> MaxRate;
+  /// Time until a target takes a request at all: all of them have asked for a
+  /// back-off or have used up their request rate.
+  Duration NextSendIn{0};
 };
 
 /// Returns whether a request should be queued when it arrives. Two situations
@@ -54,6 +61,8 @@
 /// - In a burst of twice the capacity, requests that can't be served are
 ///   rejected at once, so that the queue stays short and the requests in it
 ///   stay on time.
+/// If all targets limit the rate of requests, a request is queued if its turn
+/// comes before its caller disconnects.
 bool shouldEnqueue(const WaitLimits &limits, const RequestTimes &times,
                    const QueueState &state, TimePoint now);
 
@@ -73,10 +82,10 @@
 /// until the caller's deadline; callers ignore a Retry-After longer than a
 /// third of it. `draw` in [0, 1) spreads the retries of callers that are
 /// rejected at the same time. The delay lasts at least until the current queue
-/// has been served and until the earliest end of a target's back-off
-/// (`backoffLeft`), but is capped so that callers don't ignore it.
+/// has been served and a target takes requests, but is capped so that callers
+/// don't ignore it.
 Duration retryAfterDelay(Duration timeLeft, const QueueState &state,
-                         Duration backoffLeft, double draw);
+                         double draw);
 
 } // namespace bergamot::gateway
 
--- a/tests/entrypath/entryfixture.cpp
+++ b/tests/entrypath/entryfixture.cpp
@@ -87,6 +87,8 @@
   if (const auto backoff = head.Headers.value("X-Rest"))
     it.BackoffFor = std::chrono::milliseconds(
         adaptertcp::parseNumber(*backoff).value_or(0));
+  if (const auto limit = head.Headers.value("X-Limit"))
+    it.RequestRateLimit = std::stod(std::string(*limit));
   return it;
 }
 
--- a/tests/gateway/test_waiting.cpp
+++ b/tests/gateway/test_waiting.cpp
@@ -149,7 +149,8 @@
   QueueState state;
   state.Dispatched = 20;
   const auto delay = [&](double draw, base::Duration backoffLeft = 0ms) {
-    return retryAfterDelay(6000ms, state, backoffLeft, draw);
+    state.NextSendIn = backoffLeft;
+    return retryAfterDelay(6000ms, state, draw);
   };
   CHECK(delay(0) == 480ms);
   CHECK(delay(0.999) < 2000ms);
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -491,3 +491,26 @@
     CHECK(response.HasInvalidBackoff);
   }
 }
+
+TEST_CASE("a target's request rate is decoded") {
+  const PlatformHeaderCodec codec;
+  const auto decode = [&](int status, const char *value) {
+    adaptertcp::ResponseHead head;
+    head.Status = status;
+    head.Headers.add("server-limit", value);
+    return codec.decodeResponse(head);
+  };
+  CHECK(decode(200, "2.5").RequestRateLimit == 2.5);
+  CHECK(decode(503, "0").RequestRateLimit == 0.0);
+  CHECK(decode(500, "12").RequestRateLimit == 12.0);
+  for (const char *bad : {"", "few", "-1", "2/s", "nan", "inf"}) {
+    CAPTURE(bad);
+    CHECK_FALSE(decode(200, bad).RequestRateLimit);
+    CHECK(decode(200, bad).HasInvalidRateLimit);
+  }
+  const auto none = codec.decodeResponse({});
+  CHECK_FALSE(none.RequestRateLimit);
+  CHECK_FALSE(none.HasInvalidRateLimit);
+  CHECK(codec.isKnownResponseField("SERVER-LIMIT"));
+  CHECK_FALSE(codec.isKnownResponseField("Server-Limits"));
+}
