--- a/src/entrypath/compactedtopic.h
+++ b/src/entrypath/compactedtopic.h
@@ -35,6 +35,10 @@
   std::vector<TopicRecord> Records;
   /// Offset that the topic's next record will get.
   std::uint64_t TopicEnd = 0;
+  /// The store's era, which rises each time that the store is restored from an
+  /// older copy. Offsets of different eras have nothing to do with each other.
+  /// 0 if the store doesn't state it.
+  std::uint64_t Era = 0;
   /// Only for readNewest(): the topic has further keys.
   bool HasMore = false;
 };
--- a/src/entrypath/topicfollower.cpp
+++ b/src/entrypath/topicfollower.cpp
@@ -53,6 +53,7 @@
     scheduleRetry();
     return;
   }
+  logEra(page);
   if (!FirstTopicEnd)
     FirstTopicEnd = page.TopicEnd;
   for (const auto &it : page.Records) {
@@ -112,6 +113,7 @@
     scheduleRetry();
     return;
   }
+  logEra(page);
   for (const auto &it : page.Records) {
     apply(it);
     End = std::max(End, it.Offset + 1);
@@ -149,6 +151,17 @@
                 {{"topic", Settings.Topic}, {"end", End}});
 }
 
+void TopicFollower::logEra(const ReadResult &page) {
+  const std::uint64_t previous = std::exchange(Era, page.Era);
+  if (previous == 0 || previous == page.Era)
+    return;
+  base::logInfo("store.era", {{"topic", Settings.Topic},
+                              {"era", page.Era},
+                              {"previous", previous},
+                              {"end", End},
+                              {"topic_end", page.TopicEnd}});
+}
+
 bool TopicFollower::wasStoreReachable() const {
   return Clock::now() >= RecentOutageUntil;
 }
--- a/src/entrypath/topicfollower.h
+++ b/src/entrypath/topicfollower.h
@@ -82,6 +82,7 @@
   void onRead(const ReadResult &page);
   void scheduleRead(std::chrono::milliseconds delay);
   void setReachable(bool reachable);
+  void logEra(const ReadResult &page);
   void scheduleRetry();
   void apply(const TopicRecord &record);
   void removeMissing();
@@ -98,6 +99,8 @@
   std::map<std::string, bool> SeenKeys;
   std::optional<std::uint64_t> FirstTopicEnd;
   std::uint64_t End = 0;
+  /// The store's era in the last response.
+  std::uint64_t Era = 0;
   base::TimePoint NextFullReadAt;
   /// When the read in progress and the last successful one were started.
   base::TimePoint ReadStartedAt;
