usage: Keep tokens and fixed windows apart by the store's era

Cause: fencing tokens were offsets, which a restored store gives out again; a restored record names windows as not yet fixed that had been sent; and a write on the condition of an offset of the former log can hold in the new one and replace what another entry has written since. Ruled out: freezes, cuts and lost calls alone (the case without restorations passes).

A token now has the era above the offset, so that tokens rise over restorations and stay what they were before the first one. The record names the era for which it was written. Who takes over from a record of an earlier era, or goes on as holder in a new one, skips the windows that have ended, as they may have been sent; an outdated record's unconfirmed windows aren't sent. A former version ignores the record's new field, and its records count as those of the first era; a test shows both.

--- a/src/entrypath/compactedtopic.h
+++ b/src/entrypath/compactedtopic.h
@@ -3,6 +3,7 @@
 
 #include "libbergamotbase/timetypes.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -26,6 +27,12 @@
 /// The era of a store that has never been restored.
 constexpr std::uint64_t FirstEra = 1;
 
+/// Returns the era that a response states; a store that states none is taken
+/// not to have been restored.
+constexpr std::uint64_t eraOrFirst(std::uint64_t stated) {
+  return std::max(stated, FirstEra);
+}
+
 /// One record of a compacted topic. A record without a value marks the removal
 /// of its key.
 struct TopicRecord {
--- a/src/entrypath/topicfollower.cpp
+++ b/src/entrypath/topicfollower.cpp
@@ -150,7 +150,7 @@
 /// Returns the era of a response. A store that doesn't state it is taken not to
 /// have been restored.
 std::uint64_t TopicFollower::eraOf(const ReadResult &page) const {
-  return page.Era == 0 ? std::max(End.Era, FirstEra) : page.Era;
+  return page.Era == 0 ? eraOrFirst(End.Era) : page.Era;
 }
 
 /// Returns whether a response is from before a restoration that is known
--- a/src/entrypath/usagebackend.h
+++ b/src/entrypath/usagebackend.h
@@ -17,7 +17,9 @@
 public:
   using ReadCompletion =
       std::function<void(const std::optional<usage::RecordState> &)>;
-  using AppendCompletion = std::function<void(usage::AppendResult)>;
+  /// Gets the result and the store's era when it answered.
+  using AppendCompletion =
+      std::function<void(usage::AppendResult, std::uint64_t era)>;
   using Completion = std::function<void(bool succeeded)>;
   using StoredUsageCompletion =
       std::function<void(const std::vector<std::string> &values)>;
--- a/src/entrypath/usageservice.cpp
+++ b/src/entrypath/usageservice.cpp
@@ -224,6 +224,8 @@
   it.StoreReachable = Store.isStoreReachable();
   it.HearsOthers = 2 * Clock.entries().size() >= Peers.peerNames().size();
   it.Order = candidatesBefore();
+  it.LastEnded =
+      usage::windowAt(Clock.at(Owner.now()), Settings.Ledger.WindowLength) - 1;
   return it;
 }
 
@@ -256,8 +258,10 @@
 void UsageService::perform(const AppendRecord &it) {
   Backend->appendRecord(
       it, Owner.now() + StoreCallTimeout,
-      [this, record = it.Record](usage::AppendResult result) {
+      [this, record = it.Record](usage::AppendResult result,
+                                 std::uint64_t era) {
         nlohmann::json fields = {{"result", resultName(result)},
+                                 {"era", era},
                                  {"token", record.Token},
                                  {"last_fixed", record.LastFixed}};
         if (!record.Unconfirmed.empty()) {
@@ -266,7 +270,7 @@
           fields["entries"] = Ledger.totalByEntry(newest.Window);
         }
         base::logDecision("usage.record", fields);
-        Reporter.recordAppend(result, bootNow());
+        Reporter.recordAppend(result, era, bootNow());
         act();
       });
 }
--- a/src/libbergamotusage/reportrecord.cpp
+++ b/src/libbergamotusage/reportrecord.cpp
@@ -13,6 +13,7 @@
   return base::toCbor({{"holder", record.Holder},
                        {"token", record.Token},
                        {"last_fixed", record.LastFixed},
+                       {"era", record.Era},
                        {"unconfirmed", std::move(windows)}});
 }
 
@@ -24,6 +25,7 @@
         record.Holder = it.at("holder").get<std::string>();
         record.Token = it.at("token").get<std::uint64_t>();
         record.LastFixed = it.at("last_fixed").get<WindowNumber>();
+        record.Era = it.value("era", FirstStoreEra);
         for (const auto &window : it.at("unconfirmed"))
           record.Unconfirmed.push_back({window.at("window").get<WindowNumber>(),
                                         decodeCounts(window.at("counts"))});
--- a/src/libbergamotusage/reportrecord.h
+++ b/src/libbergamotusage/reportrecord.h
@@ -11,6 +11,9 @@
 
 namespace bergamot::usage {
 
+/// The era of a store that has never been restored from an older copy.
+constexpr std::uint64_t FirstStoreEra = 1;
+
 /// The record in the platform's store that says which entry reports usage, and
 /// what it has fixed. It is only ever written on the condition that the topic
 /// hasn't changed since it was read.
@@ -23,14 +26,17 @@
   WindowNumber LastFixed = 0;
   /// Fixed windows that aren't known to have been accepted, oldest first.
   std::vector<WindowUsage> Unconfirmed;
+  /// The era of the store for which the record was written. If the store has
+  /// been restored since, later versions of the record may have been lost.
+  std::uint64_t Era = FirstStoreEra;
 
   bool operator==(const ReportRecord &) const = default;
 };
 
-/// Encodes a record as CBOR.
+/// Encodes a record as CBOR. A former version ignores the era.
 std::string encodeReportRecord(const ReportRecord &record);
-/// Decodes a record. Returns std::nullopt and logs a warning if it is
-/// malformed.
+/// Decodes a record. One of a former version states no era, which stands for
+/// the first one. Returns std::nullopt and logs a warning if it is malformed.
 std::optional<ReportRecord> decodeReportRecord(std::string_view bytes);
 
 } // namespace bergamot::usage
--- a/src/libbergamotusage/usagereporter.cpp
+++ b/src/libbergamotusage/usagereporter.cpp
@@ -32,6 +32,9 @@
 /// Bounds the record while reports aren't accepted. With names of ten bytes, it
 /// stays below 256 KiB, the store's limit on a record.
 constexpr std::size_t MaxUnconfirmedAccounts = 16000;
+/// Bits of a token that hold the offset; the others hold the era. Tokens stay
+/// exact as floating-point numbers for two million eras.
+constexpr unsigned OffsetBits = 32;
 
 void boundUnconfirmed(std::vector<WindowUsage> &windows) {
   std::size_t accounts = 0;
@@ -58,6 +61,7 @@
 UsageReporter::nextAction(TimePoint now, const ReporterSurroundings &it,
                           const ReadyWindows &readyWindows) {
   // After an outage of the store, its holder is the first to act again.
+  LastEnded = std::max(LastEnded, it.LastEnded);
   if (!it.StoreReachable)
     LastSignAt = std::max(LastSignAt, now);
   if (Outstanding || Leaving || now < RetryAt)
@@ -70,7 +74,8 @@
   case Phase::Acquiring: {
     ReportRecord next = Record;
     next.Holder = Settings.Name;
-    next.Token = End + 1;
+    next.Token = nextToken();
+    next.Era = Era;
     return begin(AppendRecord{End, std::move(next)}, now);
   }
   case Phase::Verifying:
@@ -131,6 +136,7 @@
 void UsageReporter::considerRecord(const RecordState &state, TimePoint now) {
   Record = state.Record.value_or(ReportRecord());
   End = state.End;
+  Era = state.Era;
   const auto known = std::pair(KnownToken, KnownFixed);
   const auto recorded = std::pair(Record.Token, Record.LastFixed);
   KnownToken = std::max(KnownToken, Record.Token);
@@ -139,10 +145,49 @@
     LastSignAt = now; // A holder that isn't heard has acted.
   else
     State = Phase::Acquiring;
+  if (Record.Era < Era) {
+    // Written for an earlier era, it may even have replaced a later one.
+    Record.Unconfirmed.clear();
+    skipEndedWindows();
+  }
+}
+
+/// Leaves out the windows that another holder may have sent with counts that
+/// the store has lost.
+void UsageReporter::skipEndedWindows() {
+  Record.LastFixed = std::max({Record.LastFixed, KnownFixed, LastEnded});
+}
+
+/// Returns the token of a holder that replaces the record at End: higher than
+/// all of earlier eras, and in the first one the number of records.
+std::uint64_t UsageReporter::nextToken() const {
+  return ((Era - FirstStoreEra) << OffsetBits) + End + 1;
+}
+
+/// Takes the duty once more after the store was restored, unless another entry
+/// has done so. What this one has fixed may be gone from the store.
+void UsageReporter::acquireAgain(const RecordState &state, TimePoint now) {
+  const ReportRecord stored = state.Record.value_or(ReportRecord());
+  if (stored.Token > Token) {
+    stepDown(now);
+    return;
+  }
+  End = state.End;
+  Era = state.Era;
+  Token = 0;
+  ActiveFrom.reset();
+  Record.LastFixed = std::max(Record.LastFixed, stored.LastFixed);
+  skipEndedWindows();
+  dropConfirmed();
+  State = Phase::Acquiring;
 }
 
 /// Decides after a read of the record whether this entry is the holder.
 void UsageReporter::verifyRecord(const RecordState &state, TimePoint now) {
+  if (state.Era != Era) {
+    acquireAgain(state, now);
+    return;
+  }
   // Two entries that try to write at the same offset use the same token, of
   // which only one takes effect.
   const bool isOwn = state.Record && state.Record->Token == Token &&
@@ -162,11 +207,13 @@
   State = now < *ActiveFrom ? Phase::Waiting : Phase::Holding;
 }
 
-void UsageReporter::recordAppend(AppendResult result, TimePoint now) {
+void UsageReporter::recordAppend(AppendResult result, std::uint64_t era,
+                                 TimePoint now) {
   const auto sent = std::get<AppendRecord>(*Outstanding);
   Outstanding.reset();
   recordStoreCall(result == AppendResult::Appended, now);
-  if (result == AppendResult::Appended) {
+  // In another era, the condition held for an offset of another log.
+  if (result == AppendResult::Appended && era == Era) {
     Record = sent.Record;
     End = sent.At + 1;
     dropConfirmed();
--- a/src/libbergamotusage/usagereporter.h
+++ b/src/libbergamotusage/usagereporter.h
@@ -38,6 +38,8 @@
 struct RecordState {
   std::uint64_t End = 0;
   std::optional<ReportRecord> Record;
+  /// The store's era. Offsets are given out again in each era.
+  std::uint64_t Era = FirstStoreEra;
 };
 
 /// Result of an attempt to write the record.
@@ -58,6 +60,8 @@
   bool HearsOthers = false;
   /// How many running entries come before this one as candidates.
   unsigned Order = 0;
+  /// The last window that has ended.
+  WindowNumber LastEnded = 0;
 };
 
 /// Settings of a reporter.
@@ -76,9 +80,15 @@
 /// The report record in the store can be replaced only by an entry that has
 /// read the current one, since every write names the offset that it follows.
 /// An entry becomes holder by replacing the record with one that names itself;
-/// the offset of this write gives its fencing token, so tokens rise and are
-/// unique. The holder stores a window's counts before it sends them, which
-/// fixes them: whoever sends the window again sends the same counts.
+/// the offset of this write and the store's era give its fencing token, so
+/// tokens rise and are unique. The holder stores a window's counts before it
+/// sends them, which fixes them: whoever sends the window again sends the same
+/// counts.
+///
+/// A store that is restored from an older copy loses what was fixed last, and
+/// gives out offsets again, so that a condition that names one may hold though
+/// another entry has written since. Who takes over or goes on in a new era
+/// therefore skips the windows that have ended: they may have been sent.
 ///
 /// Nothing renews a lease in the background. A holder may send for less than
 /// one lease from the start of a call to the store that has shown it to be the
@@ -100,7 +110,9 @@
 
   /// Records the result of a read; std::nullopt if it failed.
   void recordRead(const std::optional<RecordState> &state, base::TimePoint now);
-  void recordAppend(AppendResult result, base::TimePoint now);
+  /// `era` is the store's era when it answered.
+  void recordAppend(AppendResult result, std::uint64_t era,
+                    base::TimePoint now);
   /// Records whether the platform accepted the report that was sent.
   void recordSent(bool accepted, base::TimePoint now);
 
@@ -143,6 +155,9 @@
   ReporterAction begin(ReporterAction action, base::TimePoint now);
   void considerRecord(const RecordState &state, base::TimePoint now);
   void verifyRecord(const RecordState &state, base::TimePoint now);
+  void acquireAgain(const RecordState &state, base::TimePoint now);
+  void skipEndedWindows();
+  std::uint64_t nextToken() const;
   void becomeHolder(base::TimePoint now);
   void stepDown(base::TimePoint now);
   void recordStoreCall(bool succeeded, base::TimePoint now);
@@ -155,7 +170,11 @@
   base::TimePoint StartedAt;
   bool Leaving = false;
   ReportRecord Record;
+  /// The end of the topic, and the era in which it was read.
   std::uint64_t End = 0;
+  std::uint64_t Era = FirstStoreEra;
+  /// The last window that had ended when the next action was asked for.
+  WindowNumber LastEnded = 0;
   /// This entry's token; 0 unless it holds the duty or may hold it.
   std::uint64_t Token = 0;
   /// Set while this entry is the holder: when it may first act.
--- a/tests/platform/test_usageclient.cpp
+++ b/tests/platform/test_usageclient.cpp
@@ -78,8 +78,9 @@
   fixture.Status = status;
   std::optional<AppendResult> result;
   const usage::ReportRecord record{"entry-1", 8, 5, {{5, {{"a", 3}}}}};
-  fixture.Client.appendRecord({7, record}, fixture.deadline(),
-                              [&](AppendResult it) { result = it; });
+  fixture.Client.appendRecord(
+      {7, record}, fixture.deadline(),
+      [&](AppendResult it, std::uint64_t) { result = it; });
   fixture.run();
   CHECK(result == expected);
   CHECK(fixture.Head.Target ==
--- a/tests/usage/reporterexplorer.cpp
+++ b/tests/usage/reporterexplorer.cpp
@@ -17,6 +17,8 @@
 /// Probability of a fault in each step; a fault lasts for four seconds on
 /// average.
 constexpr double FaultProbability = 0.01;
+constexpr double RestorationProbability = 0.003;
+constexpr milliseconds MaxCopyAge{12000};
 constexpr milliseconds Lease{3000};
 constexpr milliseconds AnnouncementPeriod{500};
 
@@ -71,6 +73,8 @@
   Now += StepTime;
   if (drawFault(FaultProbability))
     injectFault();
+  if (Settings.Restorations && drawFault(RestorationProbability))
+    restore();
   while (!Tasks.empty() && Tasks.begin()->first <= Now) {
     const Task task = std::move(Tasks.begin()->second);
     Tasks.erase(Tasks.begin());
@@ -117,6 +121,13 @@
   }
 }
 
+void ReporterExplorer::restore() {
+  const TimePoint copiedAt =
+      Now - milliseconds(Random() % static_cast<unsigned>(MaxCopyAge.count()));
+  std::erase_if(Log, [&](const auto &it) { return it.first > copiedAt; });
+  ++Era;
+}
+
 void ReporterExplorer::announce() {
   for (std::size_t from = 0; from < Nodes.size(); ++from) {
     Node &sender = Nodes[from];
@@ -154,7 +165,8 @@
   if (!it.Reporter)
     return;
   const ReporterSurroundings surroundings{!it.CutFromStore, !it.CutFromOthers,
-                                          static_cast<unsigned>(node)};
+                                          static_cast<unsigned>(node),
+                                          currentWindow() - 1};
   const auto action = it.Reporter->nextAction(
       Now, surroundings, [this](WindowNumber lastFixed) {
         // Every node counts differently.
@@ -181,8 +193,9 @@
   Tasks.emplace(Now + delay(), [this, node, caller = process(node)] {
     RecordState state;
     state.End = Log.size();
+    state.Era = Era;
     if (!Log.empty())
-      state.Record = Log.back();
+      state.Record = Log.back().second;
     callBack(caller, Now + delay(), [this, node, state] {
       Nodes[node].Reporter->recordRead(state, Now);
     });
@@ -192,7 +205,7 @@
 bool ReporterExplorer::append(const AppendRecord &it) {
   if (it.At != Log.size())
     return false;
-  Log.push_back(it.Record);
+  Log.emplace_back(Now, it.Record);
   return true;
 }
 
@@ -205,15 +218,17 @@
       Tasks.emplace(Now + milliseconds(Random() % 6000),
                     [this, it] { append(it); });
     callBack(process(node), Now + CallTimeout, [this, node] {
-      Nodes[node].Reporter->recordAppend(AppendResult::Unknown, Now);
+      Nodes[node].Reporter->recordAppend(AppendResult::Unknown, FirstStoreEra,
+                                         Now);
     });
     return;
   }
   Tasks.emplace(Now + delay(), [this, node, it, caller = process(node)] {
     const bool appended = append(it);
-    callBack(caller, Now + delay(), [this, node, appended] {
-      Nodes[node].Reporter->recordAppend(
-          appended ? AppendResult::Appended : AppendResult::NotAppended, Now);
+    callBack(caller, Now + delay(), [this, node, appended, era = Era] {
+      Nodes[node].Reporter->recordAppend(appended ? AppendResult::Appended
+                                                  : AppendResult::NotAppended,
+                                         era, Now);
     });
   });
 }
--- a/tests/usage/reporterexplorer.h
+++ b/tests/usage/reporterexplorer.h
@@ -32,6 +32,8 @@
     /// Faults occur until this time.
     std::chrono::milliseconds FaultsUntil{60000};
     bool Faults = true;
+    /// Whether the store is restored from older copies now and then.
+    bool Restorations = false;
   };
 
   explicit ReporterExplorer(const Options &options);
@@ -84,6 +86,8 @@
 
   void step();
   void injectFault();
+  /// Restores the store from a copy of some seconds ago.
+  void restore();
   void start(std::size_t node);
   void announce();
   void act(std::size_t node);
@@ -106,7 +110,9 @@
   base::TimePoint Now;
   std::vector<Node> Nodes;
   std::multimap<base::TimePoint, Task> Tasks;
-  std::vector<ReportRecord> Log;
+  /// The records of the store's topic, and when each was written.
+  std::vector<std::pair<base::TimePoint, ReportRecord>> Log;
+  std::uint64_t Era = FirstStoreEra;
   std::map<WindowNumber, AccountCounts> Accepted;
   std::map<std::uint64_t, std::string> HolderOfToken;
   std::uint64_t HighestToken = 0;
--- a/tests/usage/test_reporter.cpp
+++ b/tests/usage/test_reporter.cpp
@@ -76,7 +76,7 @@
     }
     ReporterExplorer explorer(options);
     explorer.run(80s);
-    CAPTURE(seed);
+    CAPTURE(seed, explorer.violation());
     REQUIRE(explorer.violation().empty());
     // Once the faults are over and all entries are connected, windows are
     // reported again.
@@ -90,6 +90,31 @@
   }
 }
 
+// After a restoration the store gave out tokens again, and windows were sent
+// with other counts.
+TEST_CASE("no window is sent with two counts after the store was restored") {
+  for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+    ReporterExplorer::Options options;
+    options.Seed = seed;
+    options.Restorations = true;
+    if (seed % 2 == 0)
+      options.AnnouncementLoss = 0.9;
+    if (seed % 3 == 0)
+      options.ReportLoss = 0.8;
+    ReporterExplorer explorer(options);
+    explorer.run(80s);
+    CAPTURE(seed, explorer.violation());
+    REQUIRE(explorer.violation().empty());
+    for (std::size_t i = 0; i < explorer.nodeCount(); ++i)
+      explorer.cut(i, false, false);
+    explorer.run(30s);
+    const auto next = explorer.currentWindow();
+    explorer.run(20s);
+    REQUIRE(explorer.isReported(next));
+    REQUIRE(explorer.violation().empty());
+  }
+}
+
 TEST_CASE("the explorer finds holders that act on an expired permission") {
   bool found = false;
   for (std::uint64_t seed = 1; seed <= 400 && !found; ++seed) {
--- a/tests/usage/test_usage.cpp
+++ b/tests/usage/test_usage.cpp
@@ -1,10 +1,12 @@
 // Counting requests by client account and window.
+#include "libbergamotbase/jsoncodec.h"
 #include "libbergamotusage/clockestimate.h"
 #include "libbergamotusage/reportrecord.h"
 #include "libbergamotusage/usageledger.h"
 #include "libbergamotusage/usagemessage.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <random>
@@ -211,6 +213,27 @@
   CHECK(ledger.total(FirstWindow) == usage.Usage.Counts);
 }
 
+// Old and new versions run side by side during an upgrade.
+TEST_CASE("a report record's era is optional") {
+  const ReportRecord record{"e", (1ULL << 32) + 3, 7, {}, 2};
+  const std::string bytes = encodeReportRecord(record);
+  CHECK(decodeReportRecord(bytes) == record);
+  // A former version reads the other fields.
+  const auto it = nlohmann::json::from_cbor(bytes);
+  CHECK(it.at("holder") == "e");
+  CHECK(it.at("token").get<std::uint64_t>() == record.Token);
+  CHECK(it.at("last_fixed").get<WindowNumber>() == 7);
+  CHECK(it.at("unconfirmed").is_array());
+  // And writes none.
+  const auto former = decodeReportRecord(
+      base::toCbor({{"holder", "e"},
+                    {"token", 3},
+                    {"last_fixed", 7},
+                    {"unconfirmed", nlohmann::json::array()}}));
+  REQUIRE(former);
+  CHECK(former->Era == FirstStoreEra);
+}
+
 TEST_CASE("malformed messages and records are rejected") {
   UsageMessage message;
   message.Source = {"e1", 12};
