gateway: Let a draining target stay so while the store settles after a restoration

A store that comes back from an older copy may show a target as ready that had said that it drains, until the target writes again. Requests would go to it past its drain bound. For the time in which owners write again, such a record no longer makes a draining target of the same start usable. The new case of tests/gateway needs the new parameter, so it was not run on the former code.

--- a/src/entrypath/topicfollower.h
+++ b/src/entrypath/topicfollower.h
@@ -84,6 +84,9 @@
   /// Returns a time at which all records known before the current change were
   /// in the store: the start of the last successful read before it.
   base::TimePoint confirmedAt() const { return ConfirmedAt; }
+  /// Returns whether the store was restored from an older copy so recently that
+  /// records may be missing or older than the ones before.
+  bool isInRestoreGrace() const;
   const std::string &topic() const { return Settings.Topic; }
 
 private:
@@ -96,7 +99,6 @@
   bool isOutdated(const ReadResult &page) const;
   std::uint64_t eraOf(const ReadResult &page) const;
   void onNewEra(std::uint64_t era);
-  bool isInRestoreGrace() const;
   void scheduleRetry();
   void apply(const TopicRecord &record);
   void removeMissing();
--- a/src/libbergamotgateway/targetdirectory.cpp
+++ b/src/libbergamotgateway/targetdirectory.cpp
@@ -4,7 +4,8 @@
 
 namespace bergamot::gateway {
 
-void TargetDirectory::setTarget(const TargetRecord &record, TimePoint now) {
+void TargetDirectory::setTarget(const TargetRecord &record, TimePoint now,
+                                RecordAge age) {
   // Only one running target can have an address; an older record with the same
   // address is stale.
   std::erase_if(Targets, [&](const auto &it) {
@@ -13,7 +14,11 @@
            it.second.Record.StartedAtMs < record.StartedAtMs;
   });
   KnownTarget &it = Targets[record.Id];
+  const bool staysDraining = age == RecordAge::MaybeOlder &&
+                             it.Record.Draining &&
+                             it.Record.StartedAtMs == record.StartedAtMs;
   it.Record = record;
+  it.Record.Draining = record.Draining || staysDraining;
   it.ColdUntil = std::max(it.ColdUntil, now + record.ColdRemaining);
   it.RemoveAt.reset();
 }
--- a/src/libbergamotgateway/targetdirectory.h
+++ b/src/libbergamotgateway/targetdirectory.h
@@ -83,8 +83,18 @@
   TargetDirectory(base::Duration removalGrace, base::Duration drainBound)
       : RemovalGrace(removalGrace), DrainBound(drainBound) {}
 
-  /// Adds or replaces a target.
-  void setTarget(const TargetRecord &record, TimePoint now);
+  /// How a record may relate to one that was seen before.
+  enum class RecordAge {
+    Current,
+    /// The store has just been restored from an older copy, so the record may
+    /// be older than the one before it.
+    MaybeOlder,
+  };
+
+  /// Adds or replaces a target. A target that drains doesn't become usable by a
+  /// record that may be older.
+  void setTarget(const TargetRecord &record, TimePoint now,
+                 RecordAge age = RecordAge::Current);
   /// Removes a target whose record is gone.
   void removeTarget(const std::string &id, const RecordRemoval &removal,
                     TimePoint now);
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -224,6 +224,30 @@
   CHECK_FALSE(directory.target("a"));
 }
 
+TEST_CASE("a target that drains stays so if the store is restored") {
+  using RecordAge = TargetDirectory::RecordAge;
+  TargetDirectory directory(2000ms, 1500ms);
+  TargetRecord record;
+  record.Id = "t";
+  record.Address = "10.0.0.1:1";
+  record.StartedAtMs = 5;
+  record.Draining = true;
+  directory.setTarget(record, at(0ms));
+  record.Draining = false;
+  directory.setTarget(record, at(100ms), RecordAge::MaybeOlder);
+  CHECK_FALSE(directory.isUsable(*directory.target("t")));
+  // Neither a restart nor a record of its own once the store has settled is in
+  // doubt.
+  ++record.StartedAtMs;
+  directory.setTarget(record, at(200ms), RecordAge::MaybeOlder);
+  CHECK(directory.isUsable(*directory.target("t")));
+  record.Draining = true;
+  directory.setTarget(record, at(300ms));
+  record.Draining = false;
+  directory.setTarget(record, at(3000ms));
+  CHECK(directory.isUsable(*directory.target("t")));
+}
+
 TEST_CASE("newer target replaces an older one at the same address") {
   // Requests must not go to a stopped target whose address is in use again.
   TargetDirectory directory(2000ms, 2000ms);
