adaptertcp: Accept a head that is split within its empty line

A response or a caller's request was rejected as malformed if its head arrived in two parts, split between the last carriage return and its line feed, and its body had a bare line feed, as event streams do: callers got 502 for work that had run, or 400.

Cause: the check for bare line feeds went on past the empty line in the second part. The parser now remembers that it is within the empty line. The new case of tests/tcp splits a request and a response at every byte; it failed for one split of each before.

--- a/src/adaptertcp/messageparser.cpp
+++ b/src/adaptertcp/messageparser.cpp
@@ -37,6 +37,7 @@
   ContentLength.reset();
   HeadBytes = 0;
   PreviousHeadByte = 0;
+  InEmptyLine = false;
   InFieldValue = false;
   Bodiless = bodiless;
   HeadComplete = false;
@@ -88,13 +89,16 @@
 }
 
 bool MessageParser::checkLineEndings(std::string_view bytes) {
+  // The bytes after the empty line's line feed may be the body.
+  if (InEmptyLine)
+    return bytes.front() == '\n';
   char previous = PreviousHeadByte;
   for (const char c : bytes) {
     if (c == '\n' && previous != '\r')
       return false;
     // An empty line ends the head; the bytes after it may be the body.
     if (c == '\r' && previous == '\n') {
-      PreviousHeadByte = c;
+      InEmptyLine = true;
       return true;
     }
     previous = c;
--- a/src/adaptertcp/messageparser.h
+++ b/src/adaptertcp/messageparser.h
@@ -74,6 +74,8 @@
   std::optional<std::uint64_t> ContentLength;
   std::size_t HeadBytes = 0;
   char PreviousHeadByte = 0;
+  /// The carriage return of the empty line that ends the head has been read.
+  bool InEmptyLine = false;
   bool InFieldValue = false;
   bool Bodiless = false;
   bool HeadComplete = false;
--- a/tests/tcp/test_tcp.cpp
+++ b/tests/tcp/test_tcp.cpp
@@ -43,6 +43,34 @@
 
 } // namespace
 
+// A message whose first part ended within the empty line was rejected if its
+// body had a bare line feed.
+TEST_CASE("a message may arrive in two parts that are split anywhere") {
+  using Kind = MessageParser::Kind;
+  const std::string body = "id: 1\ndata: a\n\nid: 2\n";
+  const std::string fields =
+      "A: b\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  const auto kind = GENERATE(Kind::Request, Kind::Response);
+  const std::string text =
+      (kind == Kind::Request ? "POST / HTTP/1.1\r\n" : "HTTP/1.1 200 OK\r\n") +
+      fields + body;
+  for (std::size_t split = 1; split < text.size(); ++split) {
+    CAPTURE(split);
+    MessageParser parser(kind);
+    CHECK(parser.push(text.substr(0, split)) == split);
+    CHECK(parser.push(text.substr(split)) == text.size() - split);
+    CHECK(parser.isComplete());
+    CHECK_FALSE(parser.hasFailed());
+    CHECK(parser.body() == body);
+  }
+  // A carriage return alone ends no line.
+  MessageParser parser(kind);
+  const std::size_t lineEnd = text.find("\r\n\r\n") + 3;
+  parser.push(text.substr(0, lineEnd));
+  parser.push("x");
+  CHECK(parser.hasFailed());
+}
+
 TEST_CASE("a request is parsed regardless of how its bytes are split") {
   const std::string text = "POST /a/b?c HTTP/1.1\r\nHost: x\r\nX-Long: 1\r\n"
                            "Transfer-Encoding: chunked\r\n\r\n"
