entrypath: Close a connection to a target if bytes follow its response

Requests failed at targets that answer twice: the first bytes of a copy that came in one read with the end of a response were dropped, the connection went back to the pool, and the rest of the copy stood before the response to the next request. That response was rejected as malformed: callers of non-idempotent work got 502 though it had run, idempotent work ran twice.

--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -156,6 +156,8 @@
   /// Bytes discarded in this attempt since they belong to late responses to
   /// earlier requests on a reused connection.
   std::size_t DiscardedBytes = 0;
+  /// Bytes have come after the response that belong to no request.
+  bool HasExcessBytes = false;
   boost::asio::steady_timer SilenceTimer;
   bool Sent = false;
   /// The connection has carried other requests before this one.
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -49,6 +49,7 @@
   AttemptBegun = false;
   ResponseHeadValidated = false;
   DiscardedBytes = 0;
+  HasExcessBytes = false;
   Events.dropPartialEvent();
   Owner.addInFlight(TargetId);
   const Duration maxIdle =
@@ -150,6 +151,7 @@
     if (Finished || attempt != AttemptNumber)
       return;
     if (Parser.isComplete()) {
+      HasExcessBytes = !bytes.empty();
       onResponseComplete();
       return;
     }
@@ -306,7 +308,9 @@
   if (!Connection)
     return;
   const TimePoint now = Owner.now();
-  const bool reusable = Parser.isComplete() &&
+  // The rest of what follows the response may still be in transit, and would
+  // come before the response to the next request.
+  const bool reusable = Parser.isComplete() && !HasExcessBytes &&
                         Parser.responseHead().KeepAlive &&
                         Connection->unsentBytes() == 0;
   if (!reusable) {
