tests: Show that a response that ends within its head is never a success

It doesn't happen here: with ends at every third byte of the head, by a close and by a reset, on two routes, no caller got a 2xx. The case passed when it was written; it keeps it so.

--- a/tests/entrypath/test_faultytargets.cpp
+++ b/tests/entrypath/test_faultytargets.cpp
@@ -108,3 +108,32 @@
   CHECK(received->Bytes.find("HTTP/1.1", 1) == std::string::npos);
   CHECK_FALSE(received->has("0\r\n\r\n"));
 }
+
+// A head that breaks off must not be framed anew as a whole response.
+TEST_CASE("a response that ends within its head is never a success") {
+  const bool isReset = GENERATE(false, true);
+  const std::string route = GENERATE("once", "stream-once");
+  const RequestHead sample = [] {
+    RequestHead it;
+    it.Headers.add("X-Id", "r1");
+    return it;
+  }();
+  const std::string response = streamStart(sample);
+  const std::size_t headEnd = response.find("\r\n\r\n") + 4;
+  for (std::size_t n = 1; n < headEnd; n += 3) {
+    EntryFixture fixture;
+    fixture.addTarget("t1",
+                      [&](const auto &, const auto &, const Connection &it) {
+                        it->send(response.substr(0, n));
+                        if (isReset)
+                          it->abort();
+                        else
+                          it->closeAfterSending();
+                      });
+    const auto received = fixture.send(requestText(route, "r1"));
+    REQUIRE(fixture.runUntil(
+        [&] { return received->Closed || received->has("HTTP/1.1 "); }));
+    CAPTURE(n, isReset, route, received->Bytes);
+    CHECK_FALSE(received->has("HTTP/1.1 2"));
+  }
+}
