entrypath: Answer requests that outlast the grace period of a planned stop

Here new requests are rejected 3.2 s after SIGTERM, but one that its target had not answered at the end of the grace period was cut, and with a grace period of less than 3.7 s requests were taken until the process ended.

Requests that are unfinished at the end are now answered, with 503 if no target can have run them, else with 504; a started response is aborted visibly. The new case of tests/entrypath plays the end.

--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -222,6 +222,13 @@
     exchange->abortIfBlocked();
 }
 
+void CallerConnection::endRequest(const char *reason) {
+  const auto self = shared_from_this();
+  const auto exchange = CurrentExchange;
+  if (exchange)
+    exchange->endUnserved(reason);
+}
+
 void CallerConnection::closeIfIdle() {
   if (!isIdle() || Closed)
     return;
--- a/src/entrypath/callerconnection.h
+++ b/src/entrypath/callerconnection.h
@@ -46,6 +46,8 @@
   void handleSuspension(base::Duration missedTime);
   /// Aborts the request in progress if its prompt is blocked.
   void abortBlockedRequest();
+  /// Ends the request in progress, see Exchange::endUnserved().
+  void endRequest(const char *reason);
   /// Closes the connection and aborts its request.
   void disconnect();
   bool isIdle() const;
--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -158,6 +158,12 @@
                      [](const auto &it) { return it->isIdle(); });
 }
 
+void Entry::endUnfinishedRequests() {
+  const auto callers = Callers;
+  for (const auto &it : callers)
+    it->endRequest("shutting_down");
+}
+
 void Entry::closeListener() {
   error_code ec;
   Acceptor.close(ec);
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -95,6 +95,9 @@
   bool isDrained() const;
   /// Closes connections that have no request in progress or partly read.
   void closeIdleCallers();
+  /// Answers the requests that are still in progress, as the process is about
+  /// to end.
+  void endUnfinishedRequests();
   /// Stops listening and closes idle connections of callers.
   void closeListener();
 
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -80,12 +80,18 @@
 }
 
 void Exchange::onDeadline() {
+  endUnserved(ResponseStarted ? "deadline_in_stream" : "deadline");
+}
+
+void Exchange::endUnserved(const char *reason) {
+  if (Finished)
+    return;
   if (ResponseStarted) {
-    abortResponse("deadline_in_stream");
+    abortResponse(reason);
     return;
   }
   const bool mayHaveExecuted = Sent || PossiblyExecutedAttempts > 0;
-  respondWithStatus(mayHaveExecuted ? 504 : 503, "deadline");
+  respondWithStatus(mayHaveExecuted ? 504 : 503, reason);
 }
 
 void Exchange::respondWithStatus(int status, const char *reason) {
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -43,6 +43,10 @@
   /// deadline of a dispatched one is moved earlier by `missedTime`, the part of
   /// the suspension that the monotonic clock didn't count.
   void handleSuspension(base::Duration missedTime);
+  /// Ends the request because no more time is left for it: with 503 if no
+  /// target can have run it, with 504 otherwise. A response that has started is
+  /// aborted.
+  void endUnserved(const char *reason);
   /// Aborts the attempt if the prompt is blocked and the target hasn't begun to
   /// respond, before it crashes.
   void abortIfBlocked();
--- a/tests/entrypath/test_entrypath.cpp
+++ b/tests/entrypath/test_entrypath.cpp
@@ -417,6 +417,27 @@
   REQUIRE(fixture.runUntil([&] { return fixture.entry().isDrained(); }));
 }
 
+// At the end of the grace period connections were closed without a response.
+TEST_CASE("requests that outlast the shutdown of an entry are answered") {
+  EntryFixture fixture;
+  int requests = 0;
+  fixture.addTarget(
+      "t1", [&](const auto &, const auto &, const auto &) { ++requests; }, 1);
+  const auto sent = fixture.send(requestText("once", "r1"));
+  REQUIRE(fixture.runUntil([&] { return requests == 1; }));
+  const auto queued = fixture.send(requestText("once", "r2"));
+  fixture.run(30ms);
+  fixture.entry().shutDown();
+  fixture.entry().rejectNewRequests();
+  fixture.entry().endUnfinishedRequests();
+  fixture.entry().closeListener();
+  REQUIRE(fixture.runUntil([&] { return sent->Closed && queued->Closed; }));
+  // The target may have run the first one, but not the second one.
+  CHECK(sent->has("HTTP/1.1 504"));
+  CHECK(queued->has("HTTP/1.1 503"));
+  CHECK(requests == 1);
+}
+
 TEST_CASE("a slow reader pauses its target instead of filling memory") {
   EntryFixture fixture;
   std::size_t unsent = 0;
