--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -1,5 +1,5 @@
-// The part of Entry that schedules requests: queueing, the choice of a target,
-// and the Retry-After of rejected requests.
+// The part of Entry that schedules requests: queueing and the choice of a
+// target.
 #include "entrypath/entry.h"
 #include "entrypath/exchange.h"
 #include "libbergamotbase/jsonlog.h"
@@ -7,7 +7,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cstdio>
 
 namespace bergamot::entrypath {
 
@@ -20,14 +19,6 @@
 /// How long an interrupted stream may be queued for another target: callers
 /// disconnect after a gap of two seconds.
 constexpr milliseconds MaxResumeWait{1500};
-/// A shorter delay would be negligible next to the network delay.
-constexpr double MinRetryAfterSeconds = 0.05;
-/// Retry-After of a request whose prompt is blocked for longer or for good.
-constexpr std::chrono::minutes MaxRetryAfter{1};
-/// Stands for a time at which no target takes a request from this entry.
-constexpr std::chrono::hours MaxNextSendDelay{1};
-/// While this entry shuts down, another one can serve the request at once.
-constexpr auto ShutdownRetryAfter = "0.02";
 
 } // namespace
 
@@ -302,74 +293,6 @@
                      now() - exchange.arrivedAt());
 }
 
-void Entry::setRetryAfter(adaptertcp::HeaderFields &headers,
-                          const Exchange &exchange) {
-  const Duration left = std::max(Duration::zero(), exchange.deadline() - now());
-  if (RejectingNewRequests) {
-    headers.set("Retry-After", ShutdownRetryAfter);
-    return;
-  }
-  const std::string &serviceName = exchange.service();
-  const gateway::QueueState queue =
-      serviceName.empty() ? gateway::QueueState()
-                          : queueState(serviceName, service(serviceName));
-  std::chrono::duration<double> delay =
-      gateway::retryAfterDelay(left, queue, drawUniform());
-  const TimePoint at = now();
-  if (Suspects.verdict(exchange.promptParts(), at) !=
-      gateway::PromptVerdict::Free)
-    delay = std::clamp<Duration>(
-        Suspects.nextDecisionAt(exchange.promptParts(), at) - at,
-        std::chrono::duration_cast<Duration>(delay), MaxRetryAfter);
-  std::array<char, 16> text{};
-  (void)std::snprintf(text.data(), text.size(), "%.2f",
-                      std::max(MinRetryAfterSeconds, delay.count()));
-  headers.set("Retry-After", text.data());
-}
-
-/// Returns when the next request may be sent to a target, as far as its
-/// back-off and its request rate determine it.
-TimePoint Entry::nextSendAt(const gateway::KnownTarget &target, TimePoint now) {
-  const std::string &id = target.Record.Id;
-  const std::int64_t startedAtMs = target.Record.StartedAtMs;
-  const TimePoint backoffUntil = Backoffs.backoffUntil(id, startedAtMs);
-  if (RateLimits.isEmpty())
-    return backoffUntil;
-  const gateway::TargetHash hash = gateway::targetHash(id);
-  // This entry's share can't be computed before the number of entries is known.
-  if (!EntryNamesSet && RateLimits.share(hash, startedAtMs, now))
-    return TimePoint::max();
-  return std::max(backoffUntil, RateLimits.nextSendAt(hash, startedAtMs, now));
-}
-
-/// Adds what the back-offs and the request rates of a service's targets permit.
-void Entry::addTargetLimits(const std::string &serviceName,
-                            gateway::QueueState &state) {
-  const TimePoint at = now();
-  TimePoint earliest = TimePoint::max();
-  double totalRate = 0;
-  bool allLimited = true;
-  bool hasTargets = false;
-  for (const auto &[id, target] : Directory.targets()) {
-    if (target.Record.Service != serviceName || !isUsable(target))
-      continue;
-    hasTargets = true;
-    earliest = std::min(earliest, nextSendAt(target, at));
-    std::optional<double> share;
-    if (!RateLimits.isEmpty())
-      share = RateLimits.share(gateway::targetHash(id),
-                               target.Record.StartedAtMs, at);
-    allLimited = allLimited && share;
-    totalRate += share.value_or(0);
-  }
-  if (!hasTargets)
-    return;
-  state.NextSendIn =
-      std::clamp<TimePoint>(earliest, at, at + MaxNextSendDelay) - at;
-  if (allLimited)
-    state.MaxRate = totalRate;
-}
-
 void Entry::addInFlight(const std::string &target) {
   TargetLoads.addLocalRequest(target);
 }
