--- a/src/entrypath/entrylimits.cpp
+++ b/src/entrypath/entrylimits.cpp
@@ -51,18 +51,16 @@
   for (const auto &[id, target] : Directory.targets()) {
     if (target.Record.Service != serviceName || !isUsable(target))
       continue;
-    const bool isUnlimited = RateLimits.isEmpty() ||
-                             !RateLimits.share(gateway::targetHash(id),
-                                               target.Record.StartedAtMs, at);
-    // One such target decides both; there may be hundreds.
-    if (isUnlimited && nextSendAt(target, at) <= at)
-      return;
-    hasTargets = true;
-    earliest = std::min(earliest, nextSendAt(target, at));
     std::optional<double> share;
     if (!RateLimits.isEmpty())
       share = RateLimits.share(gateway::targetHash(id),
                                target.Record.StartedAtMs, at);
+    const TimePoint sendAt = nextSendAt(target, at);
+    // One such target decides both; there may be hundreds.
+    if (!share && sendAt <= at)
+      return;
+    hasTargets = true;
+    earliest = std::min(earliest, sendAt);
     allLimited = allLimited && share;
     totalRate += share.value_or(0);
   }
