--- a/review/build.sh
+++ b/review/build.sh
@@ -8,7 +8,7 @@
 support=(review/support/*.cpp)
 for source in review/*/case.cpp; do
   number=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -pthread -Ireview/support \
+  g++ -std=c++20 -O1 -pthread \
     "$source" "${support[@]}" -o "target/review/case-$number" &
   builds+=($!)
 done
--- a/review/support/client.cpp
+++ b/review/support/client.cpp
@@ -23,11 +23,11 @@
       result.Status = answer->status();
   result.BodyBytes = reader.bodyBytes();
   result.EndedAt = record.now();
-  record.write(
-      "client's request " + request.Id +
-      (result.Status == 0 ? std::string(" ends without a complete answer")
-                          : " is answered " + std::to_string(result.Status)) +
-      ", " + std::to_string(result.BodyBytes) + " bytes of its body");
+  record.write("client's request " + request.Id +
+               (result.Status == 0
+                    ? std::string(" ends without a complete answer")
+                    : " is answered " + std::to_string(result.Status)) +
+               ", " + std::to_string(result.BodyBytes) + " bytes of its body");
   return result;
 }
 
--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -29,6 +29,8 @@
                   {"service", it.Service},
                   {"max-attempts", 2},
                   {"public", false}};
+    if (it.Resumable)
+      route["resumable"] = true;
     if (it.EventGapMs > 0)
       route["target-gap-ms"] = it.EventGapMs;
     config["routes"].push_back(std::move(route));
--- a/review/support/deployment.h
+++ b/review/support/deployment.h
@@ -32,6 +32,7 @@
   int LatencyObjectiveMs = 300;
   /// 0 for routes that aren't streaming.
   int EventGapMs = 0;
+  bool Resumable = false;
 
   std::string pathPrefix() const { return "/" + Service + "/"; }
 };
--- a/review/support/entryprocess.cpp
+++ b/review/support/entryprocess.cpp
@@ -57,20 +57,19 @@
   const std::string settings = folder + "/" + name + ".settings";
   // The bounds are those of the small deployments.
   std::ofstream(settings) << fillIn(
-      text.str(),
-      {{"node-name", name},
-       {"zone", "zone-a"},
-       {"ip-address", address},
-       {"listen-addresses.frontend", Clients.text()},
-       {"listen-addresses.ready", Readiness.text()},
-       {"internal-port-range.0", std::to_string(freePort(address))},
-       {"platform.address", store.text()},
-       {"bounds.retry-budget-ratio", "0.2"},
-       {"bounds.budget-slack", "92"},
-       {"bounds.budget-window-s", "10"},
-       {"bounds.grace-period-s", "8"},
-       {"bounds.drain-timeout-ms", "2000"},
-       {"bounds.configuration-ms", "2000"}});
+      text.str(), {{"node-name", name},
+                   {"zone", "zone-a"},
+                   {"ip-address", address},
+                   {"listen-addresses.frontend", Clients.text()},
+                   {"listen-addresses.ready", Readiness.text()},
+                   {"internal-port-range.0", std::to_string(freePort(address))},
+                   {"platform.address", store.text()},
+                   {"bounds.retry-budget-ratio", "0.2"},
+                   {"bounds.budget-slack", "92"},
+                   {"bounds.budget-window-s", "10"},
+                   {"bounds.grace-period-s", "8"},
+                   {"bounds.drain-timeout-ms", "2000"},
+                   {"bounds.configuration-ms", "2000"}});
   const std::string log = folder + "/" + name + ".log";
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
@@ -83,6 +82,7 @@
     if (const char *value = std::getenv(variable))
       variables.push_back(std::string(variable) + "=" + value);
   std::vector<char *> environment;
+  environment.reserve(variables.size() + 1);
   for (auto &it : variables)
     environment.push_back(it.data());
   environment.push_back(nullptr);
@@ -94,11 +94,14 @@
     throw std::runtime_error(std::string("cannot start ") + Program);
 }
 
-EntryProcess::~EntryProcess() {
+EntryProcess::~EntryProcess() { kill(); }
+
+void EntryProcess::kill() {
   if (Pid < 0)
     return;
   (void)::kill(Pid, SIGKILL);
   (void)::waitpid(Pid, nullptr, 0);
+  Pid = -1;
 }
 
 bool EntryProcess::isReady() const {
@@ -139,8 +142,8 @@
     std::random_device random;
     std::uniform_int_distribution<unsigned> byte(1, 254);
     for (;;) {
-      const std::string it = "127." + std::to_string(byte(random)) + "." +
-                             std::to_string(byte(random)) + ".";
+      std::string it = "127." + std::to_string(byte(random)) + "." +
+                       std::to_string(byte(random)) + ".";
       bool isFree = true;
       for (unsigned host = 1; host < 10; ++host)
         isFree = isFree && isPortFree(it + std::to_string(host), MetricsPort);
--- a/review/support/entryprocess.h
+++ b/review/support/entryprocess.h
@@ -28,7 +28,10 @@
   bool isReady() const;
   /// Waits until it is ready; returns false if it isn't by the deadline.
   bool waitUntilReady(Clock::time_point deadline) const;
+  /// Sends SIGTERM.
   void terminate() const;
+  /// Ends it with SIGKILL, unless it has ended.
+  void kill();
   /// Waits for its end; returns false if it still runs at the deadline.
   bool waitForExit(Clock::time_point deadline);
 
--- a/review/support/net.cpp
+++ b/review/support/net.cpp
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <stdexcept>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace bergamot::review {
@@ -127,8 +128,7 @@
 int HttpMessage::status() const { return std::atoi(secondWord().c_str()); }
 
 bool HttpReader::fill() {
-  if (Pause.count() > 0)
-    std::this_thread::sleep_for(Pause);
+  std::this_thread::sleep_for(Pause + std::exchange(FirstPause, {}));
   std::vector<char> piece(PieceBytes);
   const ssize_t n = ::recv(Fd, piece.data(), piece.size(), 0);
   if (n < 0)
--- a/review/support/net.h
+++ b/review/support/net.h
@@ -67,6 +67,8 @@
     PieceBytes = bytes;
     Pause = pause;
   }
+  /// Pauses once before the first bytes are read.
+  void setFirstPause(std::chrono::milliseconds pause) { FirstPause = pause; }
   /// Number of bytes of the body of the current message that have come.
   std::size_t bodyBytes() const { return BodyBytes; }
   /// Whether the connection has ended with a reset.
@@ -81,6 +83,7 @@
   std::string Buffer;
   std::size_t PieceBytes = 65536;
   std::chrono::milliseconds Pause{0};
+  std::chrono::milliseconds FirstPause{0};
   std::size_t BodyBytes = 0;
   bool Reset = false;
 };
--- a/review/support/store.cpp
+++ b/review/support/store.cpp
@@ -104,9 +104,9 @@
     if (content.empty())
       continue;
     const auto keyBytes = static_cast<unsigned char>(content[0]);
-    topic.push_back({content.substr(1, keyBytes),
-                     content.substr(std::min<std::size_t>(content.size(),
-                                                          1U + keyBytes))});
+    topic.push_back(
+        {content.substr(1, keyBytes),
+         content.substr(std::min<std::size_t>(content.size(), 1U + keyBytes))});
   }
   Changed.notify_all();
   return jsonResponse(200, {{"offset", first}, {"end-offset", topic.size()}});
@@ -117,9 +117,8 @@
   const std::string name = queryParameter(target, "topic");
   const std::size_t from = std::stoul(queryParameter(target, "from"));
   const std::string wait = queryParameter(target, "wait-ms");
-  const auto until =
-      Clock::now() +
-      std::chrono::milliseconds(wait.empty() ? 0 : std::stol(wait));
+  const auto until = Clock::now() + std::chrono::milliseconds(
+                                        wait.empty() ? 0 : std::stol(wait));
   Changed.wait_until(lock, until, [&] { return Topics[name].size() > from; });
   const Topic &topic = Topics[name];
   std::string body = bigEndian(topic.size(), 8) + bigEndian(0, 8);
@@ -144,9 +143,9 @@
       items.push_back({{"key", key},
                        {"value", encodeBase64(topic[offset].Value)},
                        {"offset", offset}});
-  return jsonResponse(200, {{"items", items},
-                            {"has-more", false},
-                            {"end-offset", topic.size()}});
+  return jsonResponse(
+      200,
+      {{"items", items}, {"has-more", false}, {"end-offset", topic.size()}});
 }
 
 } // namespace bergamot::review
--- a/review/support/worker.cpp
+++ b/review/support/worker.cpp
@@ -40,15 +40,22 @@
   const std::lock_guard lock(Mutex);
   if (!Listed)
     return;
-  const json entry = {{"service", Options.Service},
-                      {"address", Listening.text()},
-                      {"zone", Options.Zone},
-                      {"version", "v1"},
-                      {"slots", Options.Slots},
-                      {"state", "ready"},
-                      {"cold-remaining-ms", 0},
-                      {"sequence", ++Sequence},
-                      {"born", BornMs}};
+  json entry = {{"service", Options.Service},
+                {"address", Listening.text()},
+                {"zone", Options.Zone},
+                {"version", "v1"},
+                {"slots", Options.Slots},
+                {"state", "ready"},
+                {"cold-remaining-ms", 0},
+                {"sequence", ++Sequence},
+                {"born", BornMs}};
+  if (!Options.Group.empty()) {
+    entry["group"] = {{"name", Options.Group},
+                      {"epoch", 1},
+                      {"rank", Options.Rank},
+                      {"state", "open"}};
+    entry["size"] = Options.GroupSize;
+  }
   Platform.put(WorkersTopic, Id, entry.dump());
 }
 
@@ -96,6 +103,13 @@
     return sendAll(fd, "HTTP/1.1 421 Misdirected Request\r\n"
                        "Bergamotloft-Instance-Id: " +
                            Id + "\r\nContent-Length: 0\r\n\r\n");
+  if (Full) {
+    Log.write("worker " + Id + " is full and rejects request " + id);
+    return sendAll(fd, "HTTP/1.1 503 Service Unavailable\r\n"
+                       "Bergamotloft-Not-Executed: 1\r\n"
+                       "Bergamotloft-Request-Id: " +
+                           id + "\r\nContent-Length: 0\r\n\r\n");
+  }
   {
     const std::lock_guard lock(Mutex);
     Arrivals.push_back({id, Log.now()});
@@ -104,22 +118,24 @@
   const std::string head = "HTTP/1.1 200 OK\r\nBergamotloft-Request-Id: " + id +
                            "\r\nBergamotloft-Response-Signature: s-" + id +
                            "\r\n";
-  if (Options.Events > 0)
-    return stream(fd, head);
+  if (Options.Events > 0) {
+    const std::string last = request.field("last-event-id");
+    return stream(fd, head, last.empty() ? 1 : std::stoul(last) + 1);
+  }
   std::this_thread::sleep_for(Options.WorkTime);
   if (Exited) {
     Log.write("worker " + Id + " exits while it runs request " + id);
     return false;
   }
-  return sendAll(fd, head + "Content-Length: " +
-                         std::to_string(Options.ResponseBytes) + "\r\n\r\n" +
-                         std::string(Options.ResponseBytes, 'x'));
+  return sendAll(
+      fd, head + "Content-Length: " + std::to_string(Options.ResponseBytes) +
+              "\r\n\r\n" + std::string(Options.ResponseBytes, 'x'));
 }
 
-bool Worker::stream(int fd, const std::string &head) {
+bool Worker::stream(int fd, const std::string &head, unsigned firstEvent) {
   std::string pending = head + "Content-Type: text/event-stream\r\n"
                                "Transfer-Encoding: chunked\r\n\r\n";
-  for (unsigned i = 1; i <= Options.Events; ++i) {
+  for (unsigned i = firstEvent; i <= Options.Events; ++i) {
     std::this_thread::sleep_for(Options.EventInterval);
     const std::string event =
         "id: " + std::to_string(i) + "\ndata: " + std::string(50, 'x') + "\n\n";
@@ -129,6 +145,11 @@
     if (Exited || !sendAll(fd, pending))
       return false;
     pending.clear();
+    if (i == Options.PreemptedEvent && Options.PreemptionTime.count() > 0) {
+      Log.write("worker " + Id + " preempts its stream");
+      std::this_thread::sleep_for(Options.PreemptionTime);
+      Log.write("worker " + Id + " goes on with its stream");
+    }
   }
   return sendAll(fd, "0\r\n\r\n");
 }
--- a/review/support/worker.h
+++ b/review/support/worker.h
@@ -25,6 +25,14 @@
   /// requests.
   unsigned Events = 0;
   std::chrono::milliseconds EventInterval{0};
+  /// A stream is preempted for this time after PreemptedEvent events, and then
+  /// goes on; 0 for never.
+  std::chrono::milliseconds PreemptionTime{0};
+  unsigned PreemptedEvent = 0;
+  /// Its group of ranks, which is open; empty if it has none.
+  std::string Group;
+  unsigned Rank = 0;
+  unsigned GroupSize = 0;
 };
 
 /// A request that a worker began to run.
@@ -44,6 +52,8 @@
   /// Removes the entry from the store and stops checking in, without reporting
   /// `draining` before. The worker continues to serve.
   void removeEntry();
+  /// From now on the worker is full and rejects requests as not executed.
+  void setFull() { Full = true; }
   /// Ends the worker: its port refuses connections, and open ones are reset.
   void exit();
   std::vector<Arrival> arrivals();
@@ -52,7 +62,7 @@
   void checkIn();
   void serve(int fd);
   bool run(int fd, const HttpMessage &request);
-  bool stream(int fd, const std::string &head);
+  bool stream(int fd, const std::string &head, unsigned firstEvent);
 
   Endpoint Listening;
   int Listener;
@@ -65,6 +75,7 @@
   bool Listed = true;
   std::uint64_t Sequence = 0;
   std::atomic<bool> Exited{false};
+  std::atomic<bool> Full{false};
   std::set<int> Connections;
   std::vector<Arrival> Arrivals;
 };
