--- /dev/null
+++ b/review/5/case.cpp
@@ -0,0 +1,81 @@
+// A client pauses for some seconds while it reads an answer, and the entry is
+// being stopped.
+#include "../support/client.h"
+#include "../support/deployment.h"
+#include "../support/entryprocess.h"
+#include "../support/worker.h"
+
+#include <unistd.h>
+
+#include <array>
+#include <iostream>
+#include <thread>
+
+using namespace bergamot::review;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr milliseconds StableWindow{3000};
+constexpr seconds GracePeriod{8};
+constexpr std::size_t ResponseBytes = 1024 * 1024;
+/// Time from the request to the end of the client's pause.
+constexpr milliseconds PauseTime{5600};
+/// Segments as on an Ethernet link, and a small receive buffer, so that the
+/// system buffers no more than it would between two machines.
+constexpr ConnectOptions SlowLink{.ReceiveBuffer = 8192, .SegmentSize = 1460};
+constexpr int Clients = 4;
+/// Time from the requests to the SIGTERM.
+constexpr milliseconds TerminationDelay{300};
+
+} // namespace
+
+int main(int argc, char **argv) {
+  if (argc != 3)
+    return static_cast<int>(Verdict::NotRun);
+  Record record(argv[2]);
+  Store store(pickAddress(1));
+  configure(store, {{"order-desk", "unsafe", 8000}});
+  WorkerOptions options{
+      .Service = "order-desk", .Slots = 12, .ResponseBytes = ResponseBytes};
+  Worker worker(pickAddress(4), "i-worker", options, store, record);
+  EntryProcess entry(argv[1], "frontend-1", pickAddress(3), store.endpoint());
+  if (!entry.waitUntilReady(Clock::now() + seconds(10)))
+    return static_cast<int>(Verdict::NotRun);
+  std::this_thread::sleep_for(StableWindow + seconds(1));
+
+  std::array<ClientResult, Clients> results;
+  std::vector<std::thread> clients;
+  clients.reserve(Clients);
+  for (int i = 0; i < Clients; ++i)
+    clients.emplace_back([&, i] {
+      const int fd = connectTo(entry.clients(), SlowLink);
+      HttpReader reader(fd);
+      if (hasTrouble())
+        reader.setFirstPause(PauseTime);
+      const ClientRequest request{.Id = "c" + std::to_string(i),
+                                  .Target = "/order-desk/reserve",
+                                  .TimeBudget = seconds(8)};
+      results.at(static_cast<std::size_t>(i)) =
+          exchange(fd, reader, request, record);
+      ::close(fd);
+    });
+  std::this_thread::sleep_for(TerminationDelay);
+  record.write("SIGTERM to the entry");
+  entry.terminate();
+  const milliseconds terminatedAt = record.now();
+  for (auto &it : clients)
+    it.join();
+
+  int cut = 0;
+  for (const auto &it : results)
+    cut += it.Status == 0 && it.EndedAt <= terminatedAt + GracePeriod ? 1 : 0;
+  const std::string summary =
+      std::to_string(cut) + " of " + std::to_string(Clients) +
+      " requests that workers had run ended without a complete answer";
+  record.write(summary);
+  std::cout << summary << std::endl;
+  entry.kill();
+  end(cut > 0 ? Verdict::Broken : Verdict::Held);
+}
