--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -41,6 +41,8 @@
                                   {"tls", false},
                                   {"cold-start-s", 0.0},
                                   {"cold-per-s", 0.0}});
+    if (!it.Engine.empty())
+      config["services"].back()["engine"] = it.Engine;
   }
   store.put("keyed.op", "config", config.dump());
 }
--- a/review/support/deployment.h
+++ b/review/support/deployment.h
@@ -3,6 +3,8 @@
 
 #include "store.h"
 
+#include <nlohmann/json.hpp>
+
 #include <cstdlib>
 #include <string>
 #include <vector>
@@ -33,6 +35,8 @@
   /// 0 for routes that aren't streaming.
   int EventGapMs = 0;
   bool Resumable = false;
+  /// The engine's profile in the configuration; empty for plain services.
+  nlohmann::json Engine;
 
   std::string pathPrefix() const { return "/" + Service + "/"; }
 };
--- a/review/support/entryprocess.cpp
+++ b/review/support/entryprocess.cpp
@@ -24,7 +24,6 @@
 
 constexpr std::uint16_t MetricsPort = 9464;
 constexpr auto Program = "target/bin/bergamot-node";
-constexpr auto Template = "deploy/entry.flags";
 constexpr milliseconds PollInterval{20};
 
 /// Fills in the placeholders of a template. Values that the deployment lacks
@@ -48,28 +47,14 @@
 
 } // namespace
 
-EntryProcess::EntryProcess(const std::string &folder, const std::string &name,
-                           const std::string &address, const Endpoint &store) {
-  Clients = {address, freePort(address)};
-  Readiness = {address, freePort(address)};
+NodeProcess::NodeProcess(const std::string &folder,
+                         const std::string &settingsTemplate,
+                         const std::map<std::string, std::string> &values) {
   std::stringstream text;
-  text << std::ifstream(Template).rdbuf();
+  text << std::ifstream(settingsTemplate).rdbuf();
+  const std::string &name = values.at("node-name");
   const std::string settings = folder + "/" + name + ".settings";
-  // The bounds are those of the small deployments.
-  std::ofstream(settings) << fillIn(
-      text.str(), {{"node-name", name},
-                   {"zone", "zone-a"},
-                   {"ip-address", address},
-                   {"listen-addresses.frontend", Clients.text()},
-                   {"listen-addresses.ready", Readiness.text()},
-                   {"internal-port-range.0", std::to_string(freePort(address))},
-                   {"platform.address", store.text()},
-                   {"bounds.retry-budget-ratio", "0.2"},
-                   {"bounds.budget-slack", "92"},
-                   {"bounds.budget-window-s", "10"},
-                   {"bounds.grace-period-s", "8"},
-                   {"bounds.drain-timeout-ms", "2000"},
-                   {"bounds.configuration-ms", "2000"}});
+  std::ofstream(settings) << fillIn(text.str(), values);
   const std::string log = folder + "/" + name + ".log";
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
@@ -94,9 +79,9 @@
     throw std::runtime_error(std::string("cannot start ") + Program);
 }
 
-EntryProcess::~EntryProcess() { kill(); }
+NodeProcess::~NodeProcess() { kill(); }
 
-void EntryProcess::kill() {
+void NodeProcess::kill() {
   if (Pid < 0)
     return;
   (void)::kill(Pid, SIGKILL);
@@ -104,6 +89,60 @@
   Pid = -1;
 }
 
+void NodeProcess::terminate() const { (void)::kill(Pid, SIGTERM); }
+
+bool NodeProcess::waitForExit(Clock::time_point deadline) {
+  while (::waitpid(Pid, nullptr, WNOHANG) == 0) {
+    if (Clock::now() >= deadline)
+      return false;
+    std::this_thread::sleep_for(PollInterval);
+  }
+  Pid = -1;
+  return true;
+}
+
+SidecarProcess::SidecarProcess(const std::string &folder,
+                               const std::string &name, std::uint16_t peerPort,
+                               const Endpoint &worker,
+                               const std::string &service,
+                               const Endpoint &store)
+    : NodeProcess(folder, "deploy/sidecar.flags",
+                  {{"node-name", name},
+                   {"zone", "zone-a"},
+                   {"ip-address", worker.Address},
+                   {"internal-port-range.0", std::to_string(peerPort)},
+                   {"platform.address", store.text()},
+                   {"app", worker.text()},
+                   {"service", service},
+                   {"bounds.grace-period-s", "8"}}) {}
+
+EntryProcess::EntryProcess(const std::string &folder, const std::string &name,
+                           const std::string &address, const Endpoint &store)
+    : EntryProcess(folder, name, address, store, freePort(address),
+                   freePort(address)) {}
+
+EntryProcess::EntryProcess(const std::string &folder, const std::string &name,
+                           const std::string &address, const Endpoint &store,
+                           std::uint16_t clientPort,
+                           std::uint16_t readinessPort)
+    // The bounds are those of the small deployments.
+    : NodeProcess(
+          folder, "deploy/entry.flags",
+          {{"node-name", name},
+           {"zone", "zone-a"},
+           {"ip-address", address},
+           {"listen-addresses.frontend", Endpoint{address, clientPort}.text()},
+           {"listen-addresses.ready", Endpoint{address, readinessPort}.text()},
+           {"internal-port-range.0", std::to_string(freePort(address))},
+           {"platform.address", store.text()},
+           {"bounds.retry-budget-ratio", "0.2"},
+           {"bounds.budget-slack", "92"},
+           {"bounds.budget-window-s", "10"},
+           {"bounds.grace-period-s", "8"},
+           {"bounds.drain-timeout-ms", "2000"},
+           {"bounds.configuration-ms", "2000"}}),
+      Clients{address, clientPort}, Readiness{address, readinessPort} {}
+
 bool EntryProcess::isReady() const {
   const int fd = connectTo(Readiness);
   if (fd < 0)
@@ -125,18 +164,6 @@
   return true;
 }
 
-void EntryProcess::terminate() const { (void)::kill(Pid, SIGTERM); }
-
-bool EntryProcess::waitForExit(Clock::time_point deadline) {
-  while (::waitpid(Pid, nullptr, WNOHANG) == 0) {
-    if (Clock::now() >= deadline)
-      return false;
-    std::this_thread::sleep_for(PollInterval);
-  }
-  Pid = -1;
-  return true;
-}
-
 std::string pickAddress(unsigned number) {
   static const std::string network = [] {
     std::random_device random;
@@ -145,7 +172,7 @@
       std::string it = "127." + std::to_string(byte(random)) + "." +
                        std::to_string(byte(random)) + ".";
       bool isFree = true;
-      for (unsigned host = 1; host < 10; ++host)
+      for (unsigned host = 1; host < 20; ++host)
         isFree = isFree && isPortFree(it + std::to_string(host), MetricsPort);
       if (isFree)
         return it;
