--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -12,7 +12,11 @@
 fi
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
-timeout --kill-after=2 110 "$program" "$folder" "review/$number/record.txt"
+# timeout makes a process group, in which all processes of the case are.
+timeout --kill-after=2 110 "$program" "$folder" "review/$number/record.txt" &
+group=$!
+wait "$group"
 status=$?
+kill -KILL -- "-$group" 2>/dev/null
 [ "$status" -le 1 ] && exit "$status"
 exit 2
