--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -108,7 +108,10 @@
         request->second.SentAt < inTouchFrom)
       continue;
     ++late;
-    const bool isLost = request->second.Status != 200;
+    const int status = request->second.Status;
+    // The client has no answer, or one that doesn't say what became of the
+    // request.
+    const bool isLost = status == 0 || status == 502 || status == 504;
     lost += isLost ? 1 : 0;
     record.write("broken: request " + it.RequestId + " reached i-leaving " +
                  std::to_string((it.At - removedAt).count()) +
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -23,7 +23,10 @@
 constexpr unsigned PreemptedEvent = 10;
 /// Clients disconnect after a gap of two seconds.
 constexpr milliseconds PreemptionTime{1600};
-/// Time from the request to the SIGTERM.
+constexpr milliseconds TimeBudget{8000};
+/// Time within which the request has to reach a worker.
+constexpr seconds MaxDispatchTime{2};
+/// Time from the start of the request to the SIGTERM.
 constexpr milliseconds TerminationDelay{500};
 
 WorkerOptions workerOptions(unsigned rank) {
@@ -52,8 +55,10 @@
   Worker first(pickAddress(4), "i-first", workerOptions(0), store, record);
   Worker second(pickAddress(5), "i-second", workerOptions(1), store, record);
   EntryProcess entry(argv[1], "frontend-1", pickAddress(3), store.endpoint());
-  if (!entry.waitUntilReady(Clock::now() + seconds(10)))
+  if (!entry.waitUntilReady(Clock::now() + seconds(10))) {
+    record.write("not run: the entry isn't ready");
     return static_cast<int>(Verdict::NotRun);
+  }
   std::this_thread::sleep_for(WarmUp);
 
   ClientResult result;
@@ -61,14 +66,23 @@
     const int fd = connectTo(entry.clients());
     HttpReader reader(fd);
     const ClientRequest request{
-        .Id = "q0", .Target = "/assistant-llm/quote", .TimeBudget = seconds(8)};
+        .Id = "q0", .Target = "/assistant-llm/quote", .TimeBudget = TimeBudget};
     result = exchange(fd, reader, request, record);
     ::close(fd);
   });
+  const auto isRunning = [&] {
+    return !first.arrivals().empty() || !second.arrivals().empty();
+  };
+  const auto deadline = Clock::now() + MaxDispatchTime;
+  while (!isRunning() && Clock::now() < deadline)
+    std::this_thread::sleep_for(milliseconds(10));
+  if (!isRunning()) {
+    record.write("not run: the request reached no worker");
+    entry.kill();
+    end(Verdict::NotRun);
+  }
   std::this_thread::sleep_for(TerminationDelay);
   const bool runsAtFirst = !first.arrivals().empty();
-  if (!runsAtFirst && second.arrivals().empty())
-    return static_cast<int>(Verdict::NotRun);
   Worker &other = runsAtFirst ? second : first;
   other.setFull();
   record.write("worker " + other.id() + " is full from now on");
@@ -77,8 +91,11 @@
   const milliseconds terminatedAt = record.now();
   client.join();
 
+  // LOST excuses what ends with the time budget, and work in the last sixth of
+  // the grace period on a request that was sent before the SIGTERM.
   const bool isCut = result.Status == 0 &&
-                     result.EndedAt <= terminatedAt + GracePeriod + seconds(1);
+                     result.EndedAt < result.SentAt + TimeBudget &&
+                     result.EndedAt < terminatedAt + GracePeriod * 5 / 6;
   const std::string summary =
       isCut ? "the stream was cut " +
                   std::to_string((result.EndedAt - result.SentAt).count()) +
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -28,7 +28,8 @@
 /// The clients send their requests one after another at this interval.
 constexpr milliseconds RequestInterval{50};
 /// When the first client sends its request after the SIGTERM.
-constexpr milliseconds FirstRequestDelay{2800};
+constexpr milliseconds FirstRequestDelay{2825};
+constexpr milliseconds TimeBudget{8000};
 
 } // namespace
 
@@ -64,12 +65,12 @@
       return static_cast<int>(Verdict::NotRun);
     connections.push_back(fd);
   }
-  const auto terminatedAt = Clock::now();
-  const milliseconds terminatedAtMs = record.now();
   if (hasTrouble()) {
     record.write("SIGTERM to the entry");
     entry.terminate();
   }
+  const auto terminatedAt = Clock::now();
+  const milliseconds terminatedAtMs = record.now();
   std::vector<std::thread> clients;
   clients.reserve(Clients);
   for (int i = 0; i < Clients; ++i)
@@ -80,7 +81,7 @@
       HttpReader reader(fd);
       const ClientRequest request{.Id = "q" + std::to_string(i),
                                   .Target = "/assistant-llm/quote",
-                                  .TimeBudget = seconds(8)};
+                                  .TimeBudget = TimeBudget};
       results.at(static_cast<std::size_t>(i)) =
           exchange(fd, reader, request, record);
     });
@@ -93,7 +94,8 @@
     const ClientResult &result = results.at(i);
     const bool isExcused = result.SentAt <= terminatedAtMs + ExcusedUntil;
     if (result.Status != 0 || isExcused ||
-        result.EndedAt > terminatedAtMs + GracePeriod + seconds(1))
+        result.EndedAt > terminatedAtMs + GracePeriod + seconds(1) ||
+        result.EndedAt >= result.SentAt + TimeBudget)
       continue;
     ++cut;
     record.write("broken: request " + it.RequestId + " was sent " +
--- a/review/support/enginegroup.cpp
+++ b/review/support/enginegroup.cpp
@@ -67,6 +67,11 @@
   Ranks[rank].Delay = delay;
 }
 
+unsigned EngineGroup::answers(unsigned rank) {
+  const std::lock_guard lock(Mutex);
+  return Ranks[rank].Answers;
+}
+
 void EngineGroup::checkIn() {
   const std::lock_guard lock(Mutex);
   for (unsigned i = 0; i < Shape.Ranks; ++i) {
@@ -173,6 +178,10 @@
     } else {
       answer = response(404, "");
     }
+    {
+      const std::lock_guard lock(Mutex);
+      ++Ranks[rank].Answers;
+    }
     if (!sendAll(fd, answer))
       break;
   }
--- a/review/support/enginegroup.h
+++ b/review/support/enginegroup.h
@@ -36,6 +36,8 @@
   /// doesn't answer the `arm` that comes there, and carries it out after
   /// `delay`.
   void disturb(unsigned rank, std::chrono::milliseconds delay);
+  /// Returns the number of answers that the rank has sent, copies left out.
+  unsigned answers(unsigned rank);
   /// Returns the number of changes of the map.
   unsigned changes() const { return Changes; }
   /// Returns whether a pass has begun with different maps.
@@ -53,6 +55,7 @@
     std::optional<std::uint64_t> Held;
     std::vector<std::uint64_t> Counts;
     std::uint64_t Sequence = 0;
+    unsigned Answers = 0;
     bool Disturbed = false;
     std::chrono::milliseconds Delay{0};
   };
