entrypath: Hold the state of an attempt in a struct of its own

No change of behaviour is meant, but for one: a request that is queued again after a target refused it, and then reaches its deadline, gets 503 in place of 504. The flag that said a target may have run it was the one of the ended attempt. Prepares for exchanges with more than one attempt in progress. test_entrypath passes.

--- /dev/null
+++ b/src/entrypath/attempt.h
@@ -0,0 +1,50 @@
+#ifndef BERGAMOT_ENTRYPATH_ATTEMPT_H
+#define BERGAMOT_ENTRYPATH_ATTEMPT_H
+
+#include "adaptertcp/messageparser.h"
+#include "adaptertcp/tcpconnection.h"
+#include "entrypath/headercodec.h"
+#include "libbergamotbase/timetypes.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace bergamot::entrypath {
+
+/// One attempt to get a request served by a target: the target as it was when
+/// it was chosen, the connection, and what has arrived on it.
+struct Attempt {
+  /// Unique within the exchange; never 0.
+  std::uint64_t Number = 0;
+  std::string TargetId;
+  /// Address and port.
+  std::string TargetAddress;
+  /// The start time in the target's record, in Unix milliseconds.
+  std::int64_t TargetStartedAtMs = 0;
+  /// The target's group of ranks; empty if it has none.
+  std::string TargetGroup;
+  /// Unset while the connection is being opened.
+  std::shared_ptr<adaptertcp::TcpConnection> Connection;
+  adaptertcp::MessageParser Parser{adaptertcp::MessageParser::Kind::Response};
+  TargetResponse ResponseInfo;
+  base::TimePoint SentAt;
+  /// When the target last sent a head or a complete event; SentAt before that.
+  base::TimePoint LastProgressAt;
+  /// Bytes discarded since they belong to late responses to earlier requests on
+  /// a reused connection.
+  std::size_t DiscardedBytes = 0;
+  /// Bytes have come after the response that belong to no request.
+  bool HasExcessBytes = false;
+  bool Sent = false;
+  /// The connection has carried other requests before this one.
+  bool ConnectionReused = false;
+  bool ExecutionRecorded = false;
+  bool ResponseHeadValidated = false;
+  /// The target has sent an event of a stream, or a whole response.
+  bool Begun = false;
+};
+
+} // namespace bergamot::entrypath
+
+#endif
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -90,7 +90,8 @@
     abortResponse(reason);
     return;
   }
-  const bool mayHaveExecuted = Sent || PossiblyExecutedAttempts > 0;
+  const bool mayHaveExecuted =
+      (Current && Current->Sent) || PossiblyExecutedAttempts > 0;
   respondWithStatus(mayHaveExecuted ? 504 : 503, reason);
 }
 
@@ -143,7 +144,7 @@
 void Exchange::handleSuspension(base::Duration missedTime) {
   if (Finished || !Route)
     return;
-  if (TargetId.empty()) {
+  if (!Current) {
     // The caller has waited for a long time and may have disconnected.
     rejectQueued("paused");
     return;
@@ -155,29 +156,29 @@
 }
 
 void Exchange::abortIfBlocked() {
-  if (Finished || TargetId.empty() || AttemptBegun || PromptProbe ||
+  if (Finished || !Current || Current->Begun || PromptProbe ||
       Owner.promptSuspects().verdict(PromptParts, Owner.now()) !=
           gateway::PromptVerdict::Blocked)
     return;
-  handleAttemptFailure(Sent ? gateway::AttemptFailure::Lost
-                            : gateway::AttemptFailure::NotSent,
+  handleAttemptFailure(Current->Sent ? gateway::AttemptFailure::Lost
+                                     : gateway::AttemptFailure::NotSent,
                        "harmful_prompt");
 }
 
 void Exchange::onSendBufferEmpty() {
-  if (Connection)
-    Connection->setReading(true);
+  if (Current && Current->Connection)
+    Current->Connection->setReading(true);
 }
 
 /// Records that the target has begun to respond in this attempt.
 void Exchange::recordBegun() {
-  if (!std::exchange(AttemptBegun, true))
+  if (!std::exchange(Current->Begun, true))
     Owner.recordPromptBegun(PromptParts);
 }
 
 /// Records that the target has begun to run the request in this attempt.
 void Exchange::recordExecution(TimePoint begunAt) {
-  if (std::exchange(ExecutionRecorded, true) || Account.empty())
+  if (std::exchange(Current->ExecutionRecorded, true) || Account.empty())
     return;
   Owner.recordExecution(Account, begunAt);
 }
@@ -186,9 +187,10 @@
 /// as its response or its silence tells. A stream has begun to run only with
 /// its first event.
 bool Exchange::mayHaveRun() const {
-  const bool refused = ResponseHeadValidated &&
-                       (ResponseInfo.NotExecuted || ResponseInfo.Misdirected);
-  return Sent && !refused && !Route->Streaming;
+  const bool refused =
+      Current->ResponseHeadValidated &&
+      (Current->ResponseInfo.NotExecuted || Current->ResponseInfo.Misdirected);
+  return Current->Sent && !refused && !Route->Streaming;
 }
 
 void Exchange::finish(const char *outcome, int status) {
@@ -217,14 +219,14 @@
   }
   if (!Service.empty())
     fields["service"] = Service;
-  if (!TargetId.empty())
-    fields["target"] = TargetId;
+  if (Current)
+    fields["target"] = Current->TargetId;
   if (!Service.empty() && Dispatches == 0) {
     fields["waiting"] = Owner.queuedCount(Service);
     fields["entries"] = Owner.entryCount();
   }
   if (std::strcmp(event, "attempt.failed") == 0) {
-    fields["begun"] = AttemptBegun;
+    fields["begun"] = Current->Begun;
     if (!RequestInfo.SharedPromptParts.empty())
       fields["prompt"] = RequestInfo.SharedPromptParts;
   }
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -2,7 +2,7 @@
 #define BERGAMOT_ENTRYPATH_EXCHANGE_H
 
 #include "adaptertcp/messageparser.h"
-#include "adaptertcp/tcpconnection.h"
+#include "entrypath/attempt.h"
 #include "entrypath/headercodec.h"
 #include "libbergamotgateway/attemptpolicy.h"
 #include "libbergamotgateway/eventsplitter.h"
@@ -94,6 +94,10 @@
   void startDeadlineTimer();
   void onDeadline();
 
+  /// Returns whether an attempt is still the current one.
+  bool isCurrent(std::uint64_t number) const {
+    return Current && Current->Number == number;
+  }
   void openConnection(const std::string &address);
   void sendRequest();
   void scheduleSilenceCheck(base::TimePoint at);
@@ -142,37 +146,10 @@
   std::vector<gateway::PromptPart> PromptParts;
   bool PromptProbe = false;
 
-  /// The current attempt.
-  std::string TargetId;
-  std::string TargetAddress;
-  /// The start time in the target's record when it was chosen, in Unix
-  /// milliseconds.
-  std::int64_t TargetStartedAtMs = 0;
-  /// The target's group of ranks; empty if it has none.
-  std::string TargetGroup;
-  std::shared_ptr<adaptertcp::TcpConnection> Connection;
-  adaptertcp::MessageParser Parser{adaptertcp::MessageParser::Kind::Response};
-  TargetResponse ResponseInfo;
-  std::uint64_t AttemptNumber = 0;
-  base::TimePoint SentAt;
-  /// When the target last sent a head or a complete event; SentAt before that.
-  base::TimePoint LastProgressAt;
-  /// Bytes discarded in this attempt since they belong to late responses to
-  /// earlier requests on a reused connection.
-  std::size_t DiscardedBytes = 0;
-  /// Bytes have come after the response that belong to no request.
-  bool HasExcessBytes = false;
+  /// The current attempt; unset while the request is queued.
+  std::unique_ptr<Attempt> Current;
+  std::uint64_t LastAttemptNumber = 0;
   boost::asio::steady_timer SilenceTimer;
-  bool Sent = false;
-  /// The connection has carried other requests before this one.
-  bool ConnectionReused = false;
-  /// Whether the execution of this attempt has been recorded.
-  bool ExecutionRecorded = false;
-  bool ResponseHeadValidated = false;
-  /// The target has sent an event of a stream, or a whole response, in this
-  /// attempt.
-  bool AttemptBegun = false;
-
   gateway::EventSplitter Events;
   std::set<std::string> FailedTargets;
   std::uint32_t Dispatches = 0;
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -39,27 +39,24 @@
 } // namespace
 
 void Exchange::dispatchTo(const gateway::KnownTarget &target) {
-  TargetId = target.Record.Id;
-  TargetAddress = target.Record.Address;
-  TargetStartedAtMs = target.Record.StartedAtMs;
-  TargetGroup = target.Record.Membership ? target.Record.Membership->Group : "";
-  ++AttemptNumber;
-  Sent = false;
-  ExecutionRecorded = false;
-  AttemptBegun = false;
-  ResponseHeadValidated = false;
-  DiscardedBytes = 0;
-  HasExcessBytes = false;
+  Current = std::make_unique<Attempt>();
+  Current->Number = ++LastAttemptNumber;
+  Current->TargetId = target.Record.Id;
+  Current->TargetAddress = target.Record.Address;
+  Current->TargetStartedAtMs = target.Record.StartedAtMs;
+  Current->TargetGroup =
+      target.Record.Membership ? target.Record.Membership->Group : "";
   Events.dropPartialEvent();
-  Owner.addInFlight(TargetId);
+  Owner.addInFlight(Current->TargetId);
   const Duration maxIdle =
       Route->isRetryable() ? MaxIdleIdempotent : MaxIdleNonIdempotent;
   // On a connection on which this request was sent before, a copy of the
   // earlier response couldn't be told from the new one.
-  if (!FailedTargets.contains(TargetId))
-    Connection = Owner.pool().take(TargetId, maxIdle, Owner.now());
-  ConnectionReused = Connection != nullptr;
-  if (Connection)
+  if (!FailedTargets.contains(Current->TargetId))
+    Current->Connection =
+        Owner.pool().take(Current->TargetId, maxIdle, Owner.now());
+  Current->ConnectionReused = Current->Connection != nullptr;
+  if (Current->Connection)
     sendRequest();
   else
     openConnection(target.Record.Address);
@@ -69,10 +66,9 @@
   const TimePoint by = std::min(Deadline, Owner.now() + ConnectTimeout);
   Owner.countNewConnection();
   Owner.pool().connect(address, by,
-                       [self = shared_from_this(), attempt = AttemptNumber](
+                       [self = shared_from_this(), number = Current->Number](
                            const ConnectionPool::Connection &connection) {
-                         if (self->Finished || attempt != self->AttemptNumber ||
-                             self->TargetId.empty()) {
+                         if (self->Finished || !self->isCurrent(number)) {
                            if (connection)
                              connection->close();
                            return;
@@ -82,7 +78,7 @@
                                                       "connect");
                            return;
                          }
-                         self->Connection = connection;
+                         self->Current->Connection = connection;
                          connection->start({});
                          self->sendRequest();
                        });
@@ -91,27 +87,28 @@
 void Exchange::sendRequest() {
   const TimePoint now = Owner.now();
   AttemptHeaders fields;
-  fields.TargetId = TargetId;
+  fields.TargetId = Current->TargetId;
   fields.TimeLeft =
       std::max(milliseconds(1), duration_cast<milliseconds>(Deadline - now));
   if (ResponseStarted)
     fields.ResumeAfter = Events.lastEventId();
   Owner.codec().setAttemptHeaders(Head.Headers, fields);
-  Parser.restart(Head.Method == "HEAD");
-  Connection->setHandlers({[self = shared_from_this()](std::string_view it) {
-                             self->onTargetData(it);
-                           },
-                           [self = shared_from_this()](CloseReason reason) {
-                             self->onTargetClose(reason);
-                           },
-                           {}});
-  Sent = true;
-  SentAt = now;
+  Current->Parser.restart(Head.Method == "HEAD");
+  Current->Connection->setHandlers(
+      {[self = shared_from_this()](std::string_view it) {
+         self->onTargetData(it);
+       },
+       [self = shared_from_this()](CloseReason reason) {
+         self->onTargetClose(reason);
+       },
+       {}});
+  Current->Sent = true;
+  Current->SentAt = now;
   ++Dispatches;
-  LastProgressAt = now;
+  Current->LastProgressAt = now;
   log("dispatch", "sent", 0);
-  Connection->send(adaptertcp::requestText(Head, Body));
-  if (Route->Streaming && !TargetGroup.empty())
+  Current->Connection->send(adaptertcp::requestText(Head, Body));
+  if (Route->Streaming && !Current->TargetGroup.empty())
     scheduleSilenceCheck(now + Owner.settings().StreamSilenceTimeout);
 }
 
@@ -120,38 +117,38 @@
   const auto self = shared_from_this();
   // The next attempt may start within the loop, on a connection to another
   // target.
-  const std::uint64_t attempt = AttemptNumber;
-  while (!bytes.empty() && attempt == AttemptNumber) {
-    const std::size_t n = Parser.push(bytes);
+  const std::uint64_t number = Current->Number;
+  while (!bytes.empty() && isCurrent(number)) {
+    const std::size_t n = Current->Parser.push(bytes);
     bytes.remove_prefix(n);
-    const bool stuck = n == 0 && !Parser.isComplete();
-    if (Parser.hasFailed() || stuck) {
+    const bool stuck = n == 0 && !Current->Parser.isComplete();
+    if (Current->Parser.hasFailed() || stuck) {
       handleAttemptFailure(AttemptFailure::Lost, "malformed");
       return;
     }
-    if (!Parser.isHeadComplete())
+    if (!Current->Parser.isHeadComplete())
       return;
-    if (!ResponseHeadValidated && isUnidentified()) {
+    if (!Current->ResponseHeadValidated && isUnidentified()) {
       handleAttemptFailure(AttemptFailure::Lost, "unidentified");
       return;
     }
-    if (!ResponseHeadValidated && !validateHead()) {
-      DiscardedBytes += Parser.body().size();
-      Parser.body().clear();
-      if (DiscardedBytes > MaxBufferedBytes) {
+    if (!Current->ResponseHeadValidated && !validateHead()) {
+      Current->DiscardedBytes += Current->Parser.body().size();
+      Current->Parser.body().clear();
+      if (Current->DiscardedBytes > MaxBufferedBytes) {
         handleAttemptFailure(AttemptFailure::Lost, "endless_other");
         return;
       }
-      if (!Parser.isComplete())
+      if (!Current->Parser.isComplete())
         return;
-      Parser.restart(Head.Method == "HEAD");
+      Current->Parser.restart(Head.Method == "HEAD");
       continue;
     }
     relayBody();
-    if (Finished || attempt != AttemptNumber)
+    if (Finished || !isCurrent(number))
       return;
-    if (Parser.isComplete()) {
-      HasExcessBytes = !bytes.empty();
+    if (Current->Parser.isComplete()) {
+      Current->HasExcessBytes = !bytes.empty();
       onResponseComplete();
       return;
     }
@@ -161,36 +158,40 @@
 /// Returns whether a response without a request id came on a connection that
 /// has carried other requests: it may be a copy of the response to one of them.
 bool Exchange::isUnidentified() {
-  const ResponseHead &head = Parser.responseHead();
-  return ConnectionReused && head.Status >= 200 && !RequestInfo.Id.empty() &&
+  const ResponseHead &head = Current->Parser.responseHead();
+  return Current->ConnectionReused && head.Status >= 200 &&
+         !RequestInfo.Id.empty() &&
          !Owner.codec().decodeResponse(head).RequestId;
 }
 
 /// Returns whether the response belongs to this request; a late response to an
 /// earlier request on the connection is read and discarded.
 bool Exchange::validateHead() {
-  const ResponseHead &head = Parser.responseHead();
+  const ResponseHead &head = Current->Parser.responseHead();
   if (head.Status >= 100 && head.Status < 200)
     return false;
-  ResponseInfo = Owner.codec().decodeResponse(head);
-  if (ResponseInfo.RequestId && *ResponseInfo.RequestId != RequestInfo.Id)
+  Current->ResponseInfo = Owner.codec().decodeResponse(head);
+  if (Current->ResponseInfo.RequestId &&
+      *Current->ResponseInfo.RequestId != RequestInfo.Id)
     return false;
-  ResponseHeadValidated = true;
-  LastProgressAt = Owner.now();
-  Owner.recordResponse(TargetId, TargetStartedAtMs, SentAt, ResponseInfo);
-  Owner.recordUnknownFields(TargetId, head);
+  Current->ResponseHeadValidated = true;
+  Current->LastProgressAt = Owner.now();
+  Owner.recordResponse(Current->TargetId, Current->TargetStartedAtMs,
+                       Current->SentAt, Current->ResponseInfo);
+  Owner.recordUnknownFields(Current->TargetId, head);
   return true;
 }
 
 void Exchange::relayBody() {
-  const int status = Parser.responseHead().Status;
+  const int status = Current->Parser.responseHead().Status;
   if (status < 200 || status > 299) {
     // Errors are handled once the response is complete.
-    if (Parser.body().size() > MaxBufferedBytes)
+    if (Current->Parser.body().size() > MaxBufferedBytes)
       handleAttemptFailure(AttemptFailure::Lost, "endless_error");
     return;
   }
-  if (!ResponseInfo.HasTargetSignature || !ResponseInfo.RequestId) {
+  if (!Current->ResponseInfo.HasTargetSignature ||
+      !Current->ResponseInfo.RequestId) {
     handleAttemptFailure(AttemptFailure::Lost, "unsigned");
     return;
   }
@@ -201,8 +202,8 @@
 }
 
 void Exchange::relayStream() {
-  std::string events = Events.push(Parser.body());
-  Parser.body().clear();
+  std::string events = Events.push(Current->Parser.body());
+  Current->Parser.body().clear();
   if (Events.partialEvent().size() > MaxBufferedBytes) {
     handleAttemptFailure(AttemptFailure::Lost, "endless_event");
     return;
@@ -210,7 +211,7 @@
   if (events.empty())
     return;
   const TimePoint now = Owner.now();
-  LastProgressAt = now;
+  Current->LastProgressAt = now;
   recordBegun();
   recordExecution(now);
   if (ResponseStarted)
@@ -218,15 +219,16 @@
   else
     FirstEventAt = now;
   LastEventAt = now;
-  Owner.recordProgress(Service, TargetGroup);
+  Owner.recordProgress(Service, Current->TargetGroup);
   relay(events);
 }
 
 void Exchange::relayNonStreaming() {
-  if (!ResponseStarted && Parser.body().size() <= MaxBufferedResponseBytes)
+  if (!ResponseStarted &&
+      Current->Parser.body().size() <= MaxBufferedResponseBytes)
     return;
-  relay(Parser.body());
-  Parser.body().clear();
+  relay(Current->Parser.body());
+  Current->Parser.body().clear();
 }
 
 /// Relays a part of the body, and pauses reading from the target while the
@@ -235,14 +237,14 @@
   sendResponseHead();
   Caller->sendBody(bytes);
   if (Caller->unsentBytes() > MaxUnsentBytes)
-    Connection->setReading(false);
+    Current->Connection->setReading(false);
 }
 
 void Exchange::sendResponseHead() {
   if (ResponseStarted)
     return;
   ResponseStarted = true;
-  ResponseHead head = Parser.responseHead();
+  ResponseHead head = Current->Parser.responseHead();
   head.Headers.removeHopByHopFields();
   if (Route->Streaming)
     head.Length.reset();
@@ -250,15 +252,16 @@
 }
 
 void Exchange::onResponseComplete() {
-  const ResponseHead &head = Parser.responseHead();
-  if (ResponseInfo.Misdirected) {
+  const ResponseHead &head = Current->Parser.responseHead();
+  if (Current->ResponseInfo.Misdirected) {
     returnToPool();
     handleAttemptFailure(AttemptFailure::Misdirected, "other_instance");
     return;
   }
-  if (ResponseInfo.NotExecuted) {
-    if (!TargetGroup.empty())
-      Owner.groups().recordRefusal(TargetGroup, SentAt, Owner.now());
+  if (Current->ResponseInfo.NotExecuted) {
+    if (!Current->TargetGroup.empty())
+      Owner.groups().recordRefusal(Current->TargetGroup, Current->SentAt,
+                                   Owner.now());
     returnToPool();
     handleAttemptFailure(AttemptFailure::Refused, "not_executed");
     return;
@@ -277,7 +280,7 @@
     return;
   }
   recordBegun();
-  Owner.recordSuccess(TargetId);
+  Owner.recordSuccess(Current->TargetId);
   if (Route->Streaming)
     sendResponseHead();
   if (!ResponseStarted) {
@@ -293,9 +296,9 @@
 
 /// Relays a complete response of which nothing has been sent yet.
 void Exchange::relayCompleteResponse(const char *outcome, int status) {
-  ResponseHead out = Parser.responseHead();
+  ResponseHead out = Current->Parser.responseHead();
   out.Headers.removeHopByHopFields();
-  const std::string body = std::move(Parser.body());
+  const std::string body = std::move(Current->Parser.body());
   returnToPool();
   endAttempt();
   const auto self = shared_from_this();
@@ -305,58 +308,56 @@
 }
 
 void Exchange::returnToPool() {
-  if (!Connection)
+  if (!Current->Connection)
     return;
   const TimePoint now = Owner.now();
   // The rest of what follows the response may still be in transit, and would
   // come before the response to the next request.
-  const bool reusable = Parser.isComplete() && !HasExcessBytes &&
-                        Parser.responseHead().KeepAlive &&
-                        Connection->unsentBytes() == 0;
+  const bool reusable = Current->Parser.isComplete() &&
+                        !Current->HasExcessBytes &&
+                        Current->Parser.responseHead().KeepAlive &&
+                        Current->Connection->unsentBytes() == 0;
   if (!reusable) {
-    Connection->close();
-    Connection.reset();
+    Current->Connection->close();
+    Current->Connection.reset();
     return;
   }
-  Connection->setReading(true);
-  Owner.returnToPool(TargetId, std::move(Connection), ResponseInfo, now);
-  Connection.reset();
+  Current->Connection->setReading(true);
+  Owner.returnToPool(Current->TargetId, std::move(Current->Connection),
+                     Current->ResponseInfo, now);
+  Current->Connection.reset();
 }
 
 void Exchange::onTargetClose(CloseReason reason) {
   const auto self = shared_from_this();
   if (reason == CloseReason::EndOfStream)
-    Parser.finish();
-  if (ResponseHeadValidated && Parser.isComplete()) {
-    const std::uint64_t attempt = AttemptNumber;
+    Current->Parser.finish();
+  if (Current->ResponseHeadValidated && Current->Parser.isComplete()) {
+    const std::uint64_t number = Current->Number;
     relayBody();
-    if (!Finished && attempt == AttemptNumber)
+    if (!Finished && isCurrent(number))
       onResponseComplete();
     return;
   }
-  if (Sent && !AttemptBegun)
-    Owner.checkForCrash(TargetId, TargetStartedAtMs, TargetAddress,
-                        PromptParts);
+  if (Current->Sent && !Current->Begun)
+    Owner.checkForCrash(Current->TargetId, Current->TargetStartedAtMs,
+                        Current->TargetAddress, PromptParts);
   handleAttemptFailure(AttemptFailure::Lost,
                        reason == CloseReason::Reset ? "reset" : "closed");
 }
 
 void Exchange::endAttempt() {
-  if (TargetId.empty())
+  if (!Current)
     return;
   if (mayHaveRun())
-    recordExecution(SentAt);
-  if (Connection) {
-    // Closing the connection makes the target cancel the request.
-    Connection->abort();
-    Connection.reset();
-  }
+    recordExecution(Current->SentAt);
   SilenceTimer.cancel();
   PromptProbe = false;
-  const std::string target = std::move(TargetId);
-  TargetId.clear();
-  ++AttemptNumber;
-  Owner.removeInFlight(*this, target);
+  const auto ended = std::move(Current);
+  // Closing the connection makes the target cancel the request.
+  if (ended->Connection)
+    ended->Connection->abort();
+  Owner.removeInFlight(*this, ended->TargetId);
 }
 
 } // namespace bergamot::entrypath
--- a/src/entrypath/exchangefailure.cpp
+++ b/src/entrypath/exchangefailure.cpp
@@ -17,10 +17,10 @@
     ++PossiblyExecutedAttempts;
   if (failure == AttemptFailure::Misdirected)
     --Dispatches;
-  FailedTargets.insert(TargetId);
-  Owner.recordFailure(TargetId, failure);
+  FailedTargets.insert(Current->TargetId);
+  Owner.recordFailure(Current->TargetId, failure);
   log("attempt.failed", gateway::failureName(failure),
-      Parser.responseHead().Status);
+      Current->Parser.responseHead().Status);
   const RetryDecision decision = gateway::decideRetry(
       {failure, Route->Idempotency, Route->Resumable, ResponseStarted,
        PossiblyExecutedAttempts, Dispatches, Route->MaxAttempts});
@@ -62,7 +62,7 @@
     abortResponse("error_in_stream");
     return;
   }
-  const int status = Parser.responseHead().Status;
+  const int status = Current->Parser.responseHead().Status;
   if (gateway::impliesNotExecuted(status)) {
     // This status would tell the caller that the request wasn't executed, which
     // the target hasn't confirmed.
--- a/src/entrypath/exchangesilence.cpp
+++ b/src/entrypath/exchangesilence.cpp
@@ -21,9 +21,9 @@
 /// caller would disconnect.
 void Exchange::scheduleSilenceCheck(TimePoint at) {
   SilenceTimer.expires_at(at);
-  SilenceTimer.async_wait([self = shared_from_this(), attempt = AttemptNumber](
+  SilenceTimer.async_wait([self = shared_from_this(), number = Current->Number](
                               const boost::system::error_code &ec) {
-    if (!ec && !self->Finished && attempt == self->AttemptNumber)
+    if (!ec && !self->Finished && self->isCurrent(number))
       self->checkSilence();
   });
 }
@@ -31,7 +31,7 @@
 void Exchange::checkSilence() {
   const TimePoint now = Owner.now();
   const TimePoint silentAt =
-      LastProgressAt + Owner.settings().StreamSilenceTimeout;
+      Current->LastProgressAt + Owner.settings().StreamSilenceTimeout;
   if (now < silentAt) {
     scheduleSilenceCheck(silentAt);
     return;
@@ -40,7 +40,7 @@
     scheduleSilenceCheck(now + SilenceRecheckPeriod);
     return;
   }
-  Owner.recordUnresponsive(TargetId);
+  Owner.recordUnresponsive(Current->TargetId);
   handleAttemptFailure(AttemptFailure::Lost, "silent");
 }
 
@@ -50,7 +50,7 @@
   const bool repeatable =
       ResponseStarted ? Route->Resumable : Route->isRetryable();
   return repeatable && Dispatches < Route->MaxAttempts &&
-         Owner.groups().isReady(TargetGroup, Owner.now()) &&
+         Owner.groups().isReady(Current->TargetGroup, Owner.now()) &&
          Owner.hasRetryBudget(Service);
 }
 
