entrypath: Keep a silent stream open until another target sends an event

Cause: checkSilence() gave up the attempt after 1.2 s and only then looked for another target. A refusal, a lost connection, a queue without a free slot or an exhausted retry budget ended the response, though the first target was sound.

The attempt now stays open as a standby. The rest is offered only to a target with a free slot, and the first attempt that sends an event ends all others, so events of two runs never stand in one response.

--- a/src/entrypath/attempt.h
+++ b/src/entrypath/attempt.h
@@ -43,6 +43,9 @@
   bool ResponseHeadValidated = false;
   /// The target has sent an event of a stream, or a whole response.
   bool Begun = false;
+  /// The start of an event of which the rest hasn't come. Only used while the
+  /// attempt is a standby.
+  std::string PartialEvent;
 };
 
 } // namespace bergamot::entrypath
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -195,6 +195,10 @@
   /// the request has been held for too long.
   bool holdForConfiguration(const std::shared_ptr<Exchange> &exchange);
   void enqueue(const std::shared_ptr<Exchange> &exchange);
+  /// Takes a request out of its queue, as it no longer needs a target.
+  void withdraw(const Exchange &exchange);
+  /// Returns whether a target has room for a further attempt of a request.
+  bool hasFreeTarget(const Exchange &exchange);
   void removeExchange(Exchange &exchange, const char *outcome, int status);
   void setRetryAfter(adaptertcp::HeaderFields &headers,
                      const Exchange &exchange);
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -186,7 +186,7 @@
     state.Queue.remove(exchangeId);
     state.QueuedExchanges.erase(exchangeId);
     post([this, exchange] {
-      if (!exchange->isFinished() && admitPrompt(exchange))
+      if (exchange->isQueued() && admitPrompt(exchange))
         addToQueue(exchange);
     });
     return true;
@@ -224,7 +224,8 @@
   std::vector<gateway::Candidate> failedBefore;
   for (const auto &[id, target] : Directory.targets()) {
     if (target.Record.Service != serviceName || !isUsable(target) ||
-        Health.isUnresponsive(id, at) || nextSendAt(target, at) > at)
+        Health.isUnresponsive(id, at) || nextSendAt(target, at) > at ||
+        exchange.hasAttemptAt(id))
       continue;
     if (!isWithinColdRate(service, id))
       continue;
@@ -280,12 +281,21 @@
          maxPerSecond;
 }
 
+void Entry::withdraw(const Exchange &exchange) {
+  ServiceState &state = service(exchange.service());
+  state.Queue.remove(exchange.exchangeId());
+  state.QueuedExchanges.erase(exchange.exchangeId());
+}
+
+bool Entry::hasFreeTarget(const Exchange &exchange) {
+  return gateway::chooseTarget(candidates(exchange.service(), exchange),
+                               drawUniform()) >= 0;
+}
+
 void Entry::removeExchange(Exchange &exchange, const char *outcome,
                            int status) {
   if (!exchange.service().empty()) {
-    ServiceState &state = service(exchange.service());
-    state.Queue.remove(exchange.exchangeId());
-    state.QueuedExchanges.erase(exchange.exchangeId());
+    withdraw(exchange);
     scheduleQueueProcessing(exchange.service());
   }
   Metrics.addCount("bergamot_requests_total",
--- a/src/entrypath/entryprompts.cpp
+++ b/src/entrypath/entryprompts.cpp
@@ -112,7 +112,7 @@
 void Entry::reviewSuspectedRequests() {
   const TimePoint at = now();
   for (const auto &it : std::exchange(SuspectedRequests, {})) {
-    if (it.Request->isFinished())
+    if (!it.Request->isQueued())
       continue;
     if (it.Until <= at)
       it.Request->rejectQueued("suspected_prompt");
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -56,6 +56,7 @@
   PromptParts = gateway::promptParts(Service, RequestInfo.SharedPromptParts);
   Owner.codec().prepareForwarding(Head.Headers, Account);
   startDeadlineTimer();
+  Queued = true;
   Owner.enqueue(shared_from_this());
 }
 
@@ -116,6 +117,12 @@
 }
 
 void Exchange::rejectQueued(const char *reason) {
+  Queued = false;
+  if (!Standbys.empty()) {
+    Owner.withdraw(*this);
+    resumeStandby();
+    return;
+  }
   if (ResponseStarted) {
     abortResponse(reason);
     return;
@@ -199,6 +206,8 @@
   Finished = true;
   DeadlineTimer.cancel();
   SilenceTimer.cancel();
+  for (auto &it : std::exchange(Standbys, {}))
+    closeAttempt(std::move(it));
   log("request.end", outcome, status);
   Owner.removeExchange(*this, outcome, status);
 }
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -14,9 +14,11 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace bergamot::entrypath {
 
@@ -56,7 +58,8 @@
   /// Sends the request to a target that the dispatcher has chosen.
   void dispatchTo(const gateway::KnownTarget &target);
   /// Rejects a queued request with a Retry-After header; a response that has
-  /// already started is aborted.
+  /// already started is aborted. If the target of an earlier attempt is only
+  /// silent, that attempt goes on instead.
   void rejectQueued(const char *reason);
 
   std::uint64_t exchangeId() const { return ExchangeId; }
@@ -68,6 +71,10 @@
     return {ArrivedAt, Deadline, RequestInfo.ContinuesStream};
   }
   bool isFinished() const { return Finished; }
+  /// Returns whether the request is queued for a target.
+  bool isQueued() const { return Queued && !Finished; }
+  /// Returns whether an attempt is in progress at a target.
+  bool hasAttemptAt(const std::string &target) const;
   bool hasResponseStarted() const { return ResponseStarted; }
   std::uint32_t priority() const { return Priority; }
   const CallerRequest &request() const { return RequestInfo; }
@@ -103,6 +110,11 @@
   void scheduleSilenceCheck(base::TimePoint at);
   void checkSilence();
   bool canRetryElsewhere() const;
+  void makeStandby();
+  void makeCurrent(std::unique_ptr<Attempt> attempt);
+  void resumeStandby();
+  void endOtherAttempts();
+  void withAttempt(std::uint64_t number, const std::function<void()> &action);
   void onTargetData(std::string_view bytes);
   void onTargetClose(adaptertcp::CloseReason reason);
   bool isUnidentified();
@@ -118,6 +130,7 @@
   void handleAttemptFailure(gateway::AttemptFailure failure,
                             const char *detail);
   void endAttempt();
+  void closeAttempt(std::unique_ptr<Attempt> attempt);
   void recordBegun();
   void recordExecution(base::TimePoint begunAt);
   bool mayHaveRun() const;
@@ -148,6 +161,11 @@
 
   /// The current attempt; unset while the request is queued.
   std::unique_ptr<Attempt> Current;
+  /// Earlier attempts whose target became silent in a stream. They stay open
+  /// until an attempt sends a further event, which ends all others.
+  std::vector<std::unique_ptr<Attempt>> Standbys;
+  /// The request is with the entry, which sends it to a target or rejects it.
+  bool Queued = false;
   std::uint64_t LastAttemptNumber = 0;
   boost::asio::steady_timer SilenceTimer;
   gateway::EventSplitter Events;
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -39,6 +39,7 @@
 } // namespace
 
 void Exchange::dispatchTo(const gateway::KnownTarget &target) {
+  Queued = false;
   Current = std::make_unique<Attempt>();
   Current->Number = ++LastAttemptNumber;
   Current->TargetId = target.Record.Id;
@@ -95,11 +96,13 @@
   Owner.codec().setAttemptHeaders(Head.Headers, fields);
   Current->Parser.restart(Head.Method == "HEAD");
   Current->Connection->setHandlers(
-      {[self = shared_from_this()](std::string_view it) {
-         self->onTargetData(it);
+      {[self = shared_from_this(),
+        number = Current->Number](std::string_view bytes) {
+         self->withAttempt(number, [&] { self->onTargetData(bytes); });
        },
-       [self = shared_from_this()](CloseReason reason) {
-         self->onTargetClose(reason);
+       [self = shared_from_this(),
+        number = Current->Number](CloseReason reason) {
+         self->withAttempt(number, [&] { self->onTargetClose(reason); });
        },
        {}});
   Current->Sent = true;
@@ -212,6 +215,7 @@
     return;
   const TimePoint now = Owner.now();
   Current->LastProgressAt = now;
+  endOtherAttempts();
   recordBegun();
   recordExecution(now);
   if (ResponseStarted)
@@ -271,7 +275,10 @@
     return;
   }
   if (head.Status < 200 || head.Status > 299) {
-    relayError();
+    if (!Standbys.empty())
+      handleAttemptFailure(AttemptFailure::ErrorResponse, "error_response");
+    else
+      relayError();
     return;
   }
   if (Route->Streaming && !Events.partialEvent().empty()) {
@@ -353,11 +360,14 @@
     recordExecution(Current->SentAt);
   SilenceTimer.cancel();
   PromptProbe = false;
-  const auto ended = std::move(Current);
+  closeAttempt(std::move(Current));
+}
+
+void Exchange::closeAttempt(std::unique_ptr<Attempt> attempt) {
   // Closing the connection makes the target cancel the request.
-  if (ended->Connection)
-    ended->Connection->abort();
-  Owner.removeInFlight(*this, ended->TargetId);
+  if (attempt->Connection)
+    attempt->Connection->abort();
+  Owner.removeInFlight(*this, attempt->TargetId);
 }
 
 } // namespace bergamot::entrypath
--- a/src/entrypath/exchangefailure.cpp
+++ b/src/entrypath/exchangefailure.cpp
@@ -21,6 +21,13 @@
   Owner.recordFailure(Current->TargetId, failure);
   log("attempt.failed", gateway::failureName(failure),
       Current->Parser.responseHead().Status);
+  if (Queued || !Standbys.empty()) {
+    // Another attempt is in progress or will be.
+    endAttempt();
+    if (!Queued)
+      resumeStandby();
+    return;
+  }
   const RetryDecision decision = gateway::decideRetry(
       {failure, Route->Idempotency, Route->Resumable, ResponseStarted,
        PossiblyExecutedAttempts, Dispatches, Route->MaxAttempts});
@@ -53,6 +60,7 @@
     return;
   }
   endAttempt();
+  Queued = true;
   Owner.enqueue(shared_from_this());
 }
 
--- a/src/entrypath/exchangesilence.cpp
+++ b/src/entrypath/exchangesilence.cpp
@@ -1,4 +1,5 @@
-// The part of Exchange that detects streams without progress.
+// The part of Exchange that detects streams without progress and offers their
+// rest to other targets.
 #include "entrypath/entry.h"
 #include "entrypath/exchange.h"
 
@@ -36,12 +37,19 @@
     scheduleSilenceCheck(silentAt);
     return;
   }
-  if (!canRetryElsewhere()) {
+  if (!Current->Sent || !canRetryElsewhere() ||
+      !Owner.consumeRetryBudget(Service, AttemptFailure::Lost)) {
     scheduleSilenceCheck(now + SilenceRecheckPeriod);
     return;
   }
   Owner.recordUnresponsive(Current->TargetId);
-  handleAttemptFailure(AttemptFailure::Lost, "silent");
+  Owner.recordFailure(Current->TargetId, AttemptFailure::Lost);
+  FailedTargets.insert(Current->TargetId);
+  ++PossiblyExecutedAttempts;
+  log("attempt.silent", "standby", 0);
+  makeStandby();
+  Queued = true;
+  Owner.enqueue(shared_from_this());
 }
 
 /// Returns whether the request can be retried or resumed at another target. If
@@ -51,7 +59,83 @@
       ResponseStarted ? Route->Resumable : Route->isRetryable();
   return repeatable && Dispatches < Route->MaxAttempts &&
          Owner.groups().isReady(Current->TargetGroup, Owner.now()) &&
-         Owner.hasRetryBudget(Service);
+         Owner.hasRetryBudget(Service) && Owner.hasFreeTarget(*this);
+}
+
+bool Exchange::hasAttemptAt(const std::string &target) const {
+  const auto isAt = [&](const auto &it) { return it->TargetId == target; };
+  return (Current && isAt(Current)) ||
+         std::any_of(Standbys.begin(), Standbys.end(), isAt);
+}
+
+void Exchange::makeStandby() {
+  Events.swapPartialEvent(Current->PartialEvent);
+  Standbys.push_back(std::move(Current));
+}
+
+void Exchange::makeCurrent(std::unique_ptr<Attempt> attempt) {
+  Current = std::move(attempt);
+  Events.dropPartialEvent();
+  Events.swapPartialEvent(Current->PartialEvent);
+}
+
+/// Continues with the attempt that became a standby last, as no other target
+/// has taken the stream over.
+void Exchange::resumeStandby() {
+  auto last = std::move(Standbys.back());
+  Standbys.pop_back();
+  makeCurrent(std::move(last));
+  scheduleSilenceCheck(Owner.now() + SilenceRecheckPeriod);
+}
+
+/// Ends all attempts but the current one, which has sent an event.
+void Exchange::endOtherAttempts() {
+  if (Standbys.empty() && !Queued)
+    return;
+  if (std::exchange(Queued, false))
+    Owner.withdraw(*this);
+  for (auto &it : std::exchange(Standbys, {}))
+    closeAttempt(std::move(it));
+  scheduleSilenceCheck(Current->LastProgressAt +
+                       Owner.settings().StreamSilenceTimeout);
+}
+
+/// Makes an attempt the current one while `action` handles what has happened on
+/// its connection. An attempt that was a standby becomes one again, unless it
+/// has ended or sent an event.
+void Exchange::withAttempt(std::uint64_t number,
+                           const std::function<void()> &action) {
+  const auto self = shared_from_this();
+  if (isCurrent(number)) {
+    action();
+    return;
+  }
+  const auto it =
+      std::find_if(Standbys.begin(), Standbys.end(), [&](const auto &standby) {
+        return standby->Number == number;
+      });
+  if (it == Standbys.end())
+    return;
+  auto attempt = std::move(*it);
+  Standbys.erase(it);
+  const std::uint64_t previous = Current ? Current->Number : 0;
+  if (Current)
+    makeStandby();
+  makeCurrent(std::move(attempt));
+  action();
+  const bool isStandby = Queued || !Standbys.empty();
+  if (Finished || !isCurrent(number) || !isStandby)
+    return;
+  makeStandby();
+  const auto before =
+      std::find_if(Standbys.begin(), Standbys.end(), [&](const auto &standby) {
+        return standby->Number == previous;
+      });
+  if (before == Standbys.end())
+    return;
+  auto resumed = std::move(*before);
+  Standbys.erase(before);
+  makeCurrent(std::move(resumed));
 }
 
 } // namespace bergamot::entrypath
--- a/src/libbergamotgateway/eventsplitter.h
+++ b/src/libbergamotgateway/eventsplitter.h
@@ -24,6 +24,8 @@
   /// Discards an incomplete event before the stream is resumed at another
   /// target.
   void dropPartialEvent() { PartialEvent.clear(); }
+  /// Exchanges the incomplete event for that of another connection.
+  void swapPartialEvent(std::string &other) { PartialEvent.swap(other); }
 
 private:
   /// Counts complete events and updates LastEventId.
