entrypath: Don't take a paused connection for a silent target

A stream whose caller read slowly was offered to another target, and its own one got no new requests for 1.5 s: while bytes for the caller wait, the entry doesn't read from the target, and checkSilence() took that for its silence.

The new test failed before (1 request at the other target, the response never complete) and passes now.

--- a/src/adaptertcp/tcpconnection.h
+++ b/src/adaptertcp/tcpconnection.h
@@ -40,6 +40,7 @@
   /// Pauses or resumes reading. While reading is paused, TCP flow control
   /// limits the peer.
   void setReading(bool on);
+  bool isReading() const { return Reading; }
 
   /// Writes as many bytes as the kernel accepts and queues the rest.
   void send(std::string_view bytes);
--- a/src/entrypath/exchangesilence.cpp
+++ b/src/entrypath/exchangesilence.cpp
@@ -31,6 +31,9 @@
 
 void Exchange::checkSilence() {
   const TimePoint now = Owner.now();
+  // What the target sends meanwhile isn't read.
+  if (Current->Connection && !Current->Connection->isReading())
+    Current->LastProgressAt = now;
   const TimePoint silentAt =
       Current->LastProgressAt + Owner.settings().StreamSilenceTimeout;
   if (now < silentAt) {
--- a/tests/entrypath/entryfixture.cpp
+++ b/tests/entrypath/entryfixture.cpp
@@ -242,6 +242,13 @@
       connection->close();
 }
 
+void EntryFixture::setReading(const std::shared_ptr<Received> &received,
+                              bool on) {
+  for (auto &[it, connection] : Callers)
+    if (it == received)
+      connection->setReading(on);
+}
+
 void EntryFixture::openConnection(const std::string &bytes) {
   (void)send(bytes);
 }
--- a/tests/entrypath/entryfixture.h
+++ b/tests/entrypath/entryfixture.h
@@ -99,6 +99,8 @@
   std::shared_ptr<Received> send(const std::string &bytes);
   /// Closes the connection on which a result is received.
   void disconnect(const std::shared_ptr<Received> &received);
+  /// Pauses or resumes reading on the connection of a result.
+  void setReading(const std::shared_ptr<Received> &received, bool on);
   /// Opens a connection, sends these bytes and leaves it open.
   void openConnection(const std::string &bytes);
   /// Runs the loop until the condition is true; returns false on time-out.
--- a/tests/entrypath/test_silentstreams.cpp
+++ b/tests/entrypath/test_silentstreams.cpp
@@ -215,6 +215,41 @@
       [&] { return first.closedCount() == 1 && other.closedCount() == 1; }));
 }
 
+// Guards against a sound target that gets no requests for a while, and a stream
+// that moves, because the caller reads slowly.
+TEST_CASE("a target isn't silent while the caller doesn't read") {
+  constexpr unsigned LargeEvents = 160;
+  const std::string padding(100000, 'x');
+  EntryFixture fixture;
+  auto &target = fixture.addTarget(
+      "t0",
+      [&](const auto &head, const auto &, const auto &it) {
+        std::string text = streamHead(head);
+        for (unsigned i = 1; i <= LargeEvents; ++i)
+          text +=
+              chunk("id: " + std::to_string(i) + "\ndata: " + padding + "\n\n");
+        it->send(text + "0\r\n\r\n");
+      },
+      4, "g");
+  const auto received = fixture.send(requestText("stream", "r1"));
+  fixture.setReading(received, false);
+  REQUIRE(fixture.runUntil([&] { return target.requestCount() == 1; }));
+  auto &other =
+      fixture.addTarget("t1", handler(fixture, {Behaviour::Mute}), 4, "g");
+  const auto until = std::chrono::steady_clock::now() + 600ms;
+  REQUIRE(fixture.runUntil([&] {
+    fixture.entry().groups().recordProgress("g", fixture.entry().now());
+    return std::chrono::steady_clock::now() > until;
+  }));
+  CHECK(other.requestCount() == 0);
+  CHECK(target.closedCount() == 0);
+  fixture.setReading(received, true);
+  // Searching all bytes in each iteration of the loop would take too long.
+  CHECK(
+      fixture.runUntil([&] { return received->Bytes.ends_with("0\r\n\r\n"); }));
+  CHECK(received->has("id: " + std::to_string(LargeEvents) + "\n"));
+}
+
 TEST_CASE("a sound stream survives any silence and any other targets") {
   constexpr std::array Others = {Behaviour::Pause, Behaviour::Refuse,
                                  Behaviour::Reset, Behaviour::FailWith500,
