gateway: Decide by a request's time whether a stopping entry takes it

Cause: a request was taken until a fixed time after SIGTERM, whatever it may need, and the end was another fixed time before SIGKILL. Ruled out: that the platform's readiness takes that long. Two probes take 2 s, and requests that come later are on kept connections.

ShutdownPolicy takes a request if it is due before the end, or, in the first 2.5 s, if responses of its service are usually complete by then. All others get 503 at once.

--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -149,9 +149,21 @@
   onTargetsChanged();
 }
 
-void Entry::shutDown() { ShuttingDown = true; }
+void Entry::shutDown(const gateway::ShutdownPolicy &policy) {
+  Shutdown = policy;
+}
 
-void Entry::rejectNewRequests() { RejectingNewRequests = true; }
+bool Entry::canComplete(const Exchange &exchange) {
+  if (!Shutdown)
+    return true;
+  const auto usual = exchange.service().empty()
+                         ? std::nullopt
+                         : service(exchange.service()).Durations.usualMaximum();
+  const TimePoint expectedEnd =
+      usual ? std::min(exchange.arrivedAt() + *usual, exchange.deadline())
+            : exchange.deadline();
+  return Shutdown->takesRequest(now(), exchange.deadline(), expectedEnd);
+}
 
 bool Entry::isDrained() const {
   return std::all_of(Callers.begin(), Callers.end(),
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -14,8 +14,10 @@
 #include "libbergamotgateway/promptsuspects.h"
 #include "libbergamotgateway/rankslowdowns.h"
 #include "libbergamotgateway/ratewindow.h"
+#include "libbergamotgateway/recentdurations.h"
 #include "libbergamotgateway/retrybudget.h"
 #include "libbergamotgateway/routetable.h"
+#include "libbergamotgateway/shutdownpolicy.h"
 #include "libbergamotgateway/targetbackoffs.h"
 #include "libbergamotgateway/targetdirectory.h"
 #include "libbergamotgateway/targethealth.h"
@@ -85,11 +87,8 @@
   /// bound.
   void listen();
   /// Starts a graceful shutdown: each connection is closed after its current
-  /// response.
-  void shutDown();
-  /// Rejects new requests from now on, since the process may end before they
-  /// complete.
-  void rejectNewRequests();
+  /// response, and requests are rejected that the policy doesn't take.
+  void shutDown(const gateway::ShutdownPolicy &policy);
   /// Returns whether there is neither a request in progress nor a partly read
   /// one.
   bool isDrained() const;
@@ -146,8 +145,7 @@
     return Table;
   }
   const EntrySettings &settings() const { return Settings; }
-  bool isShuttingDown() const { return ShuttingDown; }
-  bool isRejectingNewRequests() const { return RejectingNewRequests; }
+  bool isShuttingDown() const { return Shutdown.has_value(); }
   base::TimePoint now() const { return std::chrono::steady_clock::now(); }
   boost::asio::io_context &loop() { return Loop; }
   RateLimitedLog &eventLog() { return EventLog; }
@@ -195,6 +193,9 @@
   /// the request has been held for too long.
   bool holdForConfiguration(const std::shared_ptr<Exchange> &exchange);
   void enqueue(const std::shared_ptr<Exchange> &exchange);
+  /// Returns whether a request may be taken although the entry may be shutting
+  /// down.
+  bool canComplete(const Exchange &exchange);
   /// Takes a request out of its queue, as it no longer needs a target.
   void withdraw(const Exchange &exchange);
   /// Returns whether a target has room for a further attempt of a request.
@@ -257,6 +258,8 @@
     /// Arrived requests that can still be served within their latency
     /// objective.
     gateway::RateWindow OnTimeArrivals;
+    /// Of the requests that were served.
+    gateway::RecentDurations Durations;
     bool QueueProcessingPosted = false;
   };
 
@@ -355,8 +358,8 @@
   /// Set while the state is reloaded after a suspension. If the reload hasn't
   /// completed by then, the existing state is used.
   std::optional<base::TimePoint> ReloadDeadline;
-  bool ShuttingDown = false;
-  bool RejectingNewRequests = false;
+  /// Set once the shutdown has been requested.
+  std::optional<gateway::ShutdownPolicy> Shutdown;
 };
 
 } // namespace bergamot::entrypath
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -296,6 +296,8 @@
                            int status) {
   if (!exchange.service().empty()) {
     withdraw(exchange);
+    if (status >= 200 && status <= 299)
+      service(exchange.service()).Durations.add(now() - exchange.arrivedAt());
     scheduleQueueProcessing(exchange.service());
   }
   Metrics.addCount("bergamot_requests_total",
--- a/src/entrypath/entrylimits.cpp
+++ b/src/entrypath/entrylimits.cpp
@@ -75,7 +75,7 @@
 void Entry::setRetryAfter(adaptertcp::HeaderFields &headers,
                           const Exchange &exchange) {
   const Duration left = std::max(Duration::zero(), exchange.deadline() - now());
-  if (RejectingNewRequests) {
+  if (!canComplete(exchange)) {
     headers.set("Retry-After", ShutdownRetryAfter);
     return;
   }
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -26,16 +26,11 @@
 
 void Exchange::start() {
   RequestInfo = Owner.codec().decodeRequest(Head);
-  if (Owner.isRejectingNewRequests()) {
-    // The process may end before the response is complete; another entry can
-    // serve the request at once.
-    respondWithStatus(503, "shutting_down");
-    return;
-  }
   Table = Owner.routeTable();
   if (!Table) {
     Deadline = ArrivedAt + RequestInfo.TimeLeft.value_or(milliseconds(0));
-    if (!Owner.holdForConfiguration(shared_from_this()))
+    if (!Owner.canComplete(*this) ||
+        !Owner.holdForConfiguration(shared_from_this()))
       respondWithStatus(503, "no_configuration");
     return;
   }
@@ -53,6 +48,11 @@
   Deadline = ArrivedAt + std::min({RequestInfo.TimeLeft.value_or(limit), limit,
                                    milliseconds(std::chrono::hours(1))});
   Service = gateway::chooseService(*Route, Owner.drawUniform());
+  if (!Owner.canComplete(*this)) {
+    // Another entry can serve the request at once.
+    respondWithStatus(503, "shutting_down");
+    return;
+  }
   PromptParts = gateway::promptParts(Service, RequestInfo.SharedPromptParts);
   Owner.codec().prepareForwarding(Head.Headers, Account);
   startDeadlineTimer();
--- a/tests/entrypath/test_entrypath.cpp
+++ b/tests/entrypath/test_entrypath.cpp
@@ -406,8 +406,8 @@
                     });
   const auto running = fixture.send(requestText("once", "r1"));
   REQUIRE(fixture.runUntil([&] { return open != nullptr; }));
-  fixture.entry().shutDown();
-  fixture.entry().rejectNewRequests();
+  // Half a second is left, and the route's timeout is 1.5 s.
+  fixture.entry().shutDown({fixture.entry().now() - 7s, 8s});
   CHECK_FALSE(fixture.entry().isDrained());
   const auto late = fixture.send(requestText("once", "r2"));
   REQUIRE(fixture.runUntil([&] { return late->has("HTTP/1.1 503"); }));
@@ -417,6 +417,45 @@
   REQUIRE(fixture.runUntil([&] { return fixture.entry().isDrained(); }));
 }
 
+// Guards against requests that are passed on although the process ends before
+// they are due, and against the refusal of those that it can complete.
+TEST_CASE("an entry that shuts down takes only what it can complete") {
+  EntryFixture fixture;
+  std::vector<std::string> ids;
+  fixture.addTarget("t1",
+                    [&](const auto &head, const auto &body, const auto &it) {
+                      ids.emplace_back(*head.Headers.value("X-Id"));
+                      echoBody(head, body, it);
+                    });
+  // The process ends in one second.
+  fixture.entry().shutDown({fixture.entry().now() - 6500ms, 8s});
+  const auto longOne =
+      fixture.send(requestText("once", "long", "X-Left: 1400\r\n"));
+  const auto shortOne =
+      fixture.send(requestText("once", "short", "X-Left: 600\r\n"));
+  REQUIRE(fixture.runUntil(
+      [&] { return longOne->has("HTTP/1.1 ") && shortOne->has("got:"); }));
+  CHECK(longOne->has("HTTP/1.1 503"));
+  CHECK(longOne->has("Retry-After: "));
+  CHECK(ids == std::vector<std::string>{"short"});
+}
+
+TEST_CASE("an entry that begins to shut down takes requests that are quick as "
+          "a rule") {
+  // The process ends before the route's timeout of 1.5 s.
+  const bool hasServed = GENERATE(false, true);
+  EntryFixture fixture;
+  fixture.addTarget("t1", echoBody);
+  for (int i = 0; hasServed && i < 30; ++i) {
+    const auto it = fixture.send(requestText("once", "r" + std::to_string(i)));
+    REQUIRE(fixture.runUntil([&] { return it->has("got:"); }));
+  }
+  fixture.entry().shutDown({fixture.entry().now(), 1500ms});
+  const auto received = fixture.send(requestText("once", "last"));
+  REQUIRE(fixture.runUntil([&] { return received->has("HTTP/1.1 "); }));
+  CHECK(received->has(hasServed ? "HTTP/1.1 200" : "HTTP/1.1 503"));
+}
+
 // At the end of the grace period connections were closed without a response.
 TEST_CASE("requests that outlast the shutdown of an entry are answered") {
   EntryFixture fixture;
@@ -427,8 +466,7 @@
   REQUIRE(fixture.runUntil([&] { return requests == 1; }));
   const auto queued = fixture.send(requestText("once", "r2"));
   fixture.run(30ms);
-  fixture.entry().shutDown();
-  fixture.entry().rejectNewRequests();
+  fixture.entry().shutDown({fixture.entry().now() - 8s, 8s});
   fixture.entry().endUnfinishedRequests();
   fixture.entry().closeListener();
   REQUIRE(fixture.runUntil([&] { return sent->Closed && queued->Closed; }));
