--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -48,7 +48,8 @@
     : Loop(loop), Settings(settings), Codec(codec), Metrics(metrics),
       EventLog(settings.LogLinesPerSecond), Acceptor(loop), Ticker(loop),
       Pool(loop),
-      Directory(settings.RemovalGrace, settings.DrainBound - DrainMargin),
+      Directory(settings.RemovalGrace, settings.DrainBound - DrainMargin,
+                settings.StableWindow - DrainMargin),
       TargetLoads(PeerReportLifetime), Health(gateway::HealthSettings{}),
       Random(settings.Seed), Suspensions(now(), base::timeSinceBoot()) {}
 
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -61,6 +61,9 @@
   /// Time after the acknowledgement of its removal within which a target must
   /// get no new requests any more.
   base::Duration DrainBound = std::chrono::milliseconds(2000);
+  /// Time after which an entry must keep the drain bound again although its
+  /// connections to the store had gone silent.
+  base::Duration StableWindow = std::chrono::milliseconds(3000);
   /// Time without progress after which a stream is resumed at another rank if
   /// its group still makes progress. It is longer than a forward pass in which
   /// one rank is 12 times slower (700 ms), and shorter than the two seconds
--- a/src/entrypath/topicfollower.cpp
+++ b/src/entrypath/topicfollower.cpp
@@ -206,12 +206,19 @@
                 {{"topic", Settings.Topic}, {"end", End.Offset}});
 }
 
+/// Returns false if the store is unreachable or was so until recently: records
+/// that are still valid may then be missing from it.
 bool TopicFollower::wasStoreReachable() const {
   return Clock::now() >= RecentOutageUntil;
 }
 
-std::optional<TimePoint> TopicFollower::reachableSince() const {
-  return Reachable ? std::optional(ReachableSince) : std::nullopt;
+gateway::RecordRemoval TopicFollower::removal() const {
+  gateway::RecordRemoval it;
+  it.Reliable = wasStoreReachable();
+  it.PresentAt = ConfirmedAt;
+  if (Reachable)
+    it.ReachableSince = ReachableSince;
+  return it;
 }
 
 void TopicFollower::apply(const TopicRecord &record) {
--- a/src/entrypath/topicfollower.h
+++ b/src/entrypath/topicfollower.h
@@ -3,6 +3,7 @@
 
 #include "entrypath/compactedtopic.h"
 #include "libbergamotbase/timetypes.h"
+#include "libbergamotgateway/targetdirectory.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -76,20 +77,16 @@
   bool isLoaded() const { return Loaded; }
   /// Returns whether the last read from the store succeeded.
   bool isStoreReachable() const { return Reachable; }
-  /// Returns false if the store is unreachable or was so until recently:
-  /// records that are still valid may then be missing from it.
-  bool wasStoreReachable() const;
-  /// Returns when the store became reachable; std::nullopt while it isn't.
-  std::optional<base::TimePoint> reachableSince() const;
-  /// Returns a time at which all records known before the current change were
-  /// in the store: the start of the last successful read before it.
-  base::TimePoint confirmedAt() const { return ConfirmedAt; }
+  /// Returns what a removal that is being applied says about its target. For
+  /// use by the ChangeHandler.
+  gateway::RecordRemoval removal() const;
   /// Returns whether the store was restored from an older copy so recently that
   /// records may be missing or older than the ones before.
   bool isInRestoreGrace() const;
   const std::string &topic() const { return Settings.Topic; }
 
 private:
+  bool wasStoreReachable() const;
   void readNewestPage(const std::string &afterKey);
   void onNewestPage(const ReadResult &page);
   void readNext();
--- a/src/libbergamotgateway/targetdirectory.cpp
+++ b/src/libbergamotgateway/targetdirectory.cpp
@@ -39,10 +39,13 @@
                                            TimePoint now) const {
   const TimePoint graceEnd =
       removal.ReachableSince.value_or(now) + RemovalGrace;
-  const TimePoint drainDeadline = removal.PresentAt + DrainBound;
-  // After an outage that was longer than the drain bound, the time of the
-  // acknowledgement is unknown, and an expired record is more likely.
-  return drainDeadline > now ? std::min(graceEnd, drainDeadline) : graceEnd;
+  // After an outage that was longer than both bounds, the time of the
+  // acknowledgement is unknown, and an expired record is more likely. Within
+  // them the connections may have been silent while the store was available.
+  for (const base::Duration bound : {DrainBound, SilenceBound})
+    if (const TimePoint deadline = removal.PresentAt + bound; deadline > now)
+      return std::min(graceEnd, deadline);
+  return graceEnd;
 }
 
 void TargetDirectory::removeExpiredTargets(TimePoint now) {
--- a/src/libbergamotgateway/targetdirectory.h
+++ b/src/libbergamotgateway/targetdirectory.h
@@ -74,14 +74,19 @@
 /// outage of the store although the targets are still running, so a removal
 /// seen during or shortly after an outage takes effect only after a grace
 /// period. The grace period counts from the store's return. It is cut short if
-/// the removal may be the target's own and the drain bound would be exceeded.
+/// the removal may be the target's own and a bound would be exceeded: the drain
+/// bound, or the time by which an entry has to keep it again whose connections
+/// to the store had gone silent.
 class TargetDirectory {
 public:
   /// `removalGrace` is how long after an outage running targets may take to
   /// register again; `drainBound` is how long after the acknowledgement of its
-  /// removal a target may still be used.
-  TargetDirectory(base::Duration removalGrace, base::Duration drainBound)
-      : RemovalGrace(removalGrace), DrainBound(drainBound) {}
+  /// removal a target may still be used; `silenceBound` is how long after its
+  /// connections have gone silent an entry may exceed that.
+  TargetDirectory(base::Duration removalGrace, base::Duration drainBound,
+                  base::Duration silenceBound)
+      : RemovalGrace(removalGrace), DrainBound(drainBound),
+        SilenceBound(silenceBound) {}
 
   /// How a record may relate to one that was seen before.
   enum class RecordAge {
@@ -122,6 +127,7 @@
 
   base::Duration RemovalGrace;
   base::Duration DrainBound;
+  base::Duration SilenceBound;
   std::map<std::string, KnownTarget> Targets;
   std::set<std::string> EvacuatedFailureDomains;
 };
--- a/tests/drainlapse/test_drainlapse.cpp
+++ b/tests/drainlapse/test_drainlapse.cpp
@@ -13,7 +13,7 @@
   // the record. The entry's next calls to the store fail, and it sees the
   // removal at 461 ms. The drain bound is two seconds.
   const TimePoint acknowledged;
-  TargetDirectory directory(2000ms, 2000ms);
+  TargetDirectory directory(2000ms, 2000ms, 3000ms);
   TargetRecord record;
   record.Id = "a";
   directory.setTarget(record, acknowledged);
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -182,7 +182,7 @@
 TEST_CASE(
     "target whose record expires in an outage is retained for a grace period") {
   // The store was unreachable for five seconds.
-  TargetDirectory directory(2000ms, 2000ms);
+  TargetDirectory directory(2000ms, 2000ms, 3000ms);
   directory.setTarget(makeRecord("a"), at(0ms));
   directory.removeTarget("a", {false, at(-4900ms), at(100ms)}, at(100ms));
   directory.removeExpiredTargets(at(2000ms));
@@ -199,7 +199,7 @@
 }
 
 TEST_CASE("the grace period counts from the store's return") {
-  TargetDirectory directory(2000ms, 2000ms);
+  TargetDirectory directory(2000ms, 2000ms, 3000ms);
   directory.setTarget(makeRecord("a"), at(0ms));
   directory.removeTarget("a", {false, at(0ms), at(5000ms)}, at(6500ms));
   directory.removeExpiredTargets(at(6990ms));
@@ -209,14 +209,14 @@
 }
 
 TEST_CASE("removal takes effect at once while the store is available") {
-  TargetDirectory directory(2000ms, 2000ms);
+  TargetDirectory directory(2000ms, 2000ms, 3000ms);
   directory.setTarget(makeRecord("a"), at(0ms));
   directory.removeTarget("a", {true, at(50ms), at(0ms)}, at(100ms));
   CHECK_FALSE(directory.target("a"));
 }
 
 TEST_CASE("draining target gets no grace period") {
-  TargetDirectory directory(2000ms, 2000ms);
+  TargetDirectory directory(2000ms, 2000ms, 3000ms);
   TargetRecord draining = makeRecord("a");
   draining.Draining = true;
   directory.setTarget(draining, at(0ms));
@@ -226,7 +226,7 @@
 
 TEST_CASE("a target that drains stays so if the store is restored") {
   using RecordAge = TargetDirectory::RecordAge;
-  TargetDirectory directory(2000ms, 1500ms);
+  TargetDirectory directory(2000ms, 1500ms, 3000ms);
   TargetRecord record;
   record.Id = "t";
   record.Address = "10.0.0.1:1";
@@ -250,7 +250,7 @@
 
 TEST_CASE("newer target replaces an older one at the same address") {
   // Requests must not go to a stopped target whose address is in use again.
-  TargetDirectory directory(2000ms, 2000ms);
+  TargetDirectory directory(2000ms, 2000ms, 3000ms);
   TargetRecord older = makeRecord("old", "10.0.0.1:80");
   older.StartedAtMs = 100;
   TargetRecord newer = makeRecord("new", "10.0.0.1:80");
@@ -262,7 +262,7 @@
 }
 
 TEST_CASE("targets of an evacuated failure domain get no new work") {
-  TargetDirectory directory(2000ms, 2000ms);
+  TargetDirectory directory(2000ms, 2000ms, 3000ms);
   directory.setTarget(makeRecord("a"), at(0ms));
   directory.setEvacuated("d", true);
   CHECK_FALSE(directory.isUsable(*directory.target("a")));
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -1,5 +1,6 @@
 #include "entrypath/connectionpool.h"
 #include "entrypath/topicfollower.h"
+#include "fakelog.h"
 #include "platform/decode.h"
 #include "platform/engineclient.h"
 #include "platform/platformheadercodec.h"
@@ -18,85 +19,12 @@
 
 namespace {
 
-/// A topic whose records the test sets.
-class FakeLog final : public entrypath::CompactedTopic {
-public:
-  struct Topic {
-    std::vector<TopicRecord> Records;
-    bool Reachable = true;
-    bool Compacted = false;
-    /// The era that the store states; 0 for none.
-    std::uint64_t Era = 0;
-    int Reads = 0;
-    /// Calls get no response, as on a connection on which nothing arrives.
-    bool Silent = false;
-  };
-
-  FakeLog(boost::asio::io_context &loop, Topic &topic)
-      : Loop(loop), Source(topic) {}
-
-  void readNewest(const std::string &afterKey, base::TimePoint,
-                  Completion completion) override {
-    ++Source.Reads;
-    ReadResult page = emptyPage();
-    std::map<std::string, TopicRecord> byKey;
-    for (const auto &it : Source.Records)
-      byKey[it.Key] = it;
-    for (const auto &[key, it] : byKey)
-      if (it.Value && key > afterKey)
-        page.Records.push_back(it);
-    answer(std::move(page), std::move(completion));
-  }
-  void read(std::uint64_t from, base::TimePoint, base::TimePoint,
-            Completion completion) override {
-    ++Source.Reads;
-    ReadResult page = emptyPage();
-    if (Source.Compacted && Source.Reachable)
-      page.Status = ReadResult::ReadStatus::Compacted;
-    if (from > page.TopicEnd && Source.Reachable)
-      page.Status = ReadResult::ReadStatus::Compacted;
-    for (const auto &it : Source.Records)
-      if (it.Position.Offset >= from)
-        page.Records.push_back(it);
-    answer(std::move(page), std::move(completion));
-  }
-
-  void cancel() override { ++CancelCount; }
-
-private:
-  ReadResult emptyPage() const {
-    ReadResult page;
-    page.Status = Source.Reachable ? ReadResult::ReadStatus::Read
-                                   : ReadResult::ReadStatus::Unavailable;
-    page.TopicEnd =
-        Source.Records.empty() ? 0 : Source.Records.back().Position.Offset + 1;
-    page.Era = Source.Era;
-    return page;
-  }
-  void answer(ReadResult page, Completion completion) {
-    if (page.Status != ReadResult::ReadStatus::Read)
-      page.Records.clear();
-    if (Source.Silent)
-      return;
-    boost::asio::post(Loop, [this, page, cancelCount = CancelCount,
-                             done = std::move(completion)] {
-      if (cancelCount == CancelCount)
-        done(page);
-    });
-  }
-
-  boost::asio::io_context &Loop;
-  Topic &Source;
-  std::uint64_t CancelCount = 0;
-};
-
 struct FollowerFixture {
   explicit FollowerFixture(FakeLog::Topic &topic)
       : Follower(Loop, settings(), std::make_unique<FakeLog>(Loop, topic),
                  [this](const auto &key, const auto &value) {
                    Values[key] = value.value_or("-");
-                   Reliable[key] = Follower.wasStoreReachable();
-                   ConfirmedAt[key] = Follower.confirmedAt();
+                   Removals[key] = Follower.removal();
                  }) {
     Follower.start();
   }
@@ -115,8 +43,8 @@
 
   boost::asio::io_context Loop;
   std::map<std::string, std::string> Values;
-  std::map<std::string, bool> Reliable;
-  std::map<std::string, base::TimePoint> ConfirmedAt;
+  /// What the follower knew of the store at the last change of each key.
+  std::map<std::string, gateway::RecordRemoval> Removals;
   entrypath::TopicFollower Follower;
 };
 
@@ -240,16 +168,16 @@
   const base::TimePoint lost = std::chrono::steady_clock::now();
   topic.Reachable = false;
   fixture.run();
-  CHECK_FALSE(fixture.Follower.reachableSince());
+  CHECK_FALSE(fixture.Follower.removal().ReachableSince);
   const base::TimePoint removed = std::chrono::steady_clock::now();
   topic.Records.push_back({"a", std::nullopt, {0, 1}});
   topic.Reachable = true;
   fixture.run();
   REQUIRE(fixture.Values["a"] == "-");
-  CHECK(fixture.ConfirmedAt["a"] <= lost);
-  CHECK(fixture.ConfirmedAt["a"] > lost - 60ms);
-  REQUIRE(fixture.Follower.reachableSince());
-  CHECK(*fixture.Follower.reachableSince() >= removed);
+  CHECK(fixture.Removals["a"].PresentAt <= lost);
+  CHECK(fixture.Removals["a"].PresentAt > lost - 60ms);
+  REQUIRE(fixture.Follower.removal().ReachableSince);
+  CHECK(*fixture.Follower.removal().ReachableSince >= removed);
 }
 
 TEST_CASE("a follower detects keys removed by a compaction") {
@@ -379,7 +307,7 @@
   fixture.run();
   CHECK(fixture.Values["b"] == "1");
   CHECK(fixture.Values["c"] == "1");
-  CHECK_FALSE(fixture.Follower.wasStoreReachable());
+  CHECK_FALSE(fixture.Follower.removal().Reliable);
   topic.Records.push_back({"b", "1", {0, 1}});
   fixture.Loop.run_for(2500ms);
   CHECK(fixture.Values["b"] == "1");
@@ -452,7 +380,7 @@
   topic.Records.push_back({"a", std::nullopt, {0, 1}});
   fixture.run();
   CHECK(fixture.Values["a"] == "-");
-  CHECK_FALSE(fixture.Reliable["a"]);
+  CHECK_FALSE(fixture.Removals["a"].Reliable);
 }
 
 TEST_CASE("records are decoded with their offsets") {
