entrypath: Don't take the end of a connection for a whole response

Cause: a success without a length was whole once its connection ended without a reset, and was passed on in chunks beyond 64 KB. A killed process closes its connections in the same way, and other bytes may come before the end.

Such a response is now relayed only after its end, if it has at most 64 KB, holds no head of another response, and its target still accepts connections; a safe request goes to another target first, unless the service usually answers so.

--- a/src/adaptertcp/messageparser.cpp
+++ b/src/adaptertcp/messageparser.cpp
@@ -23,6 +23,12 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
 }
 
+bool hasBody(unsigned status) {
+  constexpr unsigned NoContent = 204;
+  constexpr unsigned NotModified = 304;
+  return status >= 200 && status != NoContent && status != NotModified;
+}
+
 } // namespace
 
 MessageParser::MessageParser(Kind kind) : MessageKind(kind) { restart(); }
@@ -40,6 +46,7 @@
   InEmptyLine = false;
   InFieldValue = false;
   Bodiless = bodiless;
+  EndsWithConnection = false;
   HeadComplete = false;
   Complete = false;
   Failed = false;
@@ -182,6 +189,9 @@
   it.Response.Status = static_cast<int>(parser->status_code);
   it.Response.KeepAlive = keepAlive;
   it.Response.Length = it.ContentLength;
+  it.EndsWithConnection = !it.Bodiless && !hasLength &&
+                          (parser->flags & F_CHUNKED) == 0 &&
+                          hasBody(parser->status_code);
   return it.Bodiless ? 1 : 0;
 }
 
--- a/src/adaptertcp/messageparser.h
+++ b/src/adaptertcp/messageparser.h
@@ -46,6 +46,9 @@
   /// such field.
   std::optional<std::uint64_t> contentLength() const { return ContentLength; }
 
+  /// Returns whether only the end of the connection shows where the body ends.
+  bool endsWithConnection() const { return EndsWithConnection; }
+
   RequestHead &requestHead() { return Request; }
   ResponseHead &responseHead() { return Response; }
   /// Returns the received part of the body. The owner may remove what it has
@@ -78,6 +81,7 @@
   bool InEmptyLine = false;
   bool InFieldValue = false;
   bool Bodiless = false;
+  bool EndsWithConnection = false;
   bool HeadComplete = false;
   bool Complete = false;
   bool Failed = false;
--- a/src/entrypath/connectionpool.cpp
+++ b/src/entrypath/connectionpool.cpp
@@ -68,15 +68,17 @@
        });
 }
 
-void ConnectionPool::checkRefused(const std::string &address,
-                                  TimePoint deadline,
-                                  std::function<void(bool)> completion) {
+void ConnectionPool::probe(const std::string &address, TimePoint deadline,
+                           std::function<void(ProbeResult)> completion) {
   open(address, deadline,
        [completion = std::move(completion)](const Connection &connection,
                                             const error_code &ec) {
          if (connection)
            connection->close();
-         completion(ec == boost::asio::error::connection_refused);
+         completion(connection ? ProbeResult::Accepted
+                    : ec == boost::asio::error::connection_refused
+                        ? ProbeResult::Refused
+                        : ProbeResult::NoAnswer);
        });
 }
 
--- a/src/entrypath/connectionpool.h
+++ b/src/entrypath/connectionpool.h
@@ -16,6 +16,15 @@
 
 namespace bergamot::entrypath {
 
+/// What a target's address did with a connection.
+enum class ProbeResult {
+  Accepted,
+  /// As once the target's process has ended.
+  Refused,
+  /// Nothing by the deadline, or another error.
+  NoAnswer,
+};
+
 /// Idle connections to targets, by target id. A connection is closed at once if
 /// the target closes it or sends unsolicited bytes.
 class ConnectionPool {
@@ -38,11 +47,10 @@
   /// Opens a new connection to a target.
   void connect(const std::string &address, base::TimePoint deadline,
                Completion completion);
-  /// Tests whether a target's address refuses connections, as it does once the
-  /// target's process has ended. The completion gets false if a connection was
-  /// opened or no response came by the deadline.
-  void checkRefused(const std::string &address, base::TimePoint deadline,
-                    std::function<void(bool refused)> completion);
+  /// Tests whether a target's address accepts connections, and closes the one
+  /// that this opens.
+  void probe(const std::string &address, base::TimePoint deadline,
+             std::function<void(ProbeResult)> completion);
   /// Adds an idle connection to the pool, which closes it at `expiresAt` if it
   /// hasn't been reused.
   void put(const std::string &target, Connection connection,
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -9,6 +9,7 @@
 #include "libbergamotgateway/attemptpolicy.h"
 #include "libbergamotgateway/drainingtargets.h"
 #include "libbergamotgateway/enginelimit.h"
+#include "libbergamotgateway/framinghabit.h"
 #include "libbergamotgateway/groupprogress.h"
 #include "libbergamotgateway/loadtracker.h"
 #include "libbergamotgateway/promptsuspects.h"
@@ -225,6 +226,10 @@
   /// Records that a group made progress; if it was stalled, the service's
   /// queued requests are dispatched.
   void recordProgress(const std::string &serviceName, const std::string &group);
+  /// Returns how the responses of a service usually state where they end.
+  gateway::FramingHabit &framing(const std::string &serviceName) {
+    return service(serviceName).Framing;
+  }
   void recordSuccess(const std::string &target);
   void recordPromptBegun(const std::vector<gateway::PromptPart> &parts);
   /// Finds out whether a target has crashed that closed its connection while a
@@ -263,6 +268,7 @@
     gateway::RateWindow OnTimeArrivals;
     /// Of the requests that were served.
     gateway::RecentDurations Durations;
+    gateway::FramingHabit Framing;
     bool QueueProcessingPosted = false;
   };
 
--- a/src/entrypath/entryprompts.cpp
+++ b/src/entrypath/entryprompts.cpp
@@ -34,14 +34,15 @@
     return;
   const gateway::CrashId crash = gateway::crashId(target, startedAtMs);
   Suspects.addUnconfirmedCrash(crash, parts);
-  Pool.checkRefused(
-      address, now() + CrashCheckTimeout, [this, target, crash](bool refused) {
-        if (refused && EventLog.admit("target.crashed", now()))
-          base::logDecision("target.crashed", {{"target", target}});
-        Suspects.settleCrash(crash, refused, now());
-        onPromptSuspectsChanged();
-        reviewSuspectedRequests();
-      });
+  Pool.probe(address, now() + CrashCheckTimeout,
+             [this, target, crash](ProbeResult it) {
+               const bool refused = it == ProbeResult::Refused;
+               if (refused && EventLog.admit("target.crashed", now()))
+                 base::logDecision("target.crashed", {{"target", target}});
+               Suspects.settleCrash(crash, refused, now());
+               onPromptSuspectsChanged();
+               reviewSuspectedRequests();
+             });
 }
 
 void Entry::mergePromptEvidence(
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -3,6 +3,7 @@
 
 #include "adaptertcp/messageparser.h"
 #include "entrypath/attempt.h"
+#include "entrypath/connectionpool.h"
 #include "entrypath/headercodec.h"
 #include "libbergamotgateway/attemptpolicy.h"
 #include "libbergamotgateway/eventsplitter.h"
@@ -121,7 +122,13 @@
   bool validateHead();
   void relayBody();
   void relayStream();
+  bool dropSecondResponse();
+  void relayEvents(const std::string &events);
   void relayNonStreaming();
+  bool isUnframedSuccess() const;
+  bool canRepeatElsewhere();
+  void verifyUnframedResponse();
+  void onTargetProbed(ProbeResult result);
   void relay(std::string_view bytes);
   void sendResponseHead();
   void onResponseComplete();
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t MaxUnsentBytes = 65536;
 /// Non-streaming responses up to this size are relayed only once complete, so
 /// that the request can still be retried after an incomplete or malformed one.
+/// Larger ones have to state where they end.
 constexpr std::size_t MaxBufferedResponseBytes = 65536;
 /// Limit on the bytes of one event, of an error response, or of responses to
 /// other requests, since a faulty target may send without end. Events in the
@@ -205,14 +206,18 @@
 }
 
 void Exchange::relayStream() {
-  std::string events = Events.push(Current->Parser.body());
+  const bool hasSecondResponse = dropSecondResponse();
+  const std::string events = Events.push(Current->Parser.body());
   Current->Parser.body().clear();
-  if (Events.partialEvent().size() > MaxBufferedBytes) {
+  if (!events.empty())
+    relayEvents(events);
+  if (hasSecondResponse)
+    handleAttemptFailure(AttemptFailure::Lost, "second_response");
+  else if (Events.partialEvent().size() > MaxBufferedBytes)
     handleAttemptFailure(AttemptFailure::Lost, "endless_event");
-    return;
-  }
-  if (events.empty())
-    return;
+}
+
+void Exchange::relayEvents(const std::string &events) {
   const TimePoint now = Owner.now();
   Current->LastProgressAt = now;
   endOtherAttempts();
@@ -228,8 +233,14 @@
 }
 
 void Exchange::relayNonStreaming() {
-  if (!ResponseStarted &&
-      Current->Parser.body().size() <= MaxBufferedResponseBytes)
+  const std::size_t size = Current->Parser.body().size();
+  if (isUnframedSuccess()) {
+    // Nothing is relayed before the end is known.
+    if (size > MaxBufferedResponseBytes)
+      handleAttemptFailure(AttemptFailure::Lost, "endless_body");
+    return;
+  }
+  if (!ResponseStarted && size <= MaxBufferedResponseBytes)
     return;
   relay(Current->Parser.body());
   Current->Parser.body().clear();
@@ -286,6 +297,8 @@
     handleAttemptFailure(AttemptFailure::Lost, "incomplete_event");
     return;
   }
+  if (!Route->Streaming && !isUnframedSuccess())
+    Owner.framing(Service).add(true);
   recordBegun();
   Owner.recordSuccess(Current->TargetId);
   if (Route->Streaming)
@@ -342,7 +355,11 @@
   if (Current->ResponseHeadValidated && Current->Parser.isComplete()) {
     const std::uint64_t number = Current->Number;
     relayBody();
-    if (!Finished && isCurrent(number))
+    if (Finished || !isCurrent(number))
+      return;
+    if (isUnframedSuccess())
+      verifyUnframedResponse();
+    else
       onResponseComplete();
     return;
   }
--- /dev/null
+++ b/src/entrypath/exchangeunframed.cpp
@@ -0,0 +1,88 @@
+// The part of Exchange that handles responses without a length: only the end of
+// their connection shows where they end.
+#include "adaptertcp/responsesearch.h"
+#include "entrypath/entry.h"
+#include "entrypath/exchange.h"
+
+namespace bergamot::entrypath {
+
+using adaptertcp::HeadExtent;
+using base::TimePoint;
+using gateway::AttemptFailure;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Time within which a target that runs accepts a connection.
+constexpr milliseconds ProbeTimeout{400};
+
+} // namespace
+
+/// Returns whether the current response is a success that ends with its
+/// connection.
+bool Exchange::isUnframedSuccess() const {
+  const int status = Current->Parser.responseHead().Status;
+  return Current->Parser.endsWithConnection() && status >= 200 && status <= 299;
+}
+
+/// Removes the head of a second response and all that follows it from what has
+/// arrived of an unframed stream. Returns whether there is one.
+bool Exchange::dropSecondResponse() {
+  if (!isUnframedSuccess())
+    return false;
+  std::string &body = Current->Parser.body();
+  const std::size_t before = Events.partialEvent().size();
+  const auto at = adaptertcp::findResponseHead(Events.partialEvent() + body,
+                                               HeadExtent::Whole);
+  if (!at)
+    return false;
+  body.resize(*at > before ? *at - before : 0);
+  return true;
+}
+
+/// Returns whether another target can be asked at once, which may state a
+/// length.
+bool Exchange::canRepeatElsewhere() {
+  return !Route->Streaming &&
+         Route->Idempotency == gateway::RequestIdempotency::Idempotent &&
+         Dispatches < Route->MaxAttempts && Owner.hasRetryBudget(Service) &&
+         Owner.hasFreeTarget(*this);
+}
+
+/// Decides on an unframed response whose connection has ended. A target that
+/// has ended closes its connections like one whose response is complete, and
+/// bytes that belong to no response may come before the end.
+void Exchange::verifyUnframedResponse() {
+  const bool isUsual = Owner.framing(Service).isUsuallyUnframed();
+  if (!Route->Streaming)
+    Owner.framing(Service).add(false);
+  if (adaptertcp::findResponseHead(Current->Parser.body(),
+                                   HeadExtent::MaybeCut)) {
+    handleAttemptFailure(AttemptFailure::Lost, "second_response");
+    return;
+  }
+  if (!isUsual && canRepeatElsewhere()) {
+    handleAttemptFailure(AttemptFailure::Lost, "unframed");
+    return;
+  }
+  Owner.countNewConnection();
+  const TimePoint by = std::min(Deadline, Owner.now() + ProbeTimeout);
+  Owner.pool().probe(
+      Current->TargetAddress, by,
+      [self = shared_from_this(), number = Current->Number](ProbeResult it) {
+        self->withAttempt(number, [&] { self->onTargetProbed(it); });
+      });
+}
+
+void Exchange::onTargetProbed(ProbeResult result) {
+  if (result == ProbeResult::Accepted) {
+    onResponseComplete();
+    return;
+  }
+  if (!Current->Begun)
+    Owner.checkForCrash(Current->TargetId, Current->TargetStartedAtMs,
+                        Current->TargetAddress, PromptParts);
+  handleAttemptFailure(AttemptFailure::Lost, "target_ended");
+}
+
+} // namespace bergamot::entrypath
--- a/tests/entrypath/entryfixture.cpp
+++ b/tests/entrypath/entryfixture.cpp
@@ -135,6 +135,13 @@
     it->abort();
 }
 
+void TestTarget::exit() {
+  boost::system::error_code ec;
+  Acceptor.close(ec);
+  for (const auto &it : Open)
+    it->close();
+}
+
 std::string TestTarget::address() const {
   const auto endpoint = Acceptor.local_endpoint();
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
--- a/tests/entrypath/entryfixture.h
+++ b/tests/entrypath/entryfixture.h
@@ -46,6 +46,9 @@
   /// Closes the listening socket and all connections, as if the process had
   /// ended.
   void crash();
+  /// Ends like a process that is killed while it has nothing left to read: its
+  /// connections end without a reset.
+  void exit();
 
   std::string address() const;
   std::uint32_t requestCount() const { return Requests; }
--- a/tests/tcp/test_tcp.cpp
+++ b/tests/tcp/test_tcp.cpp
@@ -1,6 +1,7 @@
 #include "adaptertcp/asynchttpclient.h"
 #include "adaptertcp/asynchttpserver.h"
 #include "adaptertcp/messageparser.h"
+#include "adaptertcp/responsesearch.h"
 #include "adaptertcp/tcpconnection.h"
 
 #include <boost/asio/io_context.hpp>
@@ -322,3 +323,21 @@
   loop.run_for(100ms);
   SUCCEED();
 }
+
+TEST_CASE("the head of a second response is found within a body") {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n";
+  const std::string body = "text that names HTTP/1.1 200 OK\nand more";
+  CHECK_FALSE(findResponseHead(body, HeadExtent::Whole));
+  CHECK_FALSE(findResponseHead(body, HeadExtent::MaybeCut));
+  CHECK(findResponseHead(body + head + "rest", HeadExtent::Whole) ==
+        body.size());
+  for (std::size_t n = 1; n <= head.size(); ++n) {
+    CAPTURE(n);
+    const std::string cut = body + head.substr(0, n);
+    // Before the end of the status code it can't be told from text.
+    const bool isHead = n >= std::string("HTTP/1.1 200").size();
+    CHECK(findResponseHead(cut, HeadExtent::MaybeCut).has_value() == isHead);
+    CHECK(findResponseHead(cut, HeadExtent::Whole).has_value() ==
+          (n == head.size()));
+  }
+}
