entrypath: End a stopping entry only once its answers are sent

Cause: isDrained() asked for requests in progress, and a request ends as its last bytes are handed to the connection; closing connections weren't known to the entry any more.

An entry is now drained once the kernel has accepted all bytes for callers.

--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -169,6 +169,7 @@
 
 void CallerConnection::closeAfterSending() {
   Closed = true;
+  Owner.addClosingConnection(Connection);
   Owner.removeCaller(*this);
   Connection->closeAfterSending();
 }
--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -119,6 +119,8 @@
       Pool.removeStale(at, [this](const std::string &id) {
         return Directory.target(id) != nullptr;
       });
+      std::erase_if(ClosingConnections,
+                    [](const auto &it) { return it.expired(); });
       const auto callers = Callers;
       for (const auto &it : callers)
         it->checkTimeouts(at);
@@ -167,8 +169,23 @@
 }
 
 bool Entry::isDrained() const {
+  const auto isSent = [](const auto &it) {
+    const auto connection = it.lock();
+    return !connection || !connection->isOpen() ||
+           connection->unsentBytes() == 0;
+  };
   return std::all_of(Callers.begin(), Callers.end(),
-                     [](const auto &it) { return it->isIdle(); });
+                     [](const auto &it) {
+                       return it->isIdle() && it->unsentBytes() == 0;
+                     }) &&
+         std::all_of(ClosingConnections.begin(), ClosingConnections.end(),
+                     isSent);
+}
+
+void Entry::addClosingConnection(
+    const std::shared_ptr<adaptertcp::TcpConnection> &connection) {
+  if (connection->unsentBytes() > 0)
+    ClosingConnections.push_back(connection);
 }
 
 void Entry::endUnfinishedRequests() {
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -94,7 +94,7 @@
   /// response, and requests are rejected that the policy doesn't take.
   void shutDown(const gateway::ShutdownPolicy &policy);
   /// Returns whether there is neither a request in progress nor a partly read
-  /// one.
+  /// one, and the kernel has accepted all bytes for callers.
   bool isDrained() const;
   /// Closes connections that have no request in progress or partly read.
   void closeIdleCallers();
@@ -158,6 +158,10 @@
   // Used by CallerConnection.
   const gateway::CallerLimits &callerLimits() const;
   void removeCaller(CallerConnection &caller);
+  /// Keeps track of a caller's connection that is closed once all its bytes are
+  /// sent.
+  void addClosingConnection(
+      const std::shared_ptr<adaptertcp::TcpConnection> &connection);
   void countRejectedInput(int status);
   template <typename Task> void post(Task task) {
     boost::asio::post(Loop, std::move(task));
@@ -351,6 +355,8 @@
   std::function<void()> OnPromptEvidence;
   std::function<void()> OnRateLimit;
   std::unordered_set<std::shared_ptr<CallerConnection>> Callers;
+  /// Connections with unsent bytes that have no caller any more.
+  std::vector<std::weak_ptr<adaptertcp::TcpConnection>> ClosingConnections;
   std::mt19937_64 Random;
   std::uniform_real_distribution<double> Uniform{0.0, 1.0};
   std::uint64_t LastExchangeId = 0;
--- a/tests/entrypath/entryfixture.cpp
+++ b/tests/entrypath/entryfixture.cpp
@@ -1,6 +1,11 @@
 #include "entryfixture.h"
 
 #include <boost/asio/connect.hpp>
+#include <catch2/catch.hpp>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <array>
 
 namespace bergamot::entrypath {
 
@@ -230,9 +235,26 @@
 }
 
 std::shared_ptr<Received> EntryFixture::send(const std::string &bytes) {
+  return sendFrom(TcpConnection::Socket(Loop), bytes);
+}
+
+std::shared_ptr<Received>
+EntryFixture::sendOverSlowLink(const std::string &bytes) {
+  constexpr int ReceiveBufferBytes = 8192;
+  constexpr int SegmentBytes = 1460;
+  TcpConnection::Socket socket(Loop, tcp::v4());
+  socket.set_option(
+      boost::asio::socket_base::receive_buffer_size(ReceiveBufferBytes));
+  socket.set_option(
+      boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>(
+          SegmentBytes));
+  return sendFrom(std::move(socket), bytes);
+}
+
+std::shared_ptr<Received> EntryFixture::sendFrom(TcpConnection::Socket socket,
+                                                 const std::string &bytes) {
   auto received = std::make_shared<Received>();
-  auto connection =
-      std::make_shared<TcpConnection>(TcpConnection::Socket(Loop));
+  auto connection = std::make_shared<TcpConnection>(std::move(socket));
   connection->socket().connect(TestedEntry->settings().Listen);
   connection->start(
       {[received](std::string_view it) { received->Bytes.append(it); },
@@ -256,6 +278,27 @@
       connection->setReading(on);
 }
 
+void EntryFixture::readWithoutEntry(const std::shared_ptr<Received> &received) {
+  constexpr auto MaxSilence = 300ms;
+  const auto it =
+      std::find_if(Callers.begin(), Callers.end(), [&](const auto &caller) {
+        return caller.first == received;
+      });
+  REQUIRE(it != Callers.end());
+  std::array<char, 65536> buf{};
+  auto silentUntil = std::chrono::steady_clock::now() + MaxSilence;
+  while (std::chrono::steady_clock::now() < silentUntil) {
+    boost::system::error_code ec;
+    const std::size_t n =
+        it->second->socket().read_some(boost::asio::buffer(buf), ec);
+    received->Bytes.append(buf.data(), n);
+    if (n > 0)
+      silentUntil = std::chrono::steady_clock::now() + MaxSilence;
+    else if (ec != boost::asio::error::would_block)
+      return;
+  }
+}
+
 void EntryFixture::openConnection(const std::string &bytes) {
   (void)send(bytes);
 }
--- a/tests/entrypath/entryfixture.h
+++ b/tests/entrypath/entryfixture.h
@@ -100,10 +100,16 @@
                         std::uint32_t slots = 4, const std::string &group = "");
   /// Sends bytes over a new connection; the response is stored in the result.
   std::shared_ptr<Received> send(const std::string &bytes);
+  /// Does the same over a connection with a small receive buffer and segments
+  /// as on an Ethernet link, so that the kernel buffers little.
+  std::shared_ptr<Received> sendOverSlowLink(const std::string &bytes);
   /// Closes the connection on which a result is received.
   void disconnect(const std::shared_ptr<Received> &received);
   /// Pauses or resumes reading on the connection of a result.
   void setReading(const std::shared_ptr<Received> &received, bool on);
+  /// Reads what still comes on the connection of a result while nothing else
+  /// runs, as after the end of the entry's process.
+  void readWithoutEntry(const std::shared_ptr<Received> &received);
   /// Opens a connection, sends these bytes and leaves it open.
   void openConnection(const std::string &bytes);
   /// Runs the loop until the condition is true; returns false on time-out.
@@ -114,6 +120,9 @@
   boost::asio::io_context &loop() { return Loop; }
 
 private:
+  std::shared_ptr<Received> sendFrom(adaptertcp::TcpConnection::Socket socket,
+                                     const std::string &bytes);
+
   boost::asio::io_context Loop;
   TestHeaderCodec Codec;
   base::Metrics Metrics;
--- a/tests/entrypath/test_entrypath.cpp
+++ b/tests/entrypath/test_entrypath.cpp
@@ -456,6 +456,44 @@
   CHECK(received->has(hasServed ? "HTTP/1.1 200" : "HTTP/1.1 503"));
 }
 
+// Guards against an entry that ends while the rest of an answer waits for a
+// caller that reads slowly.
+TEST_CASE("an entry isn't drained before all answers are on their way") {
+  const std::string route = GENERATE("once", "stream");
+  constexpr std::size_t BodyBytes = 600000;
+  const std::string body(BodyBytes, 'x');
+  EntryFixture fixture;
+  fixture.addTarget("t1", [&](const auto &head, const auto &, const auto &it) {
+    if (route == "once") {
+      it->send(signedResponse(head, body));
+      return;
+    }
+    std::string text = streamHead(head);
+    for (std::size_t at = 0; at < body.size(); at += 40000) {
+      std::string chunk;
+      adaptertcp::appendChunk(chunk, "id: 1\ndata: " + body.substr(at, 40000) +
+                                         "\n\n");
+      text += chunk;
+    }
+    it->send(text + "0\r\n\r\n");
+  });
+  const auto received = fixture.sendOverSlowLink(requestText(route, "r1"));
+  REQUIRE(fixture.runUntil([&] { return received->has("HTTP/1.1 200"); }));
+  fixture.entry().shutDown({fixture.entry().now(), 8s});
+  bool reads = true;
+  REQUIRE(fixture.runUntil([&] {
+    reads = !reads;
+    fixture.setReading(received, reads);
+    return fixture.entry().isDrained();
+  }));
+  const std::size_t before = received->Bytes.size();
+  fixture.readWithoutEntry(received);
+  CAPTURE(before, received->Bytes.size());
+  CHECK(received->Bytes.size() > body.size());
+  if (route == "stream")
+    CHECK(received->Bytes.ends_with("0\r\n\r\n"));
+}
+
 // At the end of the grace period connections were closed without a response.
 TEST_CASE("requests that outlast the shutdown of an entry are answered") {
   EntryFixture fixture;
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -14,8 +14,6 @@
 using namespace bergamot;
 using namespace bergamot::platform;
 using namespace std::chrono_literals;
-using entrypath::ReadResult;
-using entrypath::TopicRecord;
 
 namespace {
 
