entrypath: Move the deadline of a resumed stream after a suspension

A stream that was queued for another target while its own one was silent kept its deadline if the process was suspended: rejectQueued() may now let it go on.

--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -151,12 +151,10 @@
 void Exchange::handleSuspension(base::Duration missedTime) {
   if (Finished || !Route)
     return;
-  if (!Current) {
-    // The caller has waited for a long time and may have disconnected.
+  // The caller has waited for a long time and may have disconnected.
+  if (!Current)
     rejectQueued("paused");
-    return;
-  }
-  if (missedTime == base::Duration::zero())
+  if (Finished || missedTime == base::Duration::zero())
     return;
   Deadline -= missedTime;
   startDeadlineTimer();
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -126,7 +126,7 @@
   void relayEvents(const std::string &events);
   void relayNonStreaming();
   bool isUnframedSuccess() const;
-  bool canRepeatElsewhere();
+  bool canAskAnotherTarget();
   void verifyUnframedResponse();
   void onTargetProbed(ProbeResult result);
   void relay(std::string_view bytes);
--- a/src/entrypath/exchangeunframed.cpp
+++ b/src/entrypath/exchangeunframed.cpp
@@ -42,7 +42,7 @@
 
 /// Returns whether another target can be asked at once, which may state a
 /// length.
-bool Exchange::canRepeatElsewhere() {
+bool Exchange::canAskAnotherTarget() {
   return !Route->Streaming &&
          Route->Idempotency == gateway::RequestIdempotency::Idempotent &&
          Dispatches < Route->MaxAttempts && Owner.hasRetryBudget(Service) &&
@@ -61,7 +61,7 @@
     handleAttemptFailure(AttemptFailure::Lost, "second_response");
     return;
   }
-  if (!isUsual && canRepeatElsewhere()) {
+  if (!isUsual && canAskAnotherTarget()) {
     handleAttemptFailure(AttemptFailure::Lost, "unframed");
     return;
   }
