entrypath: Let reads of the targets' topic wait as long as the bounds allow

A read now waits for half of what is left of the bound after the interval, since the one before it may have waited, too: 0.35 s at the bounds of the small sites, 0.85 s at those of the large one.

--- a/src/entrypath/storebounds.cpp
+++ b/src/entrypath/storebounds.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds SlowReadTime{700};
 constexpr milliseconds MinTargetsPollInterval{100};
 constexpr milliseconds MaxTargetsPollInterval{2000};
+constexpr milliseconds MaxTargetsPollTimeout{2000};
 constexpr milliseconds MinOperatorPollTimeout{500};
 constexpr milliseconds MaxOperatorPollTimeout{10000};
 /// Time from a full read that lacks a target until no request reaches it.
@@ -46,14 +47,19 @@
                                          const StoreBounds &bounds) {
   FollowerSettings settings;
   settings.Topic = topic;
-  // There nearly always are new records, and a read that waits for them would
-  // show later that its connection is silent.
   settings.PollTimeout = milliseconds(0);
   settings.PollInterval = milliseconds(0);
+  const milliseconds left =
+      bounds.StableWindow - RemovalTime - maxSilenceTime(settings);
   settings.PollInterval = std::clamp(
-      std::min((bounds.DrainBound - SlowReadTime) / ReadsPerDrainBound,
-               bounds.StableWindow - RemovalTime - maxSilenceTime(settings)),
+      std::min((bounds.DrainBound - SlowReadTime) / ReadsPerDrainBound, left),
       MinTargetsPollInterval, MaxTargetsPollInterval);
+  // The bound on a removal counts from the start of the read before the one
+  // that fails, and both may wait.
+  constexpr int WaitingReads = 2;
+  settings.PollTimeout =
+      std::clamp((left - settings.PollInterval) / WaitingReads, milliseconds(0),
+                 MaxTargetsPollTimeout);
   return settings;
 }
 
