--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -113,6 +113,7 @@
   bool canRetryElsewhere() const;
   void makeStandby();
   void makeCurrent(std::unique_ptr<Attempt> attempt);
+  std::unique_ptr<Attempt> takeStandby(std::uint64_t number);
   void resumeStandby();
   void endOtherAttempts();
   void withAttempt(std::uint64_t number, const std::function<void()> &action);
--- a/src/entrypath/exchangesilence.cpp
+++ b/src/entrypath/exchangesilence.cpp
@@ -82,12 +82,23 @@
   Events.swapPartialEvent(Current->PartialEvent);
 }
 
+/// Removes a standby and returns it; null if there is none with this number.
+std::unique_ptr<Attempt> Exchange::takeStandby(std::uint64_t number) {
+  const auto it =
+      std::find_if(Standbys.begin(), Standbys.end(), [&](const auto &standby) {
+        return standby->Number == number;
+      });
+  if (it == Standbys.end())
+    return nullptr;
+  auto attempt = std::move(*it);
+  Standbys.erase(it);
+  return attempt;
+}
+
 /// Continues with the attempt that became a standby last, as no other target
 /// has taken the stream over.
 void Exchange::resumeStandby() {
-  auto last = std::move(Standbys.back());
-  Standbys.pop_back();
-  makeCurrent(std::move(last));
+  makeCurrent(takeStandby(Standbys.back()->Number));
   scheduleSilenceCheck(Owner.now() + SilenceRecheckPeriod);
 }
 
@@ -113,14 +124,9 @@
     action();
     return;
   }
-  const auto it =
-      std::find_if(Standbys.begin(), Standbys.end(), [&](const auto &standby) {
-        return standby->Number == number;
-      });
-  if (it == Standbys.end())
+  auto attempt = takeStandby(number);
+  if (!attempt)
     return;
-  auto attempt = std::move(*it);
-  Standbys.erase(it);
   const std::uint64_t previous = Current ? Current->Number : 0;
   if (Current)
     makeStandby();
@@ -130,15 +136,8 @@
   if (Finished || !isCurrent(number) || !isStandby)
     return;
   makeStandby();
-  const auto before =
-      std::find_if(Standbys.begin(), Standbys.end(), [&](const auto &standby) {
-        return standby->Number == previous;
-      });
-  if (before == Standbys.end())
-    return;
-  auto resumed = std::move(*before);
-  Standbys.erase(before);
-  makeCurrent(std::move(resumed));
+  if (auto resumed = takeStandby(previous))
+    makeCurrent(std::move(resumed));
 }
 
 } // namespace bergamot::entrypath
