--- a/src/entrypath/storebounds.h
+++ b/src/entrypath/storebounds.h
@@ -31,8 +31,8 @@
 FollowerSettings operatorFollowerSettings(const std::string &topic,
                                           const StoreBounds &bounds);
 
-/// Returns the settings for the topic of the targets' records. Every heartbeat
-/// of a target adds a record, so the topic is polled at an interval.
+/// Returns the settings for the topic of the targets' records. Targets may
+/// write at each heartbeat, so there is an interval between reads.
 FollowerSettings targetsFollowerSettings(const std::string &topic,
                                          const StoreBounds &bounds);
 
