entrypath: Log why an attempt failed and whose bytes a response has

attempt.failed now has cause, framing, received, relayed and reused, request.end has sources and relayed, and bergamot_attempt_failures_total counts by failure, cause and whether the response had started. New fields only; none was renamed.

--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -298,6 +298,14 @@
   Metrics.addCount("bergamot_target_connections_total", "");
 }
 
+void Entry::countAttemptFailure(gateway::AttemptFailure failure,
+                                const char *cause, bool responseStarted) {
+  Metrics.addCount("bergamot_attempt_failures_total",
+                   std::string("failure=\"") + gateway::failureName(failure) +
+                       "\",cause=\"" + cause + "\",response_started=\"" +
+                       (responseStarted ? "true" : "false") + "\"");
+}
+
 void Entry::writeLog(const char *event, const nlohmann::json &fields) {
   base::logDecision(event, fields);
 }
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -255,6 +255,9 @@
                     ConnectionPool::Connection connection,
                     const TargetResponse &response, base::TimePoint now);
   void countNewConnection();
+  /// Counts a failed attempt; `cause` is one of a fixed set of names.
+  void countAttemptFailure(gateway::AttemptFailure failure, const char *cause,
+                           bool responseStarted);
   void writeLog(const char *event, const nlohmann::json &fields);
 
 private:
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -5,7 +5,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <cstring>
 #include <utility>
 
 namespace bergamot::entrypath {
@@ -210,7 +209,33 @@
   Owner.removeExchange(*this, outcome, status);
 }
 
-void Exchange::log(const char *event, const char *outcome, int status) {
+/// Records that the caller is sent this much of the current response's body.
+void Exchange::recordSource(std::size_t bodyBytes) {
+  RelayedBodyBytes += bodyBytes;
+  if (SourceTargets.empty() || SourceTargets.back() != Current->TargetId)
+    SourceTargets.push_back(Current->TargetId);
+}
+
+/// Adds what tells the causes of failed attempts apart.
+void Exchange::addFailureFields(nlohmann::json &fields,
+                                const char *cause) const {
+  const auto &parser = Current->Parser;
+  fields["cause"] = cause;
+  fields["begun"] = Current->Begun;
+  fields["reused"] = Current->ConnectionReused;
+  fields["received"] = Current->ReceivedBodyBytes;
+  fields["relayed"] = RelayedBodyBytes;
+  if (parser.isHeadComplete())
+    fields["framing"] = parser.contentLength()        ? "length"
+                        : parser.endsWithConnection() ? "connection"
+                                                      : "chunked";
+  if (!RequestInfo.SharedPromptParts.empty())
+    fields["prompt"] = RequestInfo.SharedPromptParts;
+}
+
+/// Writes a log line; `cause` is set if an attempt has failed.
+void Exchange::log(const char *event, const char *outcome, int status,
+                   const char *cause) {
   const TimePoint now = Owner.now();
   if (!Owner.eventLog().admit(event, now))
     return;
@@ -232,10 +257,11 @@
     fields["waiting"] = Owner.queuedCount(Service);
     fields["entries"] = Owner.entryCount();
   }
-  if (std::strcmp(event, "attempt.failed") == 0) {
-    fields["begun"] = Current->Begun;
-    if (!RequestInfo.SharedPromptParts.empty())
-      fields["prompt"] = RequestInfo.SharedPromptParts;
+  if (cause)
+    addFailureFields(fields, cause);
+  if (Finished && !SourceTargets.empty()) {
+    fields["sources"] = SourceTargets;
+    fields["relayed"] = RelayedBodyBytes;
   }
   if (Dispatches > 0)
     fields["dispatches"] = Dispatches;
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -13,6 +13,7 @@
 #include "libbergamotgateway/waitpolicy.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json_fwd.hpp>
 
 #include <algorithm>
 #include <functional>
@@ -147,7 +148,10 @@
   void relayCompleteResponse(const char *outcome, int status);
   void abortResponse(const char *reason);
   void finish(const char *outcome, int status);
-  void log(const char *event, const char *outcome, int status);
+  void recordSource(std::size_t bodyBytes);
+  void log(const char *event, const char *outcome, int status,
+           const char *cause = nullptr);
+  void addFailureFields(nlohmann::json &fields, const char *cause) const;
 
   Entry &Owner;
   CallerConnection *Caller;
@@ -184,6 +188,10 @@
   base::TimePoint LastEventAt;
   base::Duration LongestEventGap{};
   bool ResponseStarted = false;
+  /// Bytes of the response's body that the caller has been sent, and the
+  /// targets that they came from, in this order.
+  std::size_t RelayedBodyBytes = 0;
+  std::vector<std::string> SourceTargets;
   bool Finished = false;
 };
 
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -123,8 +123,10 @@
   // target.
   const std::uint64_t number = Current->Number;
   while (!bytes.empty() && isCurrent(number)) {
+    const std::size_t before = Current->Parser.body().size();
     const std::size_t n = Current->Parser.push(bytes);
     bytes.remove_prefix(n);
+    Current->ReceivedBodyBytes += Current->Parser.body().size() - before;
     const bool stuck = n == 0 && !Current->Parser.isComplete();
     if (Current->Parser.hasFailed() || stuck) {
       handleAttemptFailure(AttemptFailure::Lost, "malformed");
@@ -138,6 +140,7 @@
     }
     if (!Current->ResponseHeadValidated && !validateHead()) {
       Current->DiscardedBytes += Current->Parser.body().size();
+      Current->ReceivedBodyBytes = 0;
       Current->Parser.body().clear();
       if (Current->DiscardedBytes > MaxBufferedBytes) {
         handleAttemptFailure(AttemptFailure::Lost, "endless_other");
@@ -250,6 +253,7 @@
 /// caller reads slowly.
 void Exchange::relay(std::string_view bytes) {
   sendResponseHead();
+  recordSource(bytes.size());
   Caller->sendBody(bytes);
   if (Caller->unsentBytes() > MaxUnsentBytes)
     Current->Connection->setReading(false);
@@ -319,6 +323,7 @@
   ResponseHead out = Current->Parser.responseHead();
   out.Headers.removeHopByHopFields();
   const std::string body = std::move(Current->Parser.body());
+  recordSource(body.size());
   returnToPool();
   endAttempt();
   const auto self = shared_from_this();
--- a/src/entrypath/exchangefailure.cpp
+++ b/src/entrypath/exchangefailure.cpp
@@ -19,8 +19,9 @@
     --Dispatches;
   FailedTargets.insert(Current->TargetId);
   Owner.recordFailure(Current->TargetId, failure);
+  Owner.countAttemptFailure(failure, detail, ResponseStarted);
   log("attempt.failed", gateway::failureName(failure),
-      Current->Parser.responseHead().Status);
+      Current->Parser.responseHead().Status, detail);
   if (Queued || !Standbys.empty()) {
     // Another attempt is in progress or will be.
     endAttempt();
--- a/tests/entrypath/entryfixture.h
+++ b/tests/entrypath/entryfixture.h
@@ -117,6 +117,7 @@
   void run(std::chrono::milliseconds time);
 
   Entry &entry() { return *TestedEntry; }
+  const base::Metrics &metrics() const { return Metrics; }
   boost::asio::io_context &loop() { return Loop; }
 
 private:
