tests: Reproduce responses joined from two targets

A plain response of more than 64 KB is relayed as it comes. If its target then fails, a safe request is retried, and the body of the next target follows in the same response.

The decision's test over all inputs left out just this one: its last check was made only where the decision isn't Retry. It now covers it, and a second test compares the decision with a specification over all 3,200 combinations of its inputs.

--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -470,11 +470,55 @@
               }
               if (dispatches >= 2)
                 REQUIRE(decision != RetryDecision::Retry);
-              if (responseStarted && decision != RetryDecision::Retry)
+              if (responseStarted &&
+                  (!resumable || decision != RetryDecision::Retry))
                 REQUIRE(decision == RetryDecision::AbortResponse);
             }
 }
 
+// Guards against a response that begins with one target's bytes and goes on
+// with another's: only a target that resumes it may continue it.
+TEST_CASE("a response in progress is continued only by resuming it") {
+  std::uint32_t cases = 0;
+  for (const auto failure :
+       {AttemptFailure::NotSent, AttemptFailure::Refused,
+        AttemptFailure::Misdirected, AttemptFailure::ErrorResponse,
+        AttemptFailure::Lost})
+    for (const auto rule :
+         {RequestIdempotency::Idempotent, RequestIdempotency::NonIdempotent})
+      for (const bool resumable : {false, true})
+        for (const bool responseStarted : {false, true})
+          for (std::uint32_t executions = 0; executions <= 3; ++executions)
+            for (std::uint32_t dispatches = 0; dispatches <= 4; ++dispatches)
+              for (std::uint32_t maxAttempts = 0; maxAttempts <= 3;
+                   ++maxAttempts) {
+                const FailedAttempt failed{
+                    failure,    rule,       resumable,  responseStarted,
+                    executions, dispatches, maxAttempts};
+                CAPTURE(failureName(failure), rule, resumable, responseStarted,
+                        executions, dispatches, maxAttempts);
+                const bool mayHaveExecuted =
+                    executions > 0 || failure == AttemptFailure::Lost ||
+                    failure == AttemptFailure::ErrorResponse;
+                const bool mayRunAgain =
+                    rule == RequestIdempotency::Idempotent || resumable ||
+                    !mayHaveExecuted;
+                RetryDecision expected = RetryDecision::ReportUnknown;
+                if (dispatches < maxAttempts && mayRunAgain &&
+                    (!responseStarted || resumable))
+                  expected = RetryDecision::Retry;
+                else if (responseStarted)
+                  expected = RetryDecision::AbortResponse;
+                else if (failure == AttemptFailure::ErrorResponse)
+                  expected = RetryDecision::RelayError;
+                else if (!mayHaveExecuted)
+                  expected = RetryDecision::Reject;
+                REQUIRE(decideRetry(failed) == expected);
+                ++cases;
+              }
+  CHECK(cases == 5 * 2 * 2 * 2 * 4 * 5 * 4);
+}
+
 TEST_CASE("stream limit keeps passes short right after a popularity shift") {
   // Popularity shifts while every engine runs at its stream limit.
   EngineProfile engine;
