gateway: Continue a response in progress only by resuming it

Cause: decideRetry weighed whether a request may run again before it asked whether a part of its response had been relayed. A plain response of more than 64 KB is relayed as it comes; if its target then failed, an idempotent request was retried, and the next target's body followed in the same response, whose head had been sent.

mayRetry now decides whether another target may be asked: a response in progress only if it can be resumed. Silent streams and responses without a length, which each had a form of their own of that question, ask it too.

Ruled out: a length instead of chunks, and the way in which the target fails (reset, close, malformed bytes), make no difference.

--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -111,7 +111,6 @@
   void sendRequest();
   void scheduleSilenceCheck(base::TimePoint at);
   void checkSilence();
-  bool canRetryElsewhere() const;
   void makeStandby();
   void makeCurrent(std::unique_ptr<Attempt> attempt);
   std::unique_ptr<Attempt> takeStandby(std::uint64_t number);
@@ -128,7 +127,6 @@
   void relayEvents(const std::string &events);
   void relayNonStreaming();
   bool isUnframedSuccess() const;
-  bool canAskAnotherTarget();
   void verifyUnframedResponse();
   void onTargetProbed(ProbeResult result);
   void relay(std::string_view bytes);
@@ -138,6 +136,8 @@
 
   void handleAttemptFailure(gateway::AttemptFailure failure,
                             const char *detail);
+  gateway::FailedAttempt failedAttempt(gateway::AttemptFailure failure) const;
+  bool canAskAnotherTarget();
   void endAttempt();
   void closeAttempt(std::unique_ptr<Attempt> attempt);
   void recordBegun();
--- a/src/entrypath/exchangefailure.cpp
+++ b/src/entrypath/exchangefailure.cpp
@@ -29,10 +29,7 @@
       resumeStandby();
     return;
   }
-  const RetryDecision decision = gateway::decideRetry(
-      {failure, Route->Idempotency, Route->Resumable, ResponseStarted,
-       PossiblyExecutedAttempts, Dispatches, Route->MaxAttempts});
-  switch (decision) {
+  switch (gateway::decideRetry(failedAttempt(failure))) {
   case RetryDecision::Retry:
     retry(failure);
     return;
@@ -51,6 +48,20 @@
   }
 }
 
+/// Returns the current attempt as one that has failed.
+gateway::FailedAttempt Exchange::failedAttempt(AttemptFailure failure) const {
+  return {failure,           Route->Idempotency,       Route->Resumable,
+          ResponseStarted,   PossiblyExecutedAttempts, Dispatches,
+          Route->MaxAttempts};
+}
+
+/// Returns whether a target that can be asked at once would get the request if
+/// the current attempt were given up.
+bool Exchange::canAskAnotherTarget() {
+  return gateway::mayRetry(failedAttempt(AttemptFailure::Lost)) &&
+         Owner.hasRetryBudget(Service) && Owner.hasFreeTarget(*this);
+}
+
 void Exchange::retry(AttemptFailure failure) {
   const bool consumesBudget = failure != AttemptFailure::NotSent;
   if (consumesBudget && !Owner.consumeRetryBudget(Service, failure)) {
--- a/src/entrypath/exchangesilence.cpp
+++ b/src/entrypath/exchangesilence.cpp
@@ -40,7 +40,9 @@
     scheduleSilenceCheck(silentAt);
     return;
   }
-  if (!Current->Sent || !canRetryElsewhere() ||
+  // If the whole group is stalled, no other rank would respond either.
+  if (!Current->Sent || !Owner.groups().isReady(Current->TargetGroup, now) ||
+      !canAskAnotherTarget() ||
       !Owner.consumeRetryBudget(Service, AttemptFailure::Lost)) {
     scheduleSilenceCheck(now + SilenceRecheckPeriod);
     return;
@@ -55,16 +57,6 @@
   Owner.enqueue(shared_from_this());
 }
 
-/// Returns whether the request can be retried or resumed at another target. If
-/// the whole group is stalled, no other rank would respond either.
-bool Exchange::canRetryElsewhere() const {
-  const bool repeatable =
-      ResponseStarted ? Route->Resumable : Route->isRetryable();
-  return repeatable && Dispatches < Route->MaxAttempts &&
-         Owner.groups().isReady(Current->TargetGroup, Owner.now()) &&
-         Owner.hasRetryBudget(Service) && Owner.hasFreeTarget(*this);
-}
-
 bool Exchange::hasAttemptAt(const std::string &target) const {
   const auto isAt = [&](const auto &it) { return it->TargetId == target; };
   return (Current && isAt(Current)) ||
--- a/src/entrypath/exchangeunframed.cpp
+++ b/src/entrypath/exchangeunframed.cpp
@@ -40,15 +40,6 @@
   return true;
 }
 
-/// Returns whether another target can be asked at once, which may state a
-/// length.
-bool Exchange::canAskAnotherTarget() {
-  return !Route->Streaming &&
-         Route->Idempotency == gateway::RequestIdempotency::Idempotent &&
-         Dispatches < Route->MaxAttempts && Owner.hasRetryBudget(Service) &&
-         Owner.hasFreeTarget(*this);
-}
-
 /// Decides on an unframed response whose connection has ended. A target that
 /// has ended closes its connections like one whose response is complete, and
 /// bytes that belong to no response may come before the end.
@@ -61,7 +52,8 @@
     handleAttemptFailure(AttemptFailure::Lost, "second_response");
     return;
   }
-  if (!isUsual && canAskAnotherTarget()) {
+  // Another target may state a length.
+  if (!Route->Streaming && !isUsual && canAskAnotherTarget()) {
     handleAttemptFailure(AttemptFailure::Lost, "unframed");
     return;
   }
--- a/src/libbergamotgateway/attemptpolicy.cpp
+++ b/src/libbergamotgateway/attemptpolicy.cpp
@@ -10,6 +10,11 @@
          failure == AttemptFailure::Misdirected;
 }
 
+/// Returns whether no target has executed the request.
+bool isKnownNotExecuted(const FailedAttempt &attempt) {
+  return provesNotExecuted(attempt.Failure) && attempt.PossibleExecutions == 0;
+}
+
 } // namespace
 
 const char *failureName(AttemptFailure failure) {
@@ -32,20 +37,24 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+bool mayRetry(const FailedAttempt &attempt) {
+  if (attempt.Dispatches >= attempt.MaxAttempts)
+    return false;
+  if (attempt.ResponseStarted)
+    return attempt.Resumable;
+  return attempt.Idempotency == RequestIdempotency::Idempotent ||
+         attempt.Resumable || isKnownNotExecuted(attempt);
+}
+
 RetryDecision decideRetry(const FailedAttempt &attempt) {
-  const bool isRetryable =
-      attempt.Idempotency == RequestIdempotency::Idempotent ||
-      attempt.Resumable;
-  const bool notExecuted =
-      provesNotExecuted(attempt.Failure) && attempt.PossibleExecutions == 0;
-  const bool attemptsLeft = attempt.Dispatches < attempt.MaxAttempts;
-  if (attemptsLeft && (isRetryable || notExecuted))
+  if (mayRetry(attempt))
     return RetryDecision::Retry;
   if (attempt.ResponseStarted)
     return RetryDecision::AbortResponse;
   if (attempt.Failure == AttemptFailure::ErrorResponse)
     return RetryDecision::RelayError;
-  return notExecuted ? RetryDecision::Reject : RetryDecision::ReportUnknown;
+  return isKnownNotExecuted(attempt) ? RetryDecision::Reject
+                                     : RetryDecision::ReportUnknown;
 }
 
 } // namespace bergamot::gateway
--- a/src/libbergamotgateway/attemptpolicy.h
+++ b/src/libbergamotgateway/attemptpolicy.h
@@ -32,8 +32,10 @@
 struct FailedAttempt {
   AttemptFailure Failure = AttemptFailure::Lost;
   RequestIdempotency Idempotency = RequestIdempotency::NonIdempotent;
+  /// Another target can continue the response where it broke off.
   bool Resumable = false;
-  /// Part of the response has already been sent to the caller.
+  /// Part of the response has already been sent to the caller, with bytes of
+  /// one target or more.
   bool ResponseStarted = false;
   /// Number of attempts, including this one, that may have executed the
   /// request.
@@ -59,9 +61,15 @@
   AbortResponse,
 };
 
-/// Decides how to proceed after a failed attempt. A request that is neither
-/// idempotent nor resumable is retried, or rejected as not executed, only if no
-/// target can have executed it.
+/// Returns whether the request may be sent to another target. A response in
+/// progress may only be resumed, whatever the request: the other target's whole
+/// response would follow the part that the caller already has. A request that
+/// is neither idempotent nor resumable is retried only if no target can have
+/// executed it.
+bool mayRetry(const FailedAttempt &attempt);
+
+/// Decides how to proceed after a failed attempt. A request is rejected as not
+/// executed only if no target can have executed it.
 RetryDecision decideRetry(const FailedAttempt &attempt);
 
 } // namespace bergamot::gateway
