gateway: Resume a stream only after an event with an id

Cause: whether a stream can be resumed was read from its route alone. The next target was told the last id that the caller had, or none, and so sent events that the caller already had. Whether the last complete event had an id now counts, too; if it had none, the response is aborted.

Ruled out: events whose end hasn't come, which are dropped before a stream is resumed.

--- a/src/entrypath/exchangefailure.cpp
+++ b/src/entrypath/exchangefailure.cpp
@@ -50,7 +50,9 @@
 
 /// Returns the current attempt as one that has failed.
 gateway::FailedAttempt Exchange::failedAttempt(AttemptFailure failure) const {
-  return {failure,           Route->Idempotency,       Route->Resumable,
+  const bool isResumable =
+      Route->Resumable && (!ResponseStarted || Events.isResumable());
+  return {failure,           Route->Idempotency,       isResumable,
           ResponseStarted,   PossiblyExecutedAttempts, Dispatches,
           Route->MaxAttempts};
 }
--- a/src/libbergamotgateway/eventsplitter.cpp
+++ b/src/libbergamotgateway/eventsplitter.cpp
@@ -1,5 +1,7 @@
 #include "libbergamotgateway/eventsplitter.h"
 
+#include <utility>
+
 namespace bergamot::gateway {
 
 namespace {
@@ -29,20 +31,24 @@
 }
 
 void EventSplitter::recordEvents(std::string_view events) {
+  bool hasId = false;
   while (!events.empty()) {
     const std::size_t end = events.find('\n');
     std::string_view line = events.substr(0, end);
     events = end == std::string_view::npos ? "" : events.substr(end + 1);
     if (line.ends_with('\r'))
       line.remove_suffix(1);
-    if (line.empty())
+    if (line.empty()) {
       ++EventCount;
+      LastEventHasId = std::exchange(hasId, false);
+    }
     if (!line.starts_with(IdField))
       continue;
     line.remove_prefix(IdField.size());
     if (line.starts_with(' '))
       line.remove_prefix(1);
     LastEventId = std::string(line);
+    hasId = !line.empty();
   }
 }
 
--- a/src/libbergamotgateway/eventsplitter.h
+++ b/src/libbergamotgateway/eventsplitter.h
@@ -17,6 +17,9 @@
   std::string push(std::string_view bytes);
   /// Returns the id of the last complete event that had one.
   const std::optional<std::string> &lastEventId() const { return LastEventId; }
+  /// Returns whether another target can be told where the complete events end:
+  /// the last of them had an id.
+  bool isResumable() const { return LastEventHasId; }
   /// Returns the number of complete events so far.
   std::uint64_t eventCount() const { return EventCount; }
   /// Returns the bytes of an event that isn't complete yet.
@@ -33,6 +36,7 @@
 
   std::string PartialEvent;
   std::optional<std::string> LastEventId;
+  bool LastEventHasId = false;
   std::uint64_t EventCount = 0;
 };
 
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -132,6 +132,19 @@
   CHECK(splitter.push("id: 5\ndata: b\n\n") == "id: 5\ndata: b\n\n");
 }
 
+TEST_CASE("a stream is resumable while its last complete event has an id") {
+  EventSplitter splitter;
+  CHECK_FALSE(splitter.isResumable());
+  splitter.push("id: 1\r\ndata: a\r\n\r\ndata: b");
+  CHECK(splitter.isResumable());
+  splitter.push("\r\n\r\n");
+  CHECK_FALSE(splitter.isResumable());
+  splitter.push("data: c\n\nid: 3\n\n");
+  CHECK(splitter.isResumable());
+  splitter.push("id:\ndata: d\n\n");
+  CHECK_FALSE(splitter.isResumable());
+}
+
 TEST_CASE("retries of all entries stay within the bound in every window") {
   // Each entry might stay within its own part of the bound while all of them
   // together exceed it.
