entrypath: Don't take a stream that starts again for the rest of one

Cause: whatever the next target sent was relayed as the rest, although nothing showed that it was. The first event of an attempt now has to have another id than the last one that the caller has, and a greater one if both are numbers; else the attempt has failed (cause not_resumed).

--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -8,7 +8,6 @@
 
 using adaptertcp::CloseReason;
 using adaptertcp::ResponseHead;
-using base::Duration;
 using base::TimePoint;
 using gateway::AttemptFailure;
 using std::chrono::duration_cast;
@@ -50,7 +49,7 @@
       target.Record.Membership ? target.Record.Membership->Group : "";
   Events.dropPartialEvent();
   Owner.addInFlight(Current->TargetId);
-  const Duration maxIdle =
+  const auto maxIdle =
       Route->isRetryable() ? MaxIdleIdempotent : MaxIdleNonIdempotent;
   // On a connection on which this request was sent before, a copy of the
   // earlier response couldn't be told from the new one.
@@ -210,6 +209,12 @@
 
 void Exchange::relayStream() {
   const bool hasSecondResponse = dropSecondResponse();
+  // What an attempt sends first has to follow what earlier ones have sent.
+  if (ResponseStarted && !Current->Begun &&
+      !Events.mayContinueWith(Current->Parser.body())) {
+    handleAttemptFailure(AttemptFailure::Lost, "not_resumed");
+    return;
+  }
   const std::string events = Events.push(Current->Parser.body());
   Current->Parser.body().clear();
   if (!events.empty())
--- a/src/libbergamotgateway/eventsplitter.cpp
+++ b/src/libbergamotgateway/eventsplitter.cpp
@@ -1,5 +1,6 @@
 #include "libbergamotgateway/eventsplitter.h"
 
+#include <charconv>
 #include <utility>
 
 namespace bergamot::gateway {
@@ -17,8 +18,55 @@
   return lfEnd > crlfEnd ? lfEnd : crlfEnd;
 }
 
+/// Returns the value of a field if the line, without its end, has this name.
+std::optional<std::string_view> fieldValue(std::string_view line,
+                                           std::string_view name) {
+  if (!line.starts_with(name))
+    return std::nullopt;
+  line.remove_prefix(name.size());
+  if (line.starts_with(' '))
+    line.remove_prefix(1);
+  return line;
+}
+
+/// Removes the first line from a text and returns it without its end.
+std::string_view takeLine(std::string_view &text) {
+  const std::size_t end = text.find('\n');
+  std::string_view line = text.substr(0, end);
+  text = end == std::string_view::npos ? "" : text.substr(end + 1);
+  if (line.ends_with('\r'))
+    line.remove_suffix(1);
+  return line;
+}
+
+std::optional<std::uint64_t> parseId(std::string_view text) {
+  std::uint64_t id = 0;
+  const char *end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, id);
+  if (parsed.ec != std::errc() || parsed.ptr != end)
+    return std::nullopt;
+  return id;
+}
+
 } // namespace
 
+bool EventSplitter::mayContinueWith(std::string_view bytes) const {
+  const std::string text = PartialEvent + std::string(bytes);
+  if (!LastEventId || endOfLastEvent(text) == 0)
+    return true;
+  std::string_view rest = text;
+  for (std::string_view line = takeLine(rest); !line.empty();
+       line = takeLine(rest)) {
+    const auto id = fieldValue(line, IdField);
+    if (!id)
+      continue;
+    const auto last = parseId(*LastEventId);
+    const auto next = parseId(*id);
+    return last && next ? *next > *last : *id != *LastEventId;
+  }
+  return false;
+}
+
 std::string EventSplitter::push(std::string_view bytes) {
   PartialEvent.append(bytes);
   const std::size_t end = endOfLastEvent(PartialEvent);
@@ -33,22 +81,15 @@
 void EventSplitter::recordEvents(std::string_view events) {
   bool hasId = false;
   while (!events.empty()) {
-    const std::size_t end = events.find('\n');
-    std::string_view line = events.substr(0, end);
-    events = end == std::string_view::npos ? "" : events.substr(end + 1);
-    if (line.ends_with('\r'))
-      line.remove_suffix(1);
+    const std::string_view line = takeLine(events);
     if (line.empty()) {
       ++EventCount;
       LastEventHasId = std::exchange(hasId, false);
     }
-    if (!line.starts_with(IdField))
-      continue;
-    line.remove_prefix(IdField.size());
-    if (line.starts_with(' '))
-      line.remove_prefix(1);
-    LastEventId = std::string(line);
-    hasId = !line.empty();
+    if (const auto id = fieldValue(line, IdField)) {
+      LastEventId = std::string(*id);
+      hasId = !id->empty();
+    }
   }
 }
 
--- a/src/libbergamotgateway/eventsplitter.h
+++ b/src/libbergamotgateway/eventsplitter.h
@@ -22,6 +22,10 @@
   bool isResumable() const { return LastEventHasId; }
   /// Returns the number of complete events so far.
   std::uint64_t eventCount() const { return EventCount; }
+  /// Returns whether bytes that come next may be the rest of the stream: they
+  /// complete no event, or the first one has another id than the last event so
+  /// far, and a greater one if both are numbers.
+  bool mayContinueWith(std::string_view bytes) const;
   /// Returns the bytes of an event that isn't complete yet.
   const std::string &partialEvent() const { return PartialEvent; }
   /// Discards an incomplete event before the stream is resumed at another
--- a/tests/entrypath/test_resumedstreams.cpp
+++ b/tests/entrypath/test_resumedstreams.cpp
@@ -74,6 +74,19 @@
   CHECK(it.Second->requestCount() == 0);
 }
 
+// Guards against a target that is asked for the rest of a stream and sends it
+// from its start.
+TEST_CASE("a stream that starts again isn't taken for the rest") {
+  const BrokenStream it(
+      {"id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"},
+      {"id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n", "id: 3\ndata: z\n\n"});
+  CHECK(it.Caller->Closed);
+  CHECK_FALSE(it.Caller->has("0\r\n\r\n"));
+  CHECK(count(*it.Caller, "data: x\n") == 1);
+  CHECK(count(*it.Caller, "data: y\n") == 1);
+  CHECK(it.Second->requestCount() == 1);
+}
+
 TEST_CASE("a stream is resumed after the last event that the caller has") {
   const BrokenStream it({"id: 9\ndata: x\n\n", "id: 10\ndata: y\n\nid: 11\nda"},
                         {"id: 11\nda", "ta: z\n\n"});
--- a/tests/gateway/test_gateway.cpp
+++ b/tests/gateway/test_gateway.cpp
@@ -132,6 +132,25 @@
   CHECK(splitter.push("id: 5\ndata: b\n\n") == "id: 5\ndata: b\n\n");
 }
 
+TEST_CASE("only events after the last one continue a stream") {
+  EventSplitter splitter;
+  CHECK(splitter.mayContinueWith("data: a\n\n"));
+  splitter.push("id: 9\ndata: a\n\n");
+  CHECK(splitter.mayContinueWith("id: 10\ndata: b\n\n"));
+  CHECK(splitter.mayContinueWith("version: 2\r\nid: 10\r\n\r\n"));
+  CHECK(splitter.mayContinueWith("id: 1\nda"));
+  CHECK_FALSE(splitter.mayContinueWith("id: 1\n\n"));
+  CHECK_FALSE(splitter.mayContinueWith("id: 9\ndata: a\n\nid: 10\n\n"));
+  CHECK_FALSE(splitter.mayContinueWith("data: b\n\nid: 10\n\n"));
+  splitter.push("id: 1");
+  CHECK(splitter.mayContinueWith("0\n\n"));
+  CHECK_FALSE(splitter.mayContinueWith("\n\n"));
+  splitter.dropPartialEvent();
+  splitter.push("id: a\n\n");
+  CHECK(splitter.mayContinueWith("id: b\n\n"));
+  CHECK_FALSE(splitter.mayContinueWith("id: a\n\n"));
+}
+
 TEST_CASE("a stream is resumable while its last complete event has an id") {
   EventSplitter splitter;
   CHECK_FALSE(splitter.isResumable());
