--- a/src/libbergamotgateway/eventsplitter.cpp
+++ b/src/libbergamotgateway/eventsplitter.cpp
@@ -1,7 +1,6 @@
 #include "libbergamotgateway/eventsplitter.h"
 
 #include <charconv>
-#include <utility>
 
 namespace bergamot::gateway {
 
@@ -18,17 +17,6 @@
   return lfEnd > crlfEnd ? lfEnd : crlfEnd;
 }
 
-/// Returns the value of a field if the line, without its end, has this name.
-std::optional<std::string_view> fieldValue(std::string_view line,
-                                           std::string_view name) {
-  if (!line.starts_with(name))
-    return std::nullopt;
-  line.remove_prefix(name.size());
-  if (line.starts_with(' '))
-    line.remove_prefix(1);
-  return line;
-}
-
 /// Removes the first line from a text and returns it without its end.
 std::string_view takeLine(std::string_view &text) {
   const std::size_t end = text.find('\n');
@@ -39,6 +27,30 @@
   return line;
 }
 
+/// The parts of an event that tell where a stream goes on.
+struct Event {
+  /// Empty if the event has none.
+  std::string_view Id;
+  /// Blocks without data, such as comments, aren't events to the caller.
+  bool HasData = false;
+};
+
+/// Removes the first event and its empty line from a text.
+Event takeEvent(std::string_view &text) {
+  Event event;
+  for (std::string_view line = takeLine(text); !line.empty();
+       line = takeLine(text)) {
+    event.HasData =
+        event.HasData || line == "data" || line.starts_with("data:");
+    if (!line.starts_with(IdField))
+      continue;
+    event.Id = line.substr(IdField.size());
+    if (event.Id.starts_with(' '))
+      event.Id.remove_prefix(1);
+  }
+  return event;
+}
+
 std::optional<std::uint64_t> parseId(std::string_view text) {
   std::uint64_t id = 0;
   const char *end = text.data() + text.size();
@@ -52,19 +64,17 @@
 
 bool EventSplitter::mayContinueWith(std::string_view bytes) const {
   const std::string text = PartialEvent + std::string(bytes);
-  if (!LastEventId || endOfLastEvent(text) == 0)
-    return true;
-  std::string_view rest = text;
-  for (std::string_view line = takeLine(rest); !line.empty();
-       line = takeLine(rest)) {
-    const auto id = fieldValue(line, IdField);
-    if (!id)
+  std::string_view rest(text.data(), endOfLastEvent(text));
+  while (LastEventId && !rest.empty()) {
+    const Event event = takeEvent(rest);
+    if (!event.HasData)
       continue;
     const auto last = parseId(*LastEventId);
-    const auto next = parseId(*id);
-    return last && next ? *next > *last : *id != *LastEventId;
+    const auto next = parseId(event.Id);
+    return last && next ? *next > *last
+                        : !event.Id.empty() && event.Id != *LastEventId;
   }
-  return false;
+  return true;
 }
 
 std::string EventSplitter::push(std::string_view bytes) {
@@ -79,17 +89,13 @@
 }
 
 void EventSplitter::recordEvents(std::string_view events) {
-  bool hasId = false;
   while (!events.empty()) {
-    const std::string_view line = takeLine(events);
-    if (line.empty()) {
-      ++EventCount;
-      LastEventHasId = std::exchange(hasId, false);
-    }
-    if (const auto id = fieldValue(line, IdField)) {
-      LastEventId = std::string(*id);
-      hasId = !id->empty();
-    }
+    const Event event = takeEvent(events);
+    ++EventCount;
+    if (!event.Id.empty())
+      LastEventId = std::string(event.Id);
+    if (event.HasData)
+      Resumable = !event.Id.empty();
   }
 }
 
--- a/src/libbergamotgateway/eventsplitter.h
+++ b/src/libbergamotgateway/eventsplitter.h
@@ -18,13 +18,13 @@
   /// Returns the id of the last complete event that had one.
   const std::optional<std::string> &lastEventId() const { return LastEventId; }
   /// Returns whether another target can be told where the complete events end:
-  /// the last of them had an id.
-  bool isResumable() const { return LastEventHasId; }
+  /// the last one that had data had an id, or none had data.
+  bool isResumable() const { return Resumable; }
   /// Returns the number of complete events so far.
   std::uint64_t eventCount() const { return EventCount; }
   /// Returns whether bytes that come next may be the rest of the stream: they
-  /// complete no event, or the first one has another id than the last event so
-  /// far, and a greater one if both are numbers.
+  /// complete no event with data, or the first such event has another id than
+  /// the last one so far, and a greater one if both are numbers.
   bool mayContinueWith(std::string_view bytes) const;
   /// Returns the bytes of an event that isn't complete yet.
   const std::string &partialEvent() const { return PartialEvent; }
@@ -40,7 +40,7 @@
 
   std::string PartialEvent;
   std::optional<std::string> LastEventId;
-  bool LastEventHasId = false;
+  bool Resumable = true;
   std::uint64_t EventCount = 0;
 };
 
