entrypath: Bound interim responses

A faulty target that sent interim responses (status 100 to 103) without end kept a caller until the request's deadline, then 504; the entry read all of it meanwhile.

Only bodies counted against the bound on what is discarded before the response, and an interim response has none. Memory wasn't at risk: each head is dropped once it is read. The silence of the target isn't noticed either, since a route without streams has no check of it.

The bytes received before the head of the response are now counted, and the attempt fails as lost beyond 256 KB of them.

--- a/src/entrypath/attempt.h
+++ b/src/entrypath/attempt.h
@@ -34,6 +34,8 @@
   /// Bytes discarded since they belong to late responses to earlier requests on
   /// a reused connection.
   std::size_t DiscardedBytes = 0;
+  /// Bytes received before the end of the head of the response to this request.
+  std::size_t PrecedingBytes = 0;
   /// Bytes of the body of the response to this request.
   std::size_t ReceivedBodyBytes = 0;
   /// Bytes have come after the response that belong to no request.
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -121,6 +121,7 @@
   void onTargetClose(adaptertcp::CloseReason reason);
   bool isUnidentified();
   bool validateHead();
+  bool discardResponse();
   void relayBody();
   void relayStream();
   bool dropSecondResponse();
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -22,9 +22,9 @@
 /// that the request can still be retried after an incomplete or malformed one.
 /// Larger ones have to state where they end.
 constexpr std::size_t MaxBufferedResponseBytes = 65536;
-/// Limit on the bytes of one event, of an error response, or of responses to
-/// other requests, since a faulty target may send without end. Events in the
-/// deployments have some hundred bytes.
+/// Limit on the bytes of one event or of an error response, since a faulty
+/// target may send without end. Events in the deployments have some hundred
+/// bytes.
 constexpr std::size_t MaxBufferedBytes = 262144;
 /// Time-out for opening a connection. The longest one-way delay in the
 /// deployments is 12 ms; a lost SYN packet would be retransmitted only after a
@@ -125,6 +125,8 @@
     const std::size_t before = Current->Parser.body().size();
     const std::size_t n = Current->Parser.push(bytes);
     bytes.remove_prefix(n);
+    if (!Current->ResponseHeadValidated)
+      Current->PrecedingBytes += n;
     Current->ReceivedBodyBytes += Current->Parser.body().size() - before;
     const bool stuck = n == 0 && !Current->Parser.isComplete();
     if (Current->Parser.hasFailed() || stuck) {
@@ -138,16 +140,8 @@
       return;
     }
     if (!Current->ResponseHeadValidated && !validateHead()) {
-      Current->DiscardedBytes += Current->Parser.body().size();
-      Current->ReceivedBodyBytes = 0;
-      Current->Parser.body().clear();
-      if (Current->DiscardedBytes > MaxBufferedBytes) {
-        handleAttemptFailure(AttemptFailure::Lost, "endless_other");
+      if (!discardResponse())
         return;
-      }
-      if (!Current->Parser.isComplete())
-        return;
-      Current->Parser.restart(Head.Method == "HEAD");
       continue;
     }
     relayBody();
--- /dev/null
+++ b/src/entrypath/exchangediscard.cpp
@@ -0,0 +1,40 @@
+// The part of Exchange that discards what a target sends before the response to
+// the request: interim responses and late responses to earlier requests.
+#include "entrypath/exchange.h"
+
+namespace bergamot::entrypath {
+
+using gateway::AttemptFailure;
+
+namespace {
+
+/// Limit on the bytes of discarded responses, since a faulty target may send
+/// them without end.
+constexpr std::size_t MaxDiscardedBytes = 262144;
+
+} // namespace
+
+/// Discards what has arrived of a response that isn't the one to this request.
+/// Returns whether another response may follow among the bytes at hand; the
+/// attempt may have failed otherwise.
+bool Exchange::discardResponse() {
+  adaptertcp::MessageParser &parser = Current->Parser;
+  const bool isInterim = parser.responseHead().Status < 200;
+  Current->DiscardedBytes += parser.body().size();
+  Current->ReceivedBodyBytes = 0;
+  parser.body().clear();
+  if (isInterim && Current->PrecedingBytes > MaxDiscardedBytes) {
+    handleAttemptFailure(AttemptFailure::Lost, "endless_interim");
+    return false;
+  }
+  if (Current->DiscardedBytes > MaxDiscardedBytes) {
+    handleAttemptFailure(AttemptFailure::Lost, "endless_other");
+    return false;
+  }
+  if (!parser.isComplete())
+    return false;
+  parser.restart(Head.Method == "HEAD");
+  return true;
+}
+
+} // namespace bergamot::entrypath
--- a/tests/entrypath/test_endless.cpp
+++ b/tests/entrypath/test_endless.cpp
@@ -134,6 +134,20 @@
   CHECK(it.Endless->sent() < MaxSentBytes);
 }
 
+TEST_CASE("endless interim responses don't hold a request until its deadline") {
+  // Heads of different lengths, so that reads end within them.
+  std::string interim;
+  while (interim.size() < Piece.size())
+    interim += "HTTP/1.1 " + std::to_string(100 + interim.size() % 4) +
+               " S\r\nX: " + std::string(interim.size() % 37, 'x') +
+               "\r\n\r\n";
+  EndlessTargetFixture it([&](const auto &) { return interim; }, interim);
+  const auto received = it.Fixture.send(requestText("once", "r1"));
+  REQUIRE(it.Fixture.runUntil([&] { return received->has("\r\n\r\n"); }));
+  CHECK(received->has("HTTP/1.1 502"));
+  CHECK(it.Endless->sent() < MaxSentBytes);
+}
+
 TEST_CASE(
     "bytes after an invalid response aren't taken for the next target's") {
   // Guards against a retry that starts while bytes of the previous attempt are
