entrypath: Count the heads of discarded responses

A faulty target that sent short responses to other requests without end kept a caller almost until the request's deadline; the entry read all of it meanwhile.

Only bodies counted against the bound of 256 KB, so with bodies of one byte the bound was reached after 262,145 responses. Chunk extensions and trailers of such responses didn't count either. Now all bytes before the head of the response to the request count.

--- a/src/entrypath/attempt.h
+++ b/src/entrypath/attempt.h
@@ -31,9 +31,6 @@
   base::TimePoint SentAt;
   /// When the target last sent a head or a complete event; SentAt before that.
   base::TimePoint LastProgressAt;
-  /// Bytes discarded since they belong to late responses to earlier requests on
-  /// a reused connection.
-  std::size_t DiscardedBytes = 0;
   /// Bytes received before the end of the head of the response to this request.
   std::size_t PrecedingBytes = 0;
   /// Bytes of the body of the response to this request.
--- a/src/entrypath/exchangediscard.cpp
+++ b/src/entrypath/exchangediscard.cpp
@@ -20,15 +20,11 @@
 bool Exchange::discardResponse() {
   adaptertcp::MessageParser &parser = Current->Parser;
   const bool isInterim = parser.responseHead().Status < 200;
-  Current->DiscardedBytes += parser.body().size();
   Current->ReceivedBodyBytes = 0;
   parser.body().clear();
-  if (isInterim && Current->PrecedingBytes > MaxDiscardedBytes) {
-    handleAttemptFailure(AttemptFailure::Lost, "endless_interim");
-    return false;
-  }
-  if (Current->DiscardedBytes > MaxDiscardedBytes) {
-    handleAttemptFailure(AttemptFailure::Lost, "endless_other");
+  if (Current->PrecedingBytes > MaxDiscardedBytes) {
+    handleAttemptFailure(AttemptFailure::Lost,
+                         isInterim ? "endless_interim" : "endless_other");
     return false;
   }
   if (!parser.isComplete())
--- a/tests/entrypath/test_endless.cpp
+++ b/tests/entrypath/test_endless.cpp
@@ -148,6 +148,19 @@
   CHECK(it.Endless->sent() < MaxSentBytes);
 }
 
+TEST_CASE("endless short responses to other requests don't hold a request") {
+  std::string other;
+  while (other.size() < Piece.size())
+    other += "HTTP/1.1 200 S\r\nX-Id: another\r\nContent-Length: 1\r\n"
+             "X: " +
+             std::string(other.size() % 37, 'x') + "\r\n\r\ny";
+  EndlessTargetFixture it([&](const auto &) { return other; }, other);
+  const auto received = it.Fixture.send(requestText("once", "r1"));
+  REQUIRE(it.Fixture.runUntil([&] { return received->has("\r\n\r\n"); }));
+  CHECK(received->has("HTTP/1.1 502"));
+  CHECK(it.Endless->sent() < MaxSentBytes);
+}
+
 TEST_CASE(
     "bytes after an invalid response aren't taken for the next target's") {
   // Guards against a retry that starts while bytes of the previous attempt are
