entrypath: Fail attempts behind an unframed response to another request

On a kept connection, a faulty target sent the head of a copy of the previous response without a length. The request behind it waited until its deadline, 504, also if another target could have served it.

Such a response ends with its connection, so no response to the request can follow on it. The entry nevertheless discarded its body and waited for the end. The attempt now fails as lost at once; what may be repeated goes to another target by the usual rules. Responses to other requests that state their end are still skipped, as before.

--- a/src/entrypath/exchangediscard.cpp
+++ b/src/entrypath/exchangediscard.cpp
@@ -27,6 +27,11 @@
                          isInterim ? "endless_interim" : "endless_other");
     return false;
   }
+  if (parser.endsWithConnection()) {
+    // No response to this request can follow on the connection.
+    handleAttemptFailure(AttemptFailure::Lost, "unframed_other");
+    return false;
+  }
   if (!parser.isComplete())
     return false;
   parser.restart(Head.Method == "HEAD");
--- a/tests/entrypath/test_faultytargets.cpp
+++ b/tests/entrypath/test_faultytargets.cpp
@@ -137,3 +137,28 @@
     CHECK_FALSE(received->has("HTTP/1.1 2"));
   }
 }
+
+TEST_CASE("a copy that ends with its connection doesn't hold the next request "
+          "until its deadline") {
+  EntryFixture fixture;
+  std::uint32_t requests = 0;
+  auto &target = fixture.addTarget(
+      "t1", [&](const auto &head, const auto &, const Connection &it) {
+        if (++requests == 1)
+          it->send(signedResponse(head, "body"));
+        else
+          it->send("HTTP/1.1 200 X\r\nX-Id: r1\r\nX-Signed: 1\r\n\r\nbo");
+      });
+  const auto first = fixture.send(requestText("safe", "r1"));
+  REQUIRE(fixture.runUntil([&] { return first->has("body"); }));
+  const auto second = fixture.send(requestText("safe", "r2"));
+  REQUIRE(fixture.runUntil([&] { return target.requestCount() == 2; }));
+  CHECK(target.connectionCount() == 1);
+  fixture.addTarget("t2",
+                    [](const auto &head, const auto &, const Connection &it) {
+                      it->send(signedResponse(head, "sound"));
+                    });
+  REQUIRE(fixture.runUntil([&] { return second->has("HTTP/1.1 "); }));
+  CHECK(second->has("HTTP/1.1 200"));
+  CHECK(second->has("sound"));
+}
