adaptertcp: Bound all bytes of a response to a call

A reply of the store, of a peer or of an engine with a chunk extension of 16 KB before each byte was read until the call's deadline: only its body counted against the bound of 4 MB. Memory wasn't at risk, since extensions aren't kept and http_parser limits a head or trailer to 80 KB.

An interim response was taken for the response: the call ended with status 100, which an order to an engine counts as a conflict, and the response proper came while no call or the next one was in progress. Interim responses are now skipped, and since they can come without end, this needs the bound as well. All bytes received in a call count against it.

The tests failed before: the call with chunk extensions ended at its deadline of 2 s with 432 MB sent, and a call with interim responses ended with status 100 and an empty body. An endless head, header field, extension and trailer ended within 3 ms before and do so now; a trickling response ends at the call's deadline.

--- a/src/adaptertcp/asynchttpclient.cpp
+++ b/src/adaptertcp/asynchttpclient.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Limits the memory used for a response from a faulty peer that may never stop
-/// sending. Daemons exchange at most a few hundred kilobytes; the platform's
+/// Limit on all bytes received in a call, since a faulty peer may send without
+/// end. Daemons exchange at most a few hundred kilobytes; the platform's
 /// store sends up to 1 MB of records, a third more in its text encoding.
 constexpr std::size_t MaxResponseBytes = 4 * 1024 * 1024;
 
@@ -25,6 +25,7 @@
   RequestBytes = requestText(head, body);
   PendingCompletion = std::move(completion);
   RequestSent = false;
+  ReceivedBytes = 0;
   const std::uint64_t number = ++CallNumber;
   Parser.restart();
   Timer.expires_at(deadline);
@@ -80,14 +81,26 @@
     closeConnection();
     return;
   }
-  const std::size_t n = Parser.push(bytes);
-  if (Parser.hasFailed() || Parser.body().size() > MaxResponseBytes) {
-    onClosed(CloseReason::Reset);
-    return;
+  while (!bytes.empty()) {
+    const std::size_t n = Parser.push(bytes);
+    bytes.remove_prefix(n);
+    ReceivedBytes += n;
+    const bool stuck = n == 0 && !Parser.isComplete();
+    if (Parser.hasFailed() || stuck || ReceivedBytes > MaxResponseBytes) {
+      closeConnection();
+      complete({CallResult::Outcome::Unknown, {}, {}});
+      return;
+    }
+    if (!Parser.isComplete())
+      return;
+    if (Parser.responseHead().Status >= 200)
+      break;
+    // Interim responses precede the response.
+    Parser.restart();
   }
   if (!Parser.isComplete())
     return;
-  if (n < bytes.size() || !Parser.responseHead().KeepAlive)
+  if (!bytes.empty() || !Parser.responseHead().KeepAlive)
     closeConnection();
   complete({CallResult::Outcome::Answered, std::move(Parser.responseHead()),
             std::move(Parser.body())});
--- a/src/adaptertcp/asynchttpclient.h
+++ b/src/adaptertcp/asynchttpclient.h
@@ -78,6 +78,8 @@
   std::string RequestBytes;
   Completion PendingCompletion;
   std::function<bool()> SendCondition;
+  /// Bytes received in the current call.
+  std::size_t ReceivedBytes = 0;
   std::uint64_t CallNumber = 0;
   std::uint64_t CancelCount = 0;
   bool RequestSent = false;
