adaptertcp: Answer pipelined requests only as fast as the peer reads

A peer that sent requests without end to the port for metrics, readiness, records or orders and read no response made the process keep all responses. One read has up to 1800 requests, each with a response as large as the metrics, so this ends the process and with it all requests on its machine.

The server sent each response without regard to what the connection still held, and parsed the next request from within the response to the previous one. It now processes the next request only if at most 64 KB wait for the peer to read, in a loop instead of a recursion, and doesn't read meanwhile.

--- a/src/adaptertcp/asynchttpserver.cpp
+++ b/src/adaptertcp/asynchttpserver.cpp
@@ -11,6 +11,9 @@
 
 /// Requests to these servers are short; a larger one is a fault of the peer.
 constexpr std::size_t MaxRequestBytes = 262144;
+/// While more bytes than this wait for the peer to read, its further requests
+/// aren't processed.
+constexpr std::size_t MaxUnsentBytes = 65536;
 
 /// One connection of an AsyncHttpServer.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
@@ -28,23 +31,41 @@
     Connection->start(
         {[self = shared_from_this()](std::string_view it) { self->onData(it); },
          {},
-         {}});
+         [self = shared_from_this()] { self->parse(); }});
   }
 
 private:
   void onData(std::string_view bytes) {
     Input.append(bytes);
-    if (Input.size() > MaxRequestBytes)
-      Connection->close();
-    else if (!Busy)
-      parse();
+    parse();
+  }
+
+  /// Whether the next request has to wait: for the response to the previous
+  /// one, or for the peer to read.
+  bool isBlocked() const {
+    return Busy || Connection->unsentBytes() > MaxUnsentBytes;
   }
 
+  /// Processes the requests received so far. Not reentrant, as each may be
+  /// responded to within the call and there may be many.
   void parse() {
-    if (Input.empty() || !Connection->isOpen())
+    if (Parsing)
       return;
-    Input.erase(0, Parser.push(Input));
-    if (Parser.hasFailed() || Parser.body().size() > MaxRequestBytes) {
+    const auto self = shared_from_this();
+    Parsing = true;
+    while (!Input.empty() && !isBlocked() && Connection->isOpen())
+      parseRequest();
+    Parsing = false;
+    // The rest remains in the kernel's receive buffer.
+    if (!Closing)
+      Connection->setReading(Input.empty() || !isBlocked());
+  }
+
+  void parseRequest() {
+    const std::size_t n = Parser.push(Input);
+    Input.erase(0, n);
+    const bool stuck = n == 0 && !Parser.isComplete();
+    if (Parser.hasFailed() || stuck || Parser.body().size() > MaxRequestBytes) {
       Connection->close();
       return;
     }
@@ -70,6 +91,7 @@
         responseText(head, Framing::Length, response.Body.size(), keepAlive);
     Connection->send(text.append(response.Body));
     if (!keepAlive) {
+      Closing = true;
       Connection->closeAfterSending();
       return;
     }
@@ -82,7 +104,11 @@
   MessageParser Parser{MessageParser::Kind::Request};
   AsyncHttpServer::Handler OnRequest;
   std::string Input;
+  /// A request is being processed; its response hasn't been sent.
   bool Busy = false;
+  bool Parsing = false;
+  /// The last response has been sent.
+  bool Closing = false;
 };
 
 } // namespace
--- a/tests/tcp/test_endlesspeers.cpp
+++ b/tests/tcp/test_endlesspeers.cpp
@@ -97,6 +97,40 @@
   Clock::duration Duration{};
 };
 
+constexpr auto Pipelined = "GET / HTTP/1.1\r\n\r\n";
+
+std::string repeated(const std::string &text, std::size_t n) {
+  std::string out;
+  out.reserve(n * text.size());
+  for (std::size_t i = 0; i < n; ++i)
+    out += text;
+  return out;
+}
+
+/// A server and one connection to it.
+struct ServerFixture {
+  explicit ServerFixture(const AsyncHttpServer::Handler &handler)
+      : Server(Loop, handler), Socket(Loop) {
+    tcp::endpoint address(boost::asio::ip::make_address("127.0.0.1"), 0);
+    {
+      tcp::acceptor acceptor(Loop, address);
+      address = acceptor.local_endpoint();
+    }
+    Server.listen(address);
+    Socket.connect(address);
+  }
+  void runUntil(const std::function<bool()> &condition,
+                std::chrono::milliseconds time) {
+    const auto end = Clock::now() + time;
+    while (!condition() && Clock::now() < end)
+      Loop.run_one_for(5ms);
+  }
+
+  boost::asio::io_context Loop;
+  AsyncHttpServer Server;
+  tcp::socket Socket;
+};
+
 } // namespace
 
 TEST_CASE("a call ends at an endless head, chunk extension or trailer") {
@@ -165,3 +199,57 @@
   CHECK(it.Result->Result == CallResult::Outcome::Unknown);
   CHECK(it.Duration < 1900ms);
 }
+
+TEST_CASE("a server doesn't collect responses that its peer doesn't read") {
+  // Guards against unbounded memory use: one read of pipelined requests has up
+  // to 1800 of them.
+  constexpr std::size_t MaxUnreadBytes = 24 * 1024 * 1024;
+  std::size_t responseBytes = 0;
+  ServerFixture it([&](const auto &, const auto &, const auto &respond) {
+    responseBytes += Piece.size();
+    respond({200, "text/plain", Piece});
+  });
+  const auto peer = std::make_shared<EndlessSender>(
+      it.Loop, std::move(it.Socket), repeated(Pipelined, 900));
+  peer->start("");
+  peer->setReading(false);
+  it.runUntil([&] { return responseBytes > 4 * MaxUnreadBytes; }, 500ms);
+  CHECK(responseBytes > 0);
+  CHECK(responseBytes < MaxUnreadBytes);
+  peer->close();
+  it.Loop.run_for(5ms);
+}
+
+TEST_CASE("pipelined requests are answered after a late response") {
+  // Guards against a recursion of the depth of the number of requests.
+  constexpr std::size_t Requests = 14000;
+  AsyncHttpServer::ResponseCallback first;
+  std::size_t responses = 0;
+  ServerFixture it([&](const auto &, const auto &, const auto &respond) {
+    if (!first)
+      first = respond;
+    else
+      respond({204, "", ""});
+  });
+  const auto peer = std::make_shared<TcpConnection>(std::move(it.Socket));
+  MessageParser parser(MessageParser::Kind::Response);
+  peer->start({[&](std::string_view bytes) {
+                 while (!bytes.empty()) {
+                   bytes.remove_prefix(parser.push(bytes));
+                   if (!parser.isComplete())
+                     return;
+                   ++responses;
+                   parser.restart();
+                 }
+               },
+               {},
+               {}});
+  peer->send(repeated(Pipelined, Requests));
+  it.runUntil([] { return false; }, 100ms);
+  REQUIRE(first);
+  first({200, "", ""});
+  it.runUntil([&] { return responses == Requests; }, 5s);
+  CHECK(responses == Requests);
+  peer->close();
+  it.Loop.run_for(5ms);
+}
