adaptertcp: Bound all bytes of a request to a server

A peer that sent chunk extensions without end to a port for metrics, readiness, records or orders was read without end: only the body counted against the bound of 256 KB, and no timeout applies to it. Memory wasn't at risk, but processor time was. All bytes of a request count now.

--- a/src/adaptertcp/asynchttpserver.cpp
+++ b/src/adaptertcp/asynchttpserver.cpp
@@ -64,8 +64,9 @@
   void parseRequest() {
     const std::size_t n = Parser.push(Input);
     Input.erase(0, n);
+    RequestBytes += n;
     const bool stuck = n == 0 && !Parser.isComplete();
-    if (Parser.hasFailed() || stuck || Parser.body().size() > MaxRequestBytes) {
+    if (Parser.hasFailed() || stuck || RequestBytes > MaxRequestBytes) {
       Connection->close();
       return;
     }
@@ -96,6 +97,7 @@
       return;
     }
     Parser.restart();
+    RequestBytes = 0;
     Busy = false;
     parse();
   }
@@ -104,6 +106,8 @@
   MessageParser Parser{MessageParser::Kind::Request};
   AsyncHttpServer::Handler OnRequest;
   std::string Input;
+  /// Bytes received of the current request.
+  std::size_t RequestBytes = 0;
   /// A request is being processed; its response hasn't been sent.
   bool Busy = false;
   bool Parsing = false;
