entrypath: Answer pipelined requests only as fast as the caller reads

A caller that pipelined requests and read no response made the entry keep all responses: each request began once the response to the previous one had been handed to the connection, without regard to what the connection still held. Only within one response did a slow reader pause the target.

The next request now begins once at most 64 KB wait for the caller to read, and further pipelined bytes stay in the kernel's receive buffer beyond 64 KB, as during a request. So a connection holds at most 64 KB and one response of those that are relayed whole.

--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -14,6 +14,9 @@
 /// Once more bytes of pipelined requests are buffered while a request is in
 /// progress, further ones remain in the kernel's receive buffer.
 constexpr std::size_t MaxPipelinedBytes = 65536;
+/// While more bytes than this wait for the caller to read, its next request
+/// isn't processed.
+constexpr std::size_t MaxUnreadBytes = 65536;
 
 } // namespace
 
@@ -34,13 +37,15 @@
        [self = shared_from_this()] {
          if (self->CurrentExchange)
            self->CurrentExchange->onSendBufferEmpty();
+         else
+           self->resume();
        }});
 }
 
 void CallerConnection::onData(std::string_view bytes) {
   LastActiveAt = Owner.now();
   Input.append(bytes);
-  if (CurrentExchange) {
+  if (isBlocked()) {
     if (Input.size() > MaxPipelinedBytes)
       Connection->setReading(false);
     return;
@@ -48,6 +53,25 @@
   parse();
 }
 
+/// Returns whether the next request has to wait: for the response to the
+/// previous one, or for the caller to read.
+bool CallerConnection::isBlocked() const {
+  return CurrentExchange || Connection->unsentBytes() > MaxUnreadBytes;
+}
+
+/// Continues with pipelined requests.
+void CallerConnection::resume() {
+  if (isBlocked() || Closed)
+    return;
+  Connection->setReading(true);
+  if (Input.empty())
+    return;
+  Owner.post([self = shared_from_this()] {
+    if (!self->isBlocked())
+      self->parse();
+  });
+}
+
 void CallerConnection::parse() {
   if (Input.empty() || Closed)
     return;
@@ -158,13 +182,7 @@
     closeAfterSending();
     return;
   }
-  Connection->setReading(true);
-  if (Input.empty())
-    return;
-  Owner.post([self = shared_from_this()] {
-    if (!self->CurrentExchange)
-      self->parse();
-  });
+  resume();
 }
 
 void CallerConnection::closeAfterSending() {
--- a/src/entrypath/callerconnection.h
+++ b/src/entrypath/callerconnection.h
@@ -55,6 +55,8 @@
 private:
   void onData(std::string_view bytes);
   void onClose();
+  bool isBlocked() const;
+  void resume();
   void parse();
   void reject(int status);
   void onRequestComplete();
