adaptertcp: End responses without a body with their head

A target's body after a 204 or 304 reached the caller behind a head without a length. On a kept connection, the caller read it as the response to its next request. A 304 with the length of what it stands for, which is legal, was waited for until the request's deadline.

Cause: http_parser reads a body for every length or chunked coding, whatever the status is, while responseText states no length for a 204 or 304. The parser now ends a 1xx, 204 or 304 with its head (RFC 9112, 6.3). What follows counts as excess bytes, on which the entry closes the connection.

Ruled out: dropping the body in CallerConnection alone, which would leave a 304 waiting.

--- a/src/adaptertcp/httpmessage.cpp
+++ b/src/adaptertcp/httpmessage.cpp
@@ -38,6 +38,11 @@
                     [](char x, char y) { return toLower(x) == toLower(y); });
 }
 
+bool mayHaveBody(int status) {
+  return status >= 200 && status != HTTP_STATUS_NO_CONTENT &&
+         status != HTTP_STATUS_NOT_MODIFIED;
+}
+
 std::optional<std::int64_t> parseNumber(std::string_view text) {
   std::int64_t value = 0;
   const auto [end, ec] =
@@ -119,10 +124,9 @@
   text.append(reasonPhrase(head.Status)).append("\r\n");
   for (const auto &it : head.Headers.fields())
     text.append(it.Name).append(": ").append(it.Value).append("\r\n");
-  const bool bodiless = head.Status == 204 || head.Status == 304;
   if (framing == Framing::Chunked)
     text.append("Transfer-Encoding: chunked\r\n");
-  else if (!bodiless)
+  else if (mayHaveBody(head.Status))
     text.append("Content-Length: ")
         .append(std::to_string(length))
         .append("\r\n");
--- a/src/adaptertcp/httpmessage.h
+++ b/src/adaptertcp/httpmessage.h
@@ -44,6 +44,10 @@
 /// Compares two names case-insensitively (ASCII only).
 bool equalsIgnoreCase(std::string_view a, std::string_view b);
 
+/// Returns whether a response with this status has a body, unless it responds
+/// to HEAD.
+bool mayHaveBody(int status);
+
 /// Parses a decimal number. Returns nullopt unless the whole text is one.
 std::optional<std::int64_t> parseNumber(std::string_view text);
 
--- a/src/adaptertcp/messageparser.cpp
+++ b/src/adaptertcp/messageparser.cpp
@@ -23,12 +23,6 @@
   return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
 }
 
-bool hasBody(unsigned status) {
-  constexpr unsigned NoContent = 204;
-  constexpr unsigned NotModified = 304;
-  return status >= 200 && status != NoContent && status != NotModified;
-}
-
 } // namespace
 
 MessageParser::MessageParser(Kind kind) : MessageKind(kind) { restart(); }
@@ -189,10 +183,15 @@
   it.Response.Status = static_cast<int>(parser->status_code);
   it.Response.KeepAlive = keepAlive;
   it.Response.Length = it.ContentLength;
-  it.EndsWithConnection = !it.Bodiless && !hasLength &&
-                          (parser->flags & F_CHUNKED) == 0 &&
-                          hasBody(parser->status_code);
-  return it.Bodiless ? 1 : 0;
+  // Whatever the fields say (RFC 9112, 6.3).
+  const bool endsWithHead = it.Bodiless || !mayHaveBody(it.Response.Status);
+  const bool isChunked = (parser->flags & F_CHUNKED) != 0;
+  it.EndsWithConnection = !endsWithHead && !hasLength && !isChunked;
+  // The body that a 204 must not state may still be in transit.
+  if (it.Response.Status == HTTP_STATUS_NO_CONTENT &&
+      (isChunked || it.ContentLength.value_or(0) > 0))
+    it.Response.KeepAlive = false;
+  return endsWithHead ? 1 : 0;
 }
 
 int MessageParser::onBody(http_parser *parser, const char *at, std::size_t n) {
--- a/tests/tcp/test_tcp.cpp
+++ b/tests/tcp/test_tcp.cpp
@@ -153,6 +153,22 @@
   CHECK(parser.hasFailed());
 }
 
+// The bytes after the head were read as a body, or waited for.
+TEST_CASE("a response without a body by its status ends with its head") {
+  const std::string status = GENERATE("100", "103", "204", "304");
+  const std::string field =
+      GENERATE("", "Content-Length: 0\r\n", "Content-Length: 4\r\n",
+               "Transfer-Encoding: chunked\r\n");
+  const std::string head = "HTTP/1.1 " + status + " X\r\n" + field + "\r\n";
+  CAPTURE(head);
+  MessageParser parser(MessageParser::Kind::Response);
+  CHECK(parser.push(head + "4\r\nbody\r\n0\r\n\r\n") == head.size());
+  CHECK(parser.isComplete());
+  CHECK_FALSE(parser.hasFailed());
+  CHECK_FALSE(parser.endsWithConnection());
+  CHECK(parser.body().empty());
+}
+
 TEST_CASE("hop-by-hop header fields are removed") {
   HeaderFields headers;
   headers.add("Connection", "close, X-Hop");
