entrypath: Fail attempts whose framed body holds a second response

A caller got a complete answer that was not the target's: a target states 800 bytes, sends 300, and 15 ms later the whole response again with its head, of which 500 bytes fill the stated length; or it sends its body in chunks, and the second response in a further chunk. Callers of event streams got the head as an event.

Cause: only responses without a length were searched for a second head, as their framing shows no end. A framing that adds up was believed, although a target that answers twice writes into the body of its own first response. Ruled out: a retry (one dispatch, no failed attempt, also on the route that may run once), and bytes behind the response, which already close the connection.

A framed body may quote the protocol, so only a head that the codec says has a target's signature and a request id counts. Any id counts, not only those that the connection has carried: the copy may be of any earlier request on the connection, whose ids aren't kept, and a body that quotes such a head with its signature is rarer than a copy, and fails visibly. The rule for responses without a length is as before: any head.

What isn't decided yet, at most 16 KB from a status line on, is held back from a response that is relayed as it comes, so a head that is split between two reads is found and nothing of it is relayed. At the end of a body the fields so far are enough, and bytes behind the body complete the head, unless they begin with a status line. The search is linear: a head that begins within the lines of another has no field that the other lacks, so only the first is decoded. Errors that would be relayed are searched as well. Failure is Lost, cause second_response; retry decisions are unchanged.

Not found: a length that ends within the status line or the fields before the later of id and signature, if the rest comes in a later read. A sound body may end so.

--- a/src/adaptertcp/httpmessage.cpp
+++ b/src/adaptertcp/httpmessage.cpp
@@ -43,6 +43,16 @@
          status != HTTP_STATUS_NOT_MODIFIED;
 }
 
+bool isToken(std::string_view text) {
+  constexpr std::string_view TokenPunctuation = "!#$%&'*+-.^_`|~";
+  const auto isTokenChar = [&](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
+           (c >= 'A' && c <= 'Z') ||
+           TokenPunctuation.find(c) != std::string_view::npos;
+  };
+  return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
+}
+
 std::optional<std::int64_t> parseNumber(std::string_view text) {
   std::int64_t value = 0;
   const auto [end, ec] =
--- a/src/adaptertcp/httpmessage.h
+++ b/src/adaptertcp/httpmessage.h
@@ -48,6 +48,11 @@
 /// to HEAD.
 bool mayHaveBody(int status);
 
+/// Returns whether a text is a token (RFC 9110, 5.6.2). http_parser accepts
+/// spaces in field names, which other implementations may read as a different
+/// field.
+bool isToken(std::string_view text);
+
 /// Parses a decimal number. Returns nullopt unless the whole text is one.
 std::optional<std::int64_t> parseNumber(std::string_view text);
 
--- a/src/adaptertcp/messageparser.cpp
+++ b/src/adaptertcp/messageparser.cpp
@@ -10,19 +10,6 @@
 /// Bytes of a field besides its name and value: colon, space and CRLF.
 constexpr std::size_t FieldOverhead = 4;
 
-/// Returns whether a text is a token (RFC 9110, 5.6.2). http_parser accepts
-/// spaces in field names, which other implementations may read as a different
-/// field.
-bool isToken(std::string_view text) {
-  constexpr std::string_view TokenPunctuation = "!#$%&'*+-.^_`|~";
-  const auto isTokenChar = [&](char c) {
-    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
-           (c >= 'A' && c <= 'Z') ||
-           TokenPunctuation.find(c) != std::string_view::npos;
-  };
-  return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
-}
-
 } // namespace
 
 MessageParser::MessageParser(Kind kind) : MessageKind(kind) { restart(); }
--- a/src/entrypath/attempt.h
+++ b/src/entrypath/attempt.h
@@ -35,8 +35,11 @@
   std::size_t PrecedingBytes = 0;
   /// Bytes of the body of the response to this request.
   std::size_t ReceivedBodyBytes = 0;
-  /// Bytes have come after the response that belong to no request.
-  bool HasExcessBytes = false;
+  /// Bytes that have come after the response and belong to no request.
+  std::string ExcessBytes;
+  /// How many of the last bytes of a stream may be the beginning of a second
+  /// response's head.
+  std::size_t UndecidedBytes = 0;
   bool Sent = false;
   /// The connection has carried other requests before this one.
   bool ConnectionReused = false;
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -2,6 +2,7 @@
 #define BERGAMOT_ENTRYPATH_EXCHANGE_H
 
 #include "adaptertcp/messageparser.h"
+#include "adaptertcp/responsesearch.h"
 #include "entrypath/attempt.h"
 #include "entrypath/connectionpool.h"
 #include "entrypath/headercodec.h"
@@ -125,6 +126,9 @@
   void relayBody();
   void relayStream();
   bool dropSecondResponse();
+  adaptertcp::TargetHeadSearch
+  findTargetHead(std::string_view bytes, adaptertcp::HeadExtent extent) const;
+  bool hasSecondResponse() const;
   void relayEvents(const std::string &events);
   void relayNonStreaming();
   bool isUnframedSuccess() const;
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -18,10 +18,6 @@
 /// Maximum of unsent bytes for a slow caller before reading from the target is
 /// paused.
 constexpr std::size_t MaxUnsentBytes = 65536;
-/// Non-streaming responses up to this size are relayed only once complete, so
-/// that the request can still be retried after an incomplete or malformed one.
-/// Larger ones have to state where they end.
-constexpr std::size_t MaxBufferedResponseBytes = 65536;
 /// Limit on the bytes of one event or of an error response, since a faulty
 /// target may send without end. Events in the deployments have some hundred
 /// bytes.
@@ -148,7 +144,7 @@
     if (Finished || !isCurrent(number))
       return;
     if (Current->Parser.isComplete()) {
-      Current->HasExcessBytes = !bytes.empty();
+      Current->ExcessBytes = bytes;
       onResponseComplete();
       return;
     }
@@ -234,20 +230,6 @@
   relay(events);
 }
 
-void Exchange::relayNonStreaming() {
-  const std::size_t size = Current->Parser.body().size();
-  if (isUnframedSuccess()) {
-    // Nothing is relayed before the end is known.
-    if (size > MaxBufferedResponseBytes)
-      handleAttemptFailure(AttemptFailure::Lost, "endless_body");
-    return;
-  }
-  if (!ResponseStarted && size <= MaxBufferedResponseBytes)
-    return;
-  relay(Current->Parser.body());
-  Current->Parser.body().clear();
-}
-
 /// Relays a part of the body, and pauses reading from the target while the
 /// caller reads slowly.
 void Exchange::relay(std::string_view bytes) {
@@ -284,6 +266,10 @@
     handleAttemptFailure(AttemptFailure::Refused, "not_executed");
     return;
   }
+  if (hasSecondResponse()) {
+    handleAttemptFailure(AttemptFailure::Lost, "second_response");
+    return;
+  }
   if (head.Status >= 500) {
     handleAttemptFailure(AttemptFailure::ErrorResponse, "error_response");
     return;
@@ -311,6 +297,8 @@
     return;
   }
   const auto self = shared_from_this();
+  if (!Current->Parser.body().empty())
+    relay(Current->Parser.body());
   returnToPool();
   endAttempt();
   Caller->endResponse();
@@ -338,7 +326,7 @@
   // The rest of what follows the response may still be in transit, and would
   // come before the response to the next request.
   const bool reusable = Current->Parser.isComplete() &&
-                        !Current->HasExcessBytes &&
+                        Current->ExcessBytes.empty() &&
                         Current->Parser.responseHead().KeepAlive &&
                         Current->Connection->unsentBytes() == 0;
   if (!reusable) {
--- a/src/entrypath/exchangeunframed.cpp
+++ b/src/entrypath/exchangeunframed.cpp
@@ -25,21 +25,6 @@
   return Current->Parser.endsWithConnection() && status >= 200 && status <= 299;
 }
 
-/// Removes the head of a second response and all that follows it from what has
-/// arrived of an unframed stream. Returns whether there is one.
-bool Exchange::dropSecondResponse() {
-  if (!isUnframedSuccess())
-    return false;
-  std::string &body = Current->Parser.body();
-  const std::size_t before = Events.partialEvent().size();
-  const auto at = adaptertcp::findResponseHead(Events.partialEvent() + body,
-                                               HeadExtent::Whole);
-  if (!at)
-    return false;
-  body.resize(*at > before ? *at - before : 0);
-  return true;
-}
-
 /// Decides on an unframed response whose connection has ended. A target that
 /// has ended closes its connections like one whose response is complete, and
 /// bytes that belong to no response may come before the end.
