entrypath: Bound the incomplete requests of all callers together

Callers without a valid key could fill an entry's memory: each connection may hold a body of up to 4 MB (the configured limit), the key is checked only once the request is complete, a byte within the idle timeout of 15 s keeps the connection, and nothing bounded the sum. 65 such connections hold as much as an entry's VM has.

The entry now counts the bytes of all incomplete requests. Above 64 MB the largest of them is rejected with 503 and Retry-After, which is true since none has been sent to a target; small requests of others go on. A string's memory may be twice its size, hence at most half of an entry's VM. A limit on connections was rejected: it either stops callers with small requests or allows too much. The connections are searched only above the bound.

The test failed before: 196,000 bytes were held with a bound of 65,536, none rejected. The bodies of requests that wait for a target aren't counted; the queue's rules bound them in time only.

--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -17,6 +17,8 @@
 /// While more bytes than this wait for the caller to read, its next request
 /// isn't processed.
 constexpr std::size_t MaxUnreadBytes = 65536;
+/// In seconds. Larger requests than the rejected one may end meanwhile.
+constexpr auto UploadRetryAfter = "1";
 
 } // namespace
 
@@ -88,7 +90,9 @@
     reject(400);
     return;
   }
-  if (!Parser.isHeadComplete())
+  if (!Parser.isComplete())
+    setUploadBytes(Parser.headBytes() + Parser.body().size());
+  if (!Parser.isHeadComplete() || Closed)
     return;
   if (Parser.contentLength().value_or(0) > limits.BodyBytes ||
       Parser.body().size() > limits.BodyBytes) {
@@ -96,6 +100,7 @@
     return;
   }
   if (Parser.isComplete()) {
+    setUploadBytes(0);
     onRequestComplete();
     return;
   }
@@ -117,10 +122,20 @@
   exchange->start();
 }
 
+void CallerConnection::setUploadBytes(std::size_t n) {
+  const std::size_t before = std::exchange(UploadBytes, n);
+  Owner.addUploadBytes(static_cast<std::int64_t>(n) -
+                       static_cast<std::int64_t>(before));
+}
+
+void CallerConnection::rejectUpload() { reject(503); }
+
 void CallerConnection::reject(int status) {
   Owner.countRejectedInput(status);
   ResponseHead head;
   head.Status = status;
+  if (status == 503)
+    head.Headers.add("Retry-After", UploadRetryAfter);
   Connection->send(adaptertcp::responseText(head, Framing::Length, 0, false));
   closeAfterSending();
 }
@@ -187,6 +202,7 @@
 
 void CallerConnection::closeAfterSending() {
   Closed = true;
+  setUploadBytes(0);
   Owner.addClosingConnection(Connection);
   Owner.removeCaller(*this);
   Connection->closeAfterSending();
@@ -200,6 +216,7 @@
 
 void CallerConnection::onClose() {
   Closed = true;
+  setUploadBytes(0);
   if (const auto exchange = std::move(CurrentExchange))
     exchange->onCallerDisconnected();
   CurrentExchange.reset();
--- a/src/entrypath/callerconnection.h
+++ b/src/entrypath/callerconnection.h
@@ -34,6 +34,10 @@
   /// can tell that it is truncated.
   void abortResponse();
 
+  /// Returns the bytes received of an incomplete request.
+  std::size_t uploadBytes() const { return UploadBytes; }
+  /// Rejects the incomplete request, as all of them together are too large.
+  void rejectUpload();
   std::size_t unsentBytes() const { return Connection->unsentBytes(); }
   /// Closes the connection if the caller has exceeded its header or idle
   /// timeout.
@@ -59,6 +63,7 @@
   void resume();
   void parse();
   void reject(int status);
+  void setUploadBytes(std::size_t n);
   void onRequestComplete();
   void finishExchange();
   void closeAfterSending();
@@ -71,6 +76,7 @@
   /// When the first byte of the current request arrived.
   base::TimePoint RequestStartedAt;
   base::TimePoint LastActiveAt;
+  std::size_t UploadBytes = 0;
   bool KeepAlive = true;
   bool Chunked = false;
   bool Sent100Continue = false;
--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -289,6 +289,21 @@
   Callers.erase(caller.shared_from_this());
 }
 
+void Entry::addUploadBytes(std::int64_t n) {
+  UploadBytes += n;
+  while (n > 0 &&
+         UploadBytes > static_cast<std::int64_t>(Settings.MaxUploadBytes)) {
+    const auto largest = std::max_element(
+        Callers.begin(), Callers.end(), [](const auto &a, const auto &b) {
+          return a->uploadBytes() < b->uploadBytes();
+        });
+    if (largest == Callers.end() || (*largest)->uploadBytes() == 0)
+      return;
+    const std::shared_ptr<CallerConnection> caller = *largest;
+    caller->rejectUpload();
+  }
+}
+
 void Entry::countRejectedInput(int status) {
   Metrics.addCount("bergamot_rejected_input_total",
                    "status=\"" + std::to_string(status) + "\"");
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -73,6 +73,9 @@
   /// When the process started.
   base::TimePoint StartedAt = std::chrono::steady_clock::now();
   unsigned LogLinesPerSecond = 40;
+  /// Bound on the bytes of all incomplete requests. The memory for them may be
+  /// twice as large, which is half of that of an entry's VM.
+  std::size_t MaxUploadBytes = 64UL * 1024 * 1024;
   std::uint64_t Seed = 1;
 };
 
@@ -158,6 +161,9 @@
   // Used by CallerConnection.
   const gateway::CallerLimits &callerLimits() const;
   void removeCaller(CallerConnection &caller);
+  /// Counts bytes of incomplete requests; above their bound, rejects the
+  /// largest of these requests.
+  void addUploadBytes(std::int64_t n);
   /// Keeps track of a caller's connection that is closed once all its bytes are
   /// sent.
   void addClosingConnection(
@@ -358,6 +364,7 @@
   std::function<void()> OnPromptEvidence;
   std::function<void()> OnRateLimit;
   std::unordered_set<std::shared_ptr<CallerConnection>> Callers;
+  std::int64_t UploadBytes = 0;
   /// Connections with unsent bytes that have no caller any more.
   std::vector<std::weak_ptr<adaptertcp::TcpConnection>> ClosingConnections;
   std::mt19937_64 Random;
--- a/tests/entrypath/entryfixture.cpp
+++ b/tests/entrypath/entryfixture.cpp
@@ -202,6 +202,7 @@
   // The entry has run for long, so that its retry budget isn't reduced.
   settings.StartedAt -= 1h;
   settings.StreamSilenceTimeout = 150ms;
+  settings.MaxUploadBytes = 65536;
   TestedEntry = std::make_unique<Entry>(Loop, settings, Codec, Metrics);
   TestedEntry->setEntryNames({}, true);
   if (configured == Configured::Immediately)
--- a/tests/entrypath/test_endlesscallers.cpp
+++ b/tests/entrypath/test_endlesscallers.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// The fixture's bound.
+constexpr std::size_t MaxUploadBytes = 65536;
+
 std::string pipelined(const std::string &route, std::size_t n) {
   std::string text;
   for (std::size_t i = 0; i < n; ++i)
@@ -46,3 +49,39 @@
   }));
   CHECK_FALSE(received->has("HTTP/1.1 50"));
 }
+
+TEST_CASE("incomplete requests of many callers have one bound") {
+  // Guards against callers that fill the memory with bodies that don't end.
+  constexpr std::size_t BodyBytes = 4000;
+  EntryFixture fixture;
+  fixture.addTarget(
+      "t1", [&](const auto &head, const auto &, const auto &connection) {
+        connection->send(signedResponse(head, "body"));
+      });
+  const std::string endless =
+      "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Key: key\r\n"
+      "Content-Length: 4096\r\n\r\n" +
+      std::string(BodyBytes, 'x');
+  std::vector<std::shared_ptr<Received>> callers;
+  for (std::size_t i = 0; i < 3 * MaxUploadBytes / BodyBytes; ++i)
+    callers.push_back(fixture.send(endless));
+  // A small request isn't the one that has to end.
+  const auto served = fixture.send(requestText("once", "r1"));
+  REQUIRE(fixture.runUntil([&] { return served->has("body"); }));
+  fixture.run(50ms);
+  std::size_t open = 0;
+  for (const auto &it : callers) {
+    open += it->Closed ? 0 : 1;
+    CHECK(it->Closed == it->has("HTTP/1.1 503"));
+    CHECK(it->Closed == it->has("Retry-After"));
+  }
+  CHECK(open > 0);
+  CHECK(open * BodyBytes <= MaxUploadBytes);
+  // What ends or leaves frees its share.
+  for (const auto &it : callers)
+    fixture.disconnect(it);
+  fixture.run(50ms);
+  const auto next = fixture.send(endless);
+  fixture.run(50ms);
+  CHECK_FALSE(next->Closed);
+}
