entrypath: Reject bodies that consist of chunk extensions

A caller that sent a body as chunks with long extensions, or a trailer in pieces, was read without end: only the body's bytes counted against its limit, and each byte restarts the idle timeout. Memory wasn't at risk, but processor time was. A body may now take eight times its size and 64 KB in all on the wire; a chunk of one byte takes six bytes.

A body of 4,000 chunks of one byte is served.

--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -17,6 +17,10 @@
 /// While more bytes than this wait for the caller to read, its next request
 /// isn't processed.
 constexpr std::size_t MaxUnreadBytes = 65536;
+/// Limit on the bytes of a body in chunks with extensions and trailers, since a
+/// caller may send these without end. A chunk of one byte takes six.
+constexpr std::size_t MaxWireBytesPerByte = 8;
+constexpr std::size_t MaxExtraBytes = 65536;
 /// In seconds. Larger requests than the rejected one may end meanwhile.
 constexpr auto UploadRetryAfter = "1";
 
@@ -79,14 +83,19 @@
     return;
   if (!Parser.hasStarted())
     RequestStartedAt = Owner.now();
+  const bool isInBody = Parser.isHeadComplete();
   const std::size_t n = Parser.push(Input);
   Input.erase(0, n);
+  if (isInBody)
+    BodyWireBytes += n;
   const auto &limits = Owner.callerLimits();
   if (Parser.headBytes() > limits.HeaderBytes) {
     reject(431);
     return;
   }
-  if (Parser.hasFailed()) {
+  const std::size_t maxWireBytes =
+      MaxExtraBytes + MaxWireBytesPerByte * Parser.body().size();
+  if (Parser.hasFailed() || BodyWireBytes > maxWireBytes) {
     reject(400);
     return;
   }
@@ -116,6 +125,7 @@
       std::make_shared<Exchange>(Owner, *this, std::move(Parser.requestHead()),
                                  std::move(Parser.body()), RequestStartedAt);
   Parser.restart();
+  BodyWireBytes = 0;
   Sent100Continue = false;
   // The exchange may end within the call, which clears CurrentExchange.
   const auto exchange = CurrentExchange;
--- a/src/entrypath/callerconnection.h
+++ b/src/entrypath/callerconnection.h
@@ -77,6 +77,9 @@
   base::TimePoint RequestStartedAt;
   base::TimePoint LastActiveAt;
   std::size_t UploadBytes = 0;
+  /// Bytes received of the current request's body, with chunk framing and
+  /// trailers, but without those that came together with the head.
+  std::size_t BodyWireBytes = 0;
   bool KeepAlive = true;
   bool Chunked = false;
   bool Sent100Continue = false;
--- a/tests/entrypath/test_endlesscallers.cpp
+++ b/tests/entrypath/test_endlesscallers.cpp
@@ -85,3 +85,27 @@
   fixture.run(50ms);
   CHECK_FALSE(next->Closed);
 }
+
+TEST_CASE("a body that consists of chunk extensions is rejected") {
+  EntryFixture fixture;
+  std::string chunks;
+  for (int i = 0; i < 64; ++i)
+    chunks += "1;" + std::string(8000, 'x') + "\r\ny\r\n";
+  const std::string head =
+      "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Key: key\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  const auto extended = fixture.send(head + chunks);
+  REQUIRE(fixture.runUntil([&] { return extended->Closed; }));
+  CHECK(extended->has("HTTP/1.1 400"));
+  // Chunks of one byte are valid.
+  fixture.addTarget(
+      "t1", [&](const auto &request, const auto &, const auto &connection) {
+        connection->send(signedResponse(request, "body"));
+      });
+  std::string tiny;
+  for (int i = 0; i < 4000; ++i)
+    tiny += "1\r\ny\r\n";
+  const auto valid = fixture.send(head + tiny + "0\r\n\r\n");
+  REQUIRE(fixture.runUntil([&] { return valid->has("\r\n\r\n"); }));
+  CHECK(valid->has("HTTP/1.1 200"));
+}
