entrypath: Bound the peers added by datagrams

A faulty host that sent reports of ever new entry names to an entry's port for peers made it keep each as a peer for 60 s, with up to 104 KB of counts for 1.5 s, and send its own reports to all of them.

A report now adds a peer only while there are fewer than 1,024; it is logged otherwise. The topic of entries still adds any, so that entries that are registered aren't kept out. Names of known peers are served as before.

--- a/src/entrypath/peerlink.cpp
+++ b/src/entrypath/peerlink.cpp
@@ -22,6 +22,10 @@
 /// datagrams to an absent entry are cheap.
 constexpr std::chrono::seconds PeerLifetime{60};
 constexpr milliseconds FetchTimeout{600};
+/// Limit on the peers that are added because of their datagrams, since a faulty
+/// host may send ever new names. All 330 entries may have been replaced within
+/// PeerLifetime.
+constexpr std::size_t MaxPeers = 1024;
 
 } // namespace
 
@@ -116,6 +120,12 @@
   }
   if (report->Entry == Config.Name)
     return;
+  if (Peers.size() >= MaxPeers && !Peers.contains(report->Entry)) {
+    Owner.eventLog().write("peer.too_many",
+                           {{"from", Sender.address().to_string()}},
+                           Owner.now());
+    return;
+  }
   addPeer(report->Entry, Sender);
   Owner.setPeerRequestCounts(report->Entry, std::move(report->Counts));
 }
