adapterhttp: Bound the lines of chunks and trailers

A back end, or a server that bergamotd calls, that sent a chunk extension or a trailer without end made the process keep all of it until the call's deadline: this is the reported fault, in the HTTP client of bergamotd.

Beast's header_limit applies to the head only. Bytes that its parser can't use yet, such as half of a line, are kept for the next read, and nothing bounded them; each read also searched all of them again. More than 64 KB of them now fail the call as malformed, as a head does.

The test failed before for both: 1 MB kept, where the test stops, and no problem reported. The endless head, refused by header_limit before and now, is its third case.

--- a/src/adapterhttp/responseparser.cpp
+++ b/src/adapterhttp/responseparser.cpp
@@ -82,6 +82,10 @@
     }
   }
   Parser->Unparsed.erase(0, used);
+  // Beast limits the head, but neither chunk extensions nor trailers.
+  if (problem.empty() && !Parser->is_done() &&
+      Parser->Unparsed.size() > MaxHeadBytes)
+    problem = "malformed response: a chunk's line or a trailer is too long";
   return problem;
 }
 
--- a/src/entrypath/peerlink.cpp
+++ b/src/entrypath/peerlink.cpp
@@ -121,9 +121,8 @@
   if (report->Entry == Config.Name)
     return;
   if (Peers.size() >= MaxPeers && !Peers.contains(report->Entry)) {
-    Owner.eventLog().write("peer.too_many",
-                           {{"from", Sender.address().to_string()}},
-                           Owner.now());
+    Owner.eventLog().write(
+        "peer.too_many", {{"from", Sender.address().to_string()}}, Owner.now());
     return;
   }
   addPeer(report->Entry, Sender);
--- a/tests/entrypath/test_endless.cpp
+++ b/tests/entrypath/test_endless.cpp
@@ -139,8 +139,7 @@
   std::string interim;
   while (interim.size() < Piece.size())
     interim += "HTTP/1.1 " + std::to_string(100 + interim.size() % 4) +
-               " S\r\nX: " + std::string(interim.size() % 37, 'x') +
-               "\r\n\r\n";
+               " S\r\nX: " + std::string(interim.size() % 37, 'x') + "\r\n\r\n";
   EndlessTargetFixture it([&](const auto &) { return interim; }, interim);
   const auto received = it.Fixture.send(requestText("once", "r1"));
   REQUIRE(it.Fixture.runUntil([&] { return received->has("\r\n\r\n"); }));
--- a/tests/entrypath/test_endlesscallers.cpp
+++ b/tests/entrypath/test_endlesscallers.cpp
@@ -27,9 +27,8 @@
   constexpr std::size_t MaxUnreadBytes = 24 * 1024 * 1024;
   const std::string body(32768, 'x');
   EntryFixture fixture;
-  auto &target =
-      fixture.addTarget("t1", [&](const auto &head, const auto &,
-                                  const auto &connection) {
+  auto &target = fixture.addTarget(
+      "t1", [&](const auto &head, const auto &, const auto &connection) {
         connection->send(signedResponse(head, body));
       });
   const std::size_t requests = 2 * MaxUnreadBytes / body.size();
@@ -91,9 +90,8 @@
   std::string chunks;
   for (int i = 0; i < 64; ++i)
     chunks += "1;" + std::string(8000, 'x') + "\r\ny\r\n";
-  const std::string head =
-      "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Key: key\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string head = "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Key: key\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
   const auto extended = fixture.send(head + chunks);
   REQUIRE(fixture.runUntil([&] { return extended->Closed; }));
   CHECK(extended->has("HTTP/1.1 400"));
--- a/tests/entrypath/test_endlesspeers.cpp
+++ b/tests/entrypath/test_endlesspeers.cpp
@@ -36,9 +36,9 @@
   link.start();
   udp::socket sender(fixture.loop(), udp::v4());
   for (std::size_t i = 0; i < 3 * MaxPeers; ++i) {
-    sender.send_to(boost::asio::buffer(
-                       encodeReport({"made-up-" + std::to_string(i), {}})),
-                   address);
+    sender.send_to(
+        boost::asio::buffer(encodeReport({"made-up-" + std::to_string(i), {}})),
+        address);
     if (i % 64 == 0)
       fixture.run(2ms);
   }
--- a/tests/tcp/test_endlesspeers.cpp
+++ b/tests/tcp/test_endlesspeers.cpp
@@ -136,13 +136,12 @@
 TEST_CASE("a call ends at an endless head, chunk extension or trailer") {
   const std::string chunked =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-  const auto [beginning, bytes] =
-      GENERATE_COPY(table<std::string, std::string>(
-          {{"HTTP/1.1 200 OK\r\n", "x: " + Piece + "\r\n"},
-           {"HTTP/1.1 200 OK\r\nx: ", Piece},
-           {chunked + "1;", Piece},
-           {chunked, "1;" + Piece + "\r\nx\r\n"},
-           {chunked + "0\r\n", "x: " + Piece + "\r\n"}}));
+  const auto [beginning, bytes] = GENERATE_COPY(table<std::string, std::string>(
+      {{"HTTP/1.1 200 OK\r\n", "x: " + Piece + "\r\n"},
+       {"HTTP/1.1 200 OK\r\nx: ", Piece},
+       {chunked + "1;", Piece},
+       {chunked, "1;" + Piece + "\r\nx\r\n"},
+       {chunked + "0\r\n", "x: " + Piece + "\r\n"}}));
   CAPTURE(beginning, bytes.substr(0, 8));
   const EndlessCall it(beginning, bytes, 2s);
   REQUIRE(it.Result);
@@ -257,21 +256,20 @@
 TEST_CASE("a server closes a connection whose request is endless") {
   const std::string chunked =
       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
-  const auto [beginning, bytes] =
-      GENERATE_COPY(table<std::string, std::string>(
-          {{"GET / HTTP/1.1\r\n", "x: " + Piece + "\r\n"},
-           {"GET / HTTP/1.1\r\nx: ", Piece},
-           {"GET /", Piece},
-           {chunked, "1000\r\n" + Piece.substr(0, 4096) + "\r\n"},
-           {chunked + "1;", Piece},
-           {chunked, "1;" + Piece + "\r\nx\r\n"},
-           {chunked + "0\r\n", "x: " + Piece + "\r\n"}}));
+  const auto [beginning, bytes] = GENERATE_COPY(table<std::string, std::string>(
+      {{"GET / HTTP/1.1\r\n", "x: " + Piece + "\r\n"},
+       {"GET / HTTP/1.1\r\nx: ", Piece},
+       {"GET /", Piece},
+       {chunked, "1000\r\n" + Piece.substr(0, 4096) + "\r\n"},
+       {chunked + "1;", Piece},
+       {chunked, "1;" + Piece + "\r\nx\r\n"},
+       {chunked + "0\r\n", "x: " + Piece + "\r\n"}}));
   CAPTURE(beginning, bytes.substr(0, 8));
   bool called = false;
   ServerFixture it(
       [&](const auto &, const auto &, const auto &) { called = true; });
-  const auto peer = std::make_shared<EndlessSender>(
-      it.Loop, std::move(it.Socket), bytes);
+  const auto peer =
+      std::make_shared<EndlessSender>(it.Loop, std::move(it.Socket), bytes);
   peer->start(beginning);
   it.runUntil([&] { return !peer->isOpen(); }, 1s);
   CHECK_FALSE(peer->isOpen());
