tests: Split a second response's head in a read that begins with the body

A relay that holds back nothing of what isn't decided passed the test: the first half of the head came in a read of its own, which is held back as a whole. It now comes with the last 50 bytes of the body.

--- a/tests/entrypath/test_secondresponse.cpp
+++ b/tests/entrypath/test_secondresponse.cpp
@@ -22,7 +22,7 @@
 enum class Second {
   Whole,
   CutInBody,
-  /// The head comes in two parts.
+  /// The head comes in two parts, the first of them with bytes of the body.
   SplitInHead,
   /// The stated length ends within the head's status line, and the rest comes
   /// at once.
@@ -42,6 +42,9 @@
 /// Above what an entry buffers of a plain response before it relays it.
 constexpr BodySize Large{131072, 100000};
 
+/// Bytes of the body that come with the first part of a split head.
+constexpr std::size_t JoinedBytes = 50;
+
 constexpr milliseconds Delay{15};
 
 std::string headOf(const RequestHead &head, const std::string &framing,
@@ -84,8 +87,9 @@
     stated = size.BytesBefore + StatusLineBytes;
   else if (second == Second::CutInHead)
     stated = size.BytesBefore + headBytes;
+  const std::size_t joined = second == Second::SplitInHead ? JoinedBytes : 0;
   connection->send(headOf(head, lengthField(stated), status) +
-                   std::string(size.BytesBefore, 'a'));
+                   std::string(size.BytesBefore - joined, 'a'));
   switch (second) {
   case Second::Whole:
   case Second::LongerThanBody:
@@ -97,7 +101,8 @@
               again.substr(0, stated - size.BytesBefore));
     return;
   case Second::SplitInHead:
-    sendLater(fixture, connection, Delay, again.substr(0, headBytes / 2));
+    sendLater(fixture, connection, Delay,
+              std::string(joined, 'a') + again.substr(0, headBytes / 2));
     sendLater(fixture, connection, 2 * Delay, again.substr(headBytes / 2));
     return;
   }
@@ -110,8 +115,9 @@
       headOf(head, lengthField(size.Bytes)) + std::string(size.Bytes, 'b');
   const std::size_t headBytes = again.find("\r\n\r\n");
   const std::string end(adaptertcp::LastChunk);
+  const std::size_t joined = second == Second::SplitInHead ? JoinedBytes : 0;
   connection->send(headOf(head, "Transfer-Encoding: chunked\r\n") +
-                   chunk(std::string(size.Bytes, 'a')));
+                   chunk(std::string(size.Bytes - joined, 'a')));
   switch (second) {
   case Second::Whole:
   case Second::LongerThanBody:
@@ -127,7 +133,7 @@
     return;
   case Second::SplitInHead:
     sendLater(fixture, connection, Delay,
-              chunk(again.substr(0, headBytes / 2)));
+              chunk(std::string(joined, 'a') + again.substr(0, headBytes / 2)));
     sendLater(fixture, connection, 2 * Delay,
               chunk(again.substr(headBytes / 2)) + end);
     return;
