entrypath: Send nothing behind the head of a response without a body

On routes with streams, the bytes "0\r\n\r\n" followed the head of a response to HEAD and of a 204, and the caller read them as the start of its next response. Callers got a Content-Length of 0 for every response to HEAD on other routes, in place of the target's.

Cause: CallerConnection framed each response as one that has a body; it knew neither the method of the request nor looked at the status. It now sends the head alone if the response has no body. In a response to HEAD, the head is framed like that to GET as far as the target has stated it: with the target's length, and else as chunked. responseText doesn't state chunks for a status that forbids a body.

Ruled out: relaying no chunks in Exchange, which would leave other uses of CallerConnection open to it; a body that a target sends after its response to HEAD, which the parser already leaves out.

--- a/src/adaptertcp/httpmessage.cpp
+++ b/src/adaptertcp/httpmessage.cpp
@@ -134,9 +134,10 @@
   text.append(reasonPhrase(head.Status)).append("\r\n");
   for (const auto &it : head.Headers.fields())
     text.append(it.Name).append(": ").append(it.Value).append("\r\n");
-  if (framing == Framing::Chunked)
+  const bool isFramed = mayHaveBody(head.Status);
+  if (isFramed && framing == Framing::Chunked)
     text.append("Transfer-Encoding: chunked\r\n");
-  else if (mayHaveBody(head.Status))
+  else if (isFramed)
     text.append("Content-Length: ")
         .append(std::to_string(length))
         .append("\r\n");
--- a/src/adaptertcp/httpmessage.h
+++ b/src/adaptertcp/httpmessage.h
@@ -82,8 +82,8 @@
 enum class Framing { Length, Chunked };
 
 /// Serializes the head of a response: status line, header fields and empty
-/// line. With Framing::Length, `length` is sent as Content-Length, unless the
-/// status forbids a body.
+/// line. With Framing::Length, `length` is sent as Content-Length. A status
+/// that forbids a body has neither field.
 std::string responseText(const ResponseHead &head, Framing framing,
                          std::uint64_t length, bool keepAlive);
 
--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -121,6 +121,7 @@
 
 void CallerConnection::onRequestComplete() {
   KeepAlive = Parser.requestHead().KeepAlive;
+  HeadRequested = Parser.requestHead().Method == "HEAD";
   CurrentExchange =
       std::make_shared<Exchange>(Owner, *this, std::move(Parser.requestHead()),
                                  std::move(Parser.body()), RequestStartedAt);
@@ -154,6 +155,11 @@
                                std::string_view body) {
   if (Closed)
     return;
+  if (!hasBody(head)) {
+    beginResponse(head);
+    endResponse();
+    return;
+  }
   KeepAlive = KeepAlive && !Owner.isShuttingDown();
   std::string text =
       adaptertcp::responseText(head, Framing::Length, body.size(), KeepAlive);
@@ -162,10 +168,15 @@
   finishExchange();
 }
 
+bool CallerConnection::hasBody(const ResponseHead &head) const {
+  return !HeadRequested && adaptertcp::mayHaveBody(head.Status);
+}
+
 void CallerConnection::beginResponse(const ResponseHead &head) {
   if (Closed)
     return;
   KeepAlive = KeepAlive && !Owner.isShuttingDown();
+  WithoutBody = !hasBody(head);
   Chunked = !head.Length;
   Connection->send(adaptertcp::responseText(
       head, Chunked ? Framing::Chunked : Framing::Length,
@@ -173,7 +184,7 @@
 }
 
 void CallerConnection::sendBody(std::string_view bytes) {
-  if (Closed || bytes.empty())
+  if (Closed || WithoutBody || bytes.empty())
     return;
   if (!Chunked) {
     Connection->send(bytes);
@@ -188,7 +199,7 @@
 void CallerConnection::endResponse() {
   if (Closed)
     return;
-  if (Chunked)
+  if (Chunked && !WithoutBody)
     Connection->send(adaptertcp::LastChunk);
   finishExchange();
 }
--- a/src/entrypath/callerconnection.h
+++ b/src/entrypath/callerconnection.h
@@ -22,10 +22,12 @@
 
   void start();
 
-  /// Sends a complete response.
+  /// Sends a complete response. The response to HEAD has the length in the
+  /// head.
   void respond(const adaptertcp::ResponseHead &head, std::string_view body);
   /// Sends a response head; the body follows in sendBody() calls. Without a
-  /// length the body is sent in chunked encoding.
+  /// length the body is sent in chunked encoding. Nothing follows the head of a
+  /// response that has no body.
   void beginResponse(const adaptertcp::ResponseHead &head);
   void sendBody(std::string_view bytes);
   /// Completes a response started with beginResponse().
@@ -65,6 +67,7 @@
   void reject(int status);
   void setUploadBytes(std::size_t n);
   void onRequestComplete();
+  bool hasBody(const adaptertcp::ResponseHead &head) const;
   void finishExchange();
   void closeAfterSending();
 
@@ -82,6 +85,9 @@
   std::size_t BodyWireBytes = 0;
   bool KeepAlive = true;
   bool Chunked = false;
+  bool HeadRequested = false;
+  /// The response in progress has no body.
+  bool WithoutBody = false;
   bool Sent100Continue = false;
   bool Closed = false;
 };
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -101,6 +101,7 @@
   endAttempt();
   ResponseHead head;
   head.Status = status;
+  head.Length = 0;
   if (!RequestInfo.Id.empty())
     Owner.codec().setRequestId(head.Headers, RequestInfo.Id);
   if (status == 503 || status == 429)
--- a/tests/entrypath/test_bodiless.cpp
+++ b/tests/entrypath/test_bodiless.cpp
@@ -123,3 +123,60 @@
         std::vector<std::string>{"304 ", "304 "});
   CHECK(target.connectionCount() == 1);
 }
+
+// The last chunk's bytes came before the caller's next response.
+TEST_CASE("no byte follows the head of a bodiless response on a route with "
+          "streams") {
+  const bool isHead = GENERATE(false, true);
+  EntryFixture fixture;
+  fixture.addTarget("t1", [&](const auto &head, const auto &, auto &it) {
+    if (head.Headers.value("X-Id") == "r1")
+      it->send(isHead ? headWithFields(head, 200, lengthField(5))
+                      : headWithFields(head, 204, ""));
+    else
+      it->send(signedResponse(head, "id: 2\ndata: second\n\n"));
+  });
+  const std::string first =
+      isHead ? "HEAD /stream/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
+               "X-Key: key\r\n\r\n"
+             : requestText("stream", "r1");
+  const auto received = fixture.send(first + requestText("stream", "r2"));
+  REQUIRE(fixture.runUntil([&] { return received->has("second"); }));
+  fixture.run(50ms);
+  CAPTURE(isHead, received->Bytes);
+  CHECK(readResponses(received->Bytes, isHead) ==
+        std::vector<std::string>{isHead ? "200 " : "204 ",
+                                 "200 id: 2\ndata: second\n\n"});
+}
+
+// Callers got a length of 0 for all responses to HEAD.
+TEST_CASE("a response to HEAD has the target's length and no body") {
+  const int status = GENERATE(200, 404);
+  const bool hasLength = GENERATE(false, true);
+  EntryFixture fixture;
+  fixture.addTarget("t1", [&](const auto &head, const auto &, auto &it) {
+    it->send(
+        head.Method == "HEAD"
+            ? headWithFields(head, status, hasLength ? lengthField(5000) : "")
+            : signedResponse(head, "second"));
+  });
+  const auto received =
+      fixture.send("HEAD /safe/x HTTP/1.1\r\nHost: h\r\nX-Id: r1\r\n"
+                   "X-Key: key\r\n\r\n" +
+                   requestText("safe", "r2"));
+  REQUIRE(fixture.runUntil([&] { return received->has("second"); }));
+  CAPTURE(status, hasLength, received->Bytes);
+  CHECK(readResponses(received->Bytes, true) ==
+        std::vector<std::string>{std::to_string(status) + " ", "200 second"});
+  CHECK(received->has("Content-Length: 5000\r\n") == hasLength);
+  CHECK_FALSE(received->has("Content-Length: 0\r\n"));
+}
+
+TEST_CASE("a rejection of a HEAD request has a length of 0") {
+  EntryFixture fixture;
+  const auto received = fixture.send("HEAD /unknown/x HTTP/1.1\r\nHost: h\r\n"
+                                     "X-Id: r1\r\nX-Key: key\r\n\r\n");
+  REQUIRE(fixture.runUntil([&] { return received->has("\r\n\r\n"); }));
+  CHECK(received->has("HTTP/1.1 404"));
+  CHECK(received->has("Content-Length: 0\r\n"));
+}
