bergamotd: Reject Park for an answer that can't be resumed

A faulty target could park an answer that can't be resumed. The call was then repeated from offset 0 although its caller already had a part of the answer, and a second body followed in the same response.

Cause: AnswerStream took Park for every stream, and CallRunner repeats a parked call without the check by retryOrGiveUp whether the response in progress can be continued. Park for such a stream now counts as a corrupted answer of which the outcome is unknown, so that retryOrGiveUp decides.

Ruled out: targets of this version, which park resumable answers only (TargetJob::relay); parking by the entry itself, which StreamBuffer::park already refuses for such a stream.

The second response itself wasn't reproduced with a daemon.

--- a/src/bergamotd/answerstream.cpp
+++ b/src/bergamotd/answerstream.cpp
@@ -99,7 +99,7 @@
     setFinal(AttemptFailed{toExecuted(failed->executed), failed->step,
                            failed->detail});
   else if (wire::payloadAs<fb::ParkT>(message) != nullptr)
-    setFinal(AnswerParked{});
+    addPark();
   Changed.notify_one();
 }
 
@@ -130,6 +130,12 @@
   setFinal(AnswerEnd{});
 }
 
+void AnswerStream::addPark() {
+  if (!IsResumable)
+    return setCorrupted("Park for an answer that can't be resumed");
+  setFinal(AnswerParked{});
+}
+
 void AnswerStream::setCorrupted(const char *what) {
   setFinal(AttemptFailed{Executed::Unknown, "answer",
                          std::string("the target sent ") + what});
--- a/src/bergamotd/answerstream.h
+++ b/src/bergamotd/answerstream.h
@@ -96,6 +96,7 @@
   void addHead(const wire::fb::HeadT &head);
   void addChunk(const wire::fb::ChunkT &chunk);
   void addEnd(const wire::fb::EndT &end);
+  void addPark();
   void setFinal(AnswerEvent event);
   void setCorrupted(const char *what);
   bool isBytesReady(bool whole) const;
