tests: Send a body after responses to HEAD

The case for the length of responses to HEAD covered targets that send no body only. Its 8 combinations pass, and the 6 cases of test_bodiless.cpp (57 assertions).

--- a/tests/entrypath/test_bodiless.cpp
+++ b/tests/entrypath/test_bodiless.cpp
@@ -153,11 +153,13 @@
 TEST_CASE("a response to HEAD has the target's length and no body") {
   const int status = GENERATE(200, 404);
   const bool hasLength = GENERATE(false, true);
+  const bool sendsBody = GENERATE(false, true);
   EntryFixture fixture;
   fixture.addTarget("t1", [&](const auto &head, const auto &, auto &it) {
     it->send(
         head.Method == "HEAD"
-            ? headWithFields(head, status, hasLength ? lengthField(5000) : "")
+            ? headWithFields(head, status, hasLength ? lengthField(5000) : "") +
+                  (sendsBody ? ForgedResponse : "")
             : signedResponse(head, "second"));
   });
   const auto received =
@@ -165,7 +167,7 @@
                    "X-Key: key\r\n\r\n" +
                    requestText("safe", "r2"));
   REQUIRE(fixture.runUntil([&] { return received->has("second"); }));
-  CAPTURE(status, hasLength, received->Bytes);
+  CAPTURE(status, hasLength, sendsBody, received->Bytes);
   CHECK(readResponses(received->Bytes, true) ==
         std::vector<std::string>{std::to_string(status) + " ", "200 second"});
   CHECK(received->has("Content-Length: 5000\r\n") == hasLength);
