entrypath: Hold a caller's connection while its request is rejected

Entry::addUploadBytes kept a copy of the pointer for that, which the linter rejects; the connection now holds itself, as in the other calls that may remove it.

--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -139,7 +139,10 @@
                        static_cast<std::int64_t>(before));
 }
 
-void CallerConnection::rejectUpload() { reject(503); }
+void CallerConnection::rejectUpload() {
+  const auto self = shared_from_this();
+  reject(503);
+}
 
 void CallerConnection::reject(int status) {
   Owner.countRejectedInput(status);
--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -299,8 +299,7 @@
         });
     if (largest == Callers.end() || (*largest)->uploadBytes() == 0)
       return;
-    const std::shared_ptr<CallerConnection> caller = *largest;
-    caller->rejectUpload();
+    (*largest)->rejectUpload();
   }
 }
 
