--- a/tests/entrypath/entryfixture.cpp
+++ b/tests/entrypath/entryfixture.cpp
@@ -193,6 +193,24 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::optional<std::string> completeBody(const Received &received) {
+  MessageParser parser(MessageParser::Kind::Response);
+  std::string_view rest = received.Bytes;
+  rest.remove_prefix(parser.push(rest));
+  if (!parser.isComplete())
+    return std::nullopt;
+  REQUIRE(rest.empty());
+  if (parser.responseHead().Status != 200)
+    return std::nullopt;
+  return parser.body();
+}
+
+bool hasEnded(const Received &received) {
+  MessageParser parser(MessageParser::Kind::Response);
+  (void)parser.push(received.Bytes);
+  return received.Closed || parser.isComplete();
+}
+
 EntryFixture::EntryFixture(Configured configured) {
   EntrySettings settings;
   settings.Name = "entry";
--- a/tests/entrypath/entryfixture.h
+++ b/tests/entrypath/entryfixture.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -82,6 +83,13 @@
   }
 };
 
+/// Returns the body of the complete response with status 200 that a caller has
+/// received, if there is one. Requires that nothing follows it.
+std::optional<std::string> completeBody(const Received &received);
+
+/// Returns whether a caller has a complete response or will get no more of it.
+bool hasEnded(const Received &received);
+
 /// An entry with targets and callers on one event loop.
 class EntryFixture {
 public:
--- a/tests/entrypath/test_partlyrelayed.cpp
+++ b/tests/entrypath/test_partlyrelayed.cpp
@@ -10,7 +10,6 @@
 using namespace bergamot;
 using namespace bergamot::entrypath;
 using namespace std::chrono_literals;
-using adaptertcp::MessageParser;
 using adaptertcp::RequestHead;
 using Connection = TestTarget::Connection;
 
@@ -77,26 +76,6 @@
   }
 }
 
-/// Returns the body of the complete response that a caller has received, if
-/// there is one.
-std::optional<std::string> completeBody(const Received &received) {
-  MessageParser parser(MessageParser::Kind::Response);
-  std::string_view rest = received.Bytes;
-  rest.remove_prefix(parser.push(rest));
-  if (!parser.isComplete())
-    return std::nullopt;
-  REQUIRE(rest.empty());
-  if (parser.responseHead().Status != 200)
-    return std::nullopt;
-  return parser.body();
-}
-
-bool hasEnded(const Received &received) {
-  MessageParser parser(MessageParser::Kind::Response);
-  (void)parser.push(received.Bytes);
-  return received.Closed || parser.isComplete();
-}
-
 /// Plays a request whose first target fails and returns what its caller
 /// received. The second target is added once the first one has the request.
 struct Play {
--- a/tests/entrypath/test_secondresponse.cpp
+++ b/tests/entrypath/test_secondresponse.cpp
@@ -9,7 +9,6 @@
 using namespace bergamot;
 using namespace bergamot::entrypath;
 using namespace std::chrono_literals;
-using adaptertcp::MessageParser;
 using adaptertcp::RequestHead;
 using Connection = TestTarget::Connection;
 using std::chrono::milliseconds;
@@ -145,26 +144,6 @@
   connection->send(signedResponse(head, std::string(Short.Bytes, 'c')));
 }
 
-/// Returns the body of the complete response that a caller has received, if
-/// there is one.
-std::optional<std::string> completeBody(const Received &received) {
-  MessageParser parser(MessageParser::Kind::Response);
-  std::string_view rest = received.Bytes;
-  rest.remove_prefix(parser.push(rest));
-  if (!parser.isComplete())
-    return std::nullopt;
-  REQUIRE(rest.empty());
-  if (parser.responseHead().Status != 200)
-    return std::nullopt;
-  return parser.body();
-}
-
-bool hasEnded(const Received &received) {
-  MessageParser parser(MessageParser::Kind::Response);
-  (void)parser.push(received.Bytes);
-  return received.Closed || parser.isComplete();
-}
-
 std::string eventText(int number) {
   return "id: " + std::to_string(number) + "\ndata: HTTP/1.1 200 OK\n\n";
 }
