--- a/tests/entrypath/test_secondresponse.cpp
+++ b/tests/entrypath/test_secondresponse.cpp
@@ -144,6 +144,19 @@
   connection->send(signedResponse(head, std::string(Short.Bytes, 'c')));
 }
 
+/// Adds a target that sends a second response within the body of its first.
+TestTarget &addStutteringTarget(EntryFixture &fixture, BodyFraming framing,
+                                const BodySize &body, Second second) {
+  return fixture.addTarget(
+      "t1", [&fixture, framing, body, second](const auto &head, const auto &,
+                                              const auto &it) {
+        if (framing == BodyFraming::Length)
+          respondWithLength(fixture, body, second, head, it);
+        else
+          respondInChunks(fixture, body, second, head, it);
+      });
+}
+
 std::string eventText(int number) {
   return "id: " + std::to_string(number) + "\ndata: HTTP/1.1 200 OK\n\n";
 }
@@ -160,13 +173,8 @@
                Second::LongerThanBody, Second::CutInHead);
   CAPTURE(static_cast<int>(framing), route, static_cast<int>(second));
   EntryFixture fixture;
-  const TestTarget &first = fixture.addTarget(
-      "t1", [&](const auto &head, const auto &, const auto &it) {
-        if (framing == BodyFraming::Length)
-          respondWithLength(fixture, Short, second, head, it);
-        else
-          respondInChunks(fixture, Short, second, head, it);
-      });
+  const TestTarget &first =
+      addStutteringTarget(fixture, framing, Short, second);
   const auto received = fixture.send(requestText(route, "r1"));
   REQUIRE(fixture.runUntil([&] { return first.requestCount() == 1; }));
   const TestTarget &other = fixture.addTarget("t2", respondWhole);
@@ -190,13 +198,8 @@
                Second::LongerThanBody, Second::CutInHead);
   CAPTURE(static_cast<int>(framing), route, static_cast<int>(second));
   EntryFixture fixture;
-  const TestTarget &first = fixture.addTarget(
-      "t1", [&](const auto &head, const auto &, const auto &it) {
-        if (framing == BodyFraming::Length)
-          respondWithLength(fixture, Large, second, head, it);
-        else
-          respondInChunks(fixture, Large, second, head, it);
-      });
+  const TestTarget &first =
+      addStutteringTarget(fixture, framing, Large, second);
   const auto received = fixture.send(requestText(route, "r1"));
   REQUIRE(fixture.runUntil([&] { return first.requestCount() == 1; }));
   const TestTarget &other = fixture.addTarget("t2", respondWhole);
