--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -41,17 +41,26 @@
 /// time.
 constexpr milliseconds ReloadTimeout{1000};
 
+gateway::SchedulerSettings schedulerSettings(const EntrySettings &it) {
+  gateway::SchedulerSettings settings;
+  settings.Name = it.Name;
+  settings.FailureDomain = it.FailureDomain;
+  settings.StartedAt = it.StartedAt;
+  settings.RemovalGrace = it.RemovalGrace;
+  settings.DrainBound = it.DrainBound - DrainMargin;
+  settings.SilenceBound = it.StableWindow - DrainMargin;
+  settings.ReportLifetime = PeerReportLifetime;
+  return settings;
+}
+
 } // namespace
 
 Entry::Entry(boost::asio::io_context &loop, const EntrySettings &settings,
              const HeaderCodec &codec, base::Metrics &metrics)
     : Loop(loop), Settings(settings), Codec(codec), Metrics(metrics),
       EventLog(settings.LogLinesPerSecond), Acceptor(loop), Ticker(loop),
-      Pool(loop),
-      Directory(settings.RemovalGrace, settings.DrainBound - DrainMargin,
-                settings.StableWindow - DrainMargin),
-      TargetLoads(PeerReportLifetime), Health(gateway::HealthSettings{}),
-      Random(settings.Seed), Suspensions(now(), base::timeSinceBoot()) {}
+      Pool(loop), Scheduler(schedulerSettings(settings)), Random(settings.Seed),
+      Suspensions(now(), base::timeSinceBoot()) {}
 
 Entry::~Entry() {
   const auto callers = Callers;
@@ -111,13 +120,10 @@
         processQueue(serviceName);
     if (at >= NextCleanupAt) {
       NextCleanupAt = at + CleanupPeriod;
-      Directory.removeExpiredTargets(at);
-      TargetLoads.removeExpired(at);
-      RateLimits.removeExpired(at);
-      updateRateLimitEntries();
+      Scheduler.removeExpired(at);
       Suspects.removeExpired(at);
       Pool.removeStale(at, [this](const std::string &id) {
-        return Directory.target(id) != nullptr;
+        return Scheduler.directory().target(id) != nullptr;
       });
       std::erase_if(ClosingConnections,
                     [](const auto &it) { return it.expired(); });
@@ -137,7 +143,7 @@
       "process.paused",
       {{"ms", base::wholeMilliseconds(suspension.Length)},
        {"uncounted_ms", base::wholeMilliseconds(suspension.Suspended)}});
-  RateLimits.handleSuspension(now);
+  Scheduler.handleSuspension(now);
   if (OnReload) {
     ReloadDeadline = now + ReloadTimeout;
     OnReload();
@@ -214,7 +220,7 @@
                      {"previous", Table ? Table->version() : 0},
                      {"routes", table->routeCount()}});
   Table = std::move(table);
-  StreamLimits = gateway::maxConcurrentStreamsByService(*Table);
+  Scheduler.setRouteTable(Table);
   Metrics.setGauge("bergamot_config_version", "",
                    static_cast<double>(Table->version()));
   startHeldRequests();
@@ -266,17 +272,16 @@
 
 void Entry::setEntryNames(const std::set<std::string> &names,
                           bool areComplete) {
-  EntryNames = names;
-  Shares.setEntries(Settings.Name, names);
-  updateRateLimitEntries();
+  const bool areFirst = !Scheduler.knowsEntries();
+  Scheduler.setEntryNames(names);
   AllEntriesKnown = areComplete;
-  if (!std::exchange(EntryNamesSet, true))
+  if (areFirst)
     onTargetsChanged();
 }
 
 void Entry::setPeerRequestCounts(const std::string &entry,
                                  gateway::RequestCounts counts) {
-  TargetLoads.setReport(entry, std::move(counts), now());
+  Scheduler.setReport(entry, std::move(counts), now());
   onTargetsChanged();
 }
 
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -7,24 +7,14 @@
 #include "libbergamotbase/metrics.h"
 #include "libbergamotbase/pausedetector.h"
 #include "libbergamotgateway/attemptpolicy.h"
-#include "libbergamotgateway/drainingtargets.h"
-#include "libbergamotgateway/enginelimit.h"
 #include "libbergamotgateway/framinghabit.h"
-#include "libbergamotgateway/groupprogress.h"
-#include "libbergamotgateway/loadtracker.h"
 #include "libbergamotgateway/promptsuspects.h"
-#include "libbergamotgateway/rankslowdowns.h"
 #include "libbergamotgateway/ratewindow.h"
 #include "libbergamotgateway/recentdurations.h"
 #include "libbergamotgateway/retrybudget.h"
 #include "libbergamotgateway/routetable.h"
 #include "libbergamotgateway/shutdownpolicy.h"
-#include "libbergamotgateway/targetbackoffs.h"
-#include "libbergamotgateway/targetdirectory.h"
-#include "libbergamotgateway/targethealth.h"
-#include "libbergamotgateway/targetratelimits.h"
-#include "libbergamotgateway/targetselection.h"
-#include "libbergamotgateway/targetshares.h"
+#include "libbergamotgateway/targetscheduler.h"
 #include "libbergamotgateway/waitpolicy.h"
 #include "libbergamotgateway/waitqueue.h"
 
@@ -145,9 +135,9 @@
   /// that have sent something to this one.
   void setEntryNames(const std::set<std::string> &names, bool areComplete);
 
-  gateway::TargetDirectory &directory() { return Directory; }
-  gateway::RankSlowdowns &slowdowns() { return Slowdowns; }
-  const gateway::LoadTracker &loadTracker() const { return TargetLoads; }
+  gateway::TargetDirectory &directory() { return Scheduler.directory(); }
+  gateway::RankSlowdowns &slowdowns() { return Scheduler.slowdowns(); }
+  const gateway::LoadTracker &loadTracker() const { return Scheduler.loads(); }
   std::shared_ptr<const gateway::RouteTable> routeTable() const {
     return Table;
   }
@@ -185,7 +175,9 @@
 
   /// Merges what other entries have heard from targets of their request rates.
   void mergeRateStatements(const std::vector<gateway::RateStatement> &it);
-  const gateway::TargetRateLimits &rateLimits() const { return RateLimits; }
+  const gateway::TargetRateLimits &rateLimits() const {
+    return Scheduler.rateLimits();
+  }
   /// Sets the function that is called when other entries must learn of a change
   /// of rateLimits() at once.
   void setRateLimitHandler(std::function<void()> handler) {
@@ -201,7 +193,7 @@
   /// Returns how many requests of a service are queued at this entry.
   std::size_t queuedCount(const std::string &serviceName);
   /// Returns how many entries are or may be running, including this one.
-  unsigned entryCount() const;
+  unsigned entryCount() const { return Scheduler.entryCount(); }
   /// Holds a request until the first configuration has been read, shortly after
   /// the process has started. Returns false if too many requests are held or
   /// the request has been held for too long.
@@ -232,7 +224,7 @@
   /// once: a target may state something there that the entry should heed.
   void recordUnknownFields(const std::string &target,
                            const adaptertcp::ResponseHead &head);
-  gateway::GroupProgress &groups() { return Groups; }
+  gateway::GroupProgress &groups() { return Scheduler.groups(); }
   /// Records that a group made progress; if it was stalled, the service's
   /// queued requests are dispatched.
   void recordProgress(const std::string &serviceName, const std::string &group);
@@ -314,24 +306,12 @@
   gateway::QueueState queueState(const std::string &serviceName,
                                  ServiceState &state);
   gateway::WaitLimits waitLimits(const Exchange &exchange) const;
-  void addTargetLimits(const std::string &serviceName,
-                       gateway::QueueState &state);
-  base::TimePoint nextSendAt(const gateway::KnownTarget &target,
-                             base::TimePoint now);
-  void updateRateLimitEntries();
   void recordRateLimit(const std::string &target, std::int64_t startedAtMs,
                        base::TimePoint sentAt, const TargetResponse &response);
   bool isStalled(const std::string &serviceName) const;
-  std::size_t slotShare(const std::string &serviceName) const;
   bool dispatchNext(const std::string &serviceName, ServiceState &state);
-  bool dispatch(const std::string &serviceName, ServiceState &state,
-                std::uint64_t exchangeId);
-  std::vector<gateway::Candidate> candidates(const std::string &serviceName,
-                                             const Exchange &exchange);
-  bool isUsable(const gateway::KnownTarget &target) const;
-  std::uint32_t requestLimit(const gateway::KnownTarget &target) const;
-  bool isWithinColdRate(const gateway::Service *service,
-                        const std::string &target);
+  bool dispatch(ServiceState &state, std::uint64_t exchangeId);
+  gateway::DispatchTerms dispatchTerms(const Exchange &exchange) const;
   std::optional<unsigned> budgetEntryCount() const;
   void tick();
 
@@ -344,17 +324,7 @@
   boost::asio::steady_timer Ticker;
   ConnectionPool Pool;
   std::shared_ptr<const gateway::RouteTable> Table;
-  std::map<std::string, std::uint32_t> StreamLimits;
-  gateway::TargetDirectory Directory;
-  gateway::LoadTracker TargetLoads;
-  gateway::TargetShares Shares;
-  gateway::TargetHealth Health;
-  gateway::DrainingTargets DrainingTargets;
-  gateway::TargetBackoffs Backoffs;
-  gateway::TargetRateLimits RateLimits;
-  gateway::GroupProgress Groups;
-  gateway::RankSlowdowns Slowdowns;
-  std::map<std::string, gateway::RateWindow> DispatchesByTarget;
+  gateway::TargetScheduler Scheduler;
   /// The unknown response fields that have been logged.
   std::set<std::string> UnknownFields;
   std::map<std::string, ServiceState> Services;
@@ -370,10 +340,7 @@
   std::mt19937_64 Random;
   std::uniform_real_distribution<double> Uniform{0.0, 1.0};
   std::uint64_t LastExchangeId = 0;
-  /// The names of the other entries that may be running.
-  std::set<std::string> EntryNames;
-  /// Whether setEntryNames() has been called, and with all names.
-  bool EntryNamesSet = false;
+  /// Whether setEntryNames() has been called with all names.
   bool AllEntriesKnown = false;
   /// When expired targets, peers' reports and connections are next removed.
   base::TimePoint NextCleanupAt;
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -30,10 +30,6 @@
   return service(serviceName).Queue.size();
 }
 
-unsigned Entry::entryCount() const {
-  return std::max(TargetLoads.liveEntryCount(), Shares.entryCount());
-}
-
 gateway::WaitLimits Entry::waitLimits(const Exchange &exchange) const {
   if (!exchange.hasResponseStarted())
     return gateway::waitLimits(exchange.route(), exchange.times());
@@ -47,8 +43,8 @@
   gateway::QueueState queue{
       state.Queue.onTimeCount(),  state.Queue.lateCount(),
       state.Dispatched.count(at), state.OnTimeArrivals.count(at),
-      isStalled(serviceName),     slotShare(serviceName)};
-  addTargetLimits(serviceName, queue);
+      isStalled(serviceName),     Scheduler.slotShare(serviceName, at)};
+  Scheduler.addTargetLimits(serviceName, queue, at);
   return queue;
 }
 
@@ -71,7 +67,7 @@
   ServiceState &state = service(serviceName);
   const gateway::WaitLimits limits = waitLimits(*exchange);
   gateway::QueueState permitted;
-  addTargetLimits(serviceName, permitted);
+  Scheduler.addTargetLimits(serviceName, permitted, at);
   if (at + permitted.NextSendIn > std::max(limits.ExpiresAt, at)) {
     exchange->rejectQueued(permitted.MaxRate ? "rate_limited" : "resting");
     return;
@@ -114,27 +110,8 @@
   rejectExpired(serviceName, state);
 }
 
-/// Returns whether the service has targets and none of them makes progress.
 bool Entry::isStalled(const std::string &serviceName) const {
-  bool hasGroups = false;
-  for (const auto &[id, target] : Directory.targets()) {
-    if (target.Record.Service != serviceName || !isUsable(target))
-      continue;
-    const auto &membership = target.Record.Membership;
-    if (!membership || Groups.isReady(membership->Group, now()))
-      return false;
-    hasGroups = true;
-  }
-  return hasGroups;
-}
-
-/// Returns this entry's share of the slots of a service's targets.
-std::size_t Entry::slotShare(const std::string &serviceName) const {
-  std::size_t totalSlots = 0;
-  for (const auto &[id, target] : Directory.targets())
-    if (target.Record.Service == serviceName && isUsable(target))
-      totalSlots += requestLimit(target);
-  return totalSlots / entryCount() + 1;
+  return Scheduler.isStalled(serviceName, now());
 }
 
 void Entry::rejectQueued(ServiceState &state, std::uint64_t exchangeId) {
@@ -162,7 +139,7 @@
   const gateway::WaitingRequest *next = state.Queue.next();
   if (!next)
     return false;
-  if (dispatch(serviceName, state, next->SequenceNumber))
+  if (dispatch(state, next->SequenceNumber))
     return true;
   if (!isStalled(serviceName))
     return false;
@@ -172,13 +149,12 @@
       state.QueuedExchanges.begin(), state.QueuedExchanges.end(),
       [](const auto &it) { return it.second->failedTargets().empty(); });
   return untried != state.QueuedExchanges.end() &&
-         dispatch(serviceName, state, untried->first);
+         dispatch(state, untried->first);
 }
 
 /// Sends a queued request to the best target; returns false if none has a free
 /// slot.
-bool Entry::dispatch(const std::string &serviceName, ServiceState &state,
-                     std::uint64_t exchangeId) {
+bool Entry::dispatch(ServiceState &state, std::uint64_t exchangeId) {
   const auto exchange = state.QueuedExchanges.at(exchangeId);
   if (!exchange->isPromptProbe() &&
       Suspects.verdict(exchange->promptParts(), now()) !=
@@ -191,94 +167,32 @@
     });
     return true;
   }
-  const auto choices = candidates(serviceName, *exchange);
-  const int chosen = gateway::chooseTarget(choices, drawUniform());
-  if (chosen < 0)
-    return false;
   const auto *target =
-      Directory.target(choices[static_cast<std::size_t>(chosen)].Id);
+      Scheduler.choose(dispatchTerms(*exchange), drawUniform(), now());
+  if (!target)
+    return false;
   state.Queue.remove(exchange->exchangeId());
   state.QueuedExchanges.erase(exchange->exchangeId());
-  DispatchesByTarget[target->Record.Id].add(now());
-  RateLimits.recordSent(gateway::targetHash(target->Record.Id), now());
   state.Dispatched.add(now());
-  if (target->Record.Membership)
-    Groups.recordDispatch(target->Record.Membership->Group, now());
+  Scheduler.recordDispatch(*target, now());
   exchange->dispatchTo(*target);
   return true;
 }
 
-std::vector<gateway::Candidate>
-Entry::candidates(const std::string &serviceName, const Exchange &exchange) {
-  const TimePoint at = now();
-  const gateway::Service *service =
-      Table ? Table->service(serviceName) : nullptr;
-  const bool isLate = !exchange.hasResponseStarted() &&
-                      waitLimits(exchange).OnTimeUntil <= at &&
-                      !isStalled(serviceName);
+gateway::DispatchTerms Entry::dispatchTerms(const Exchange &exchange) const {
+  gateway::DispatchTerms terms;
+  terms.Service = exchange.service();
+  terms.Priority = exchange.priority();
+  terms.IsLate = !exchange.hasResponseStarted() &&
+                 waitLimits(exchange).OnTimeUntil <= now() &&
+                 !isStalled(terms.Service);
   // A request that probes whether a group makes progress may be refused and
   // then needs another dispatch.
-  const bool mayProbe =
+  terms.MayProbe =
       exchange.failedTargets().empty() || exchange.dispatchesLeft() > 1;
-  std::vector<gateway::Candidate> choices;
-  std::vector<gateway::Candidate> failedBefore;
-  for (const auto &[id, target] : Directory.targets()) {
-    if (target.Record.Service != serviceName || !isUsable(target) ||
-        Health.isUnresponsive(id, at) || nextSendAt(target, at) > at ||
-        exchange.hasAttemptAt(id))
-      continue;
-    if (!isWithinColdRate(service, id))
-      continue;
-    const auto &membership = target.Record.Membership;
-    if (membership && !Groups.isReady(membership->Group, at) &&
-        (!mayProbe || !Groups.mayDispatch(membership->Group, at)))
-      continue;
-    const std::uint32_t limit =
-        isLate ? gateway::lateRequestLimit(requestLimit(target))
-               : requestLimit(target);
-    gateway::Candidate it{id, TargetLoads.total(id), limit,
-                          target.Record.FailureDomain == Settings.FailureDomain,
-                          Health.penalty(id, at)};
-    (exchange.failedTargets().contains(id) ? failedBefore : choices)
-        .push_back(std::move(it));
-  }
-  return choices.empty() ? failedBefore : choices;
-}
-
-/// Returns whether new requests may be sent to a target at all.
-bool Entry::isUsable(const gateway::KnownTarget &target) const {
-  return Directory.isUsable(target) &&
-         !DrainingTargets.contains(target.Record.Id, target.Record.StartedAtMs);
-}
-
-std::uint32_t Entry::requestLimit(const gateway::KnownTarget &target) const {
-  const std::uint32_t slots = std::max(1U, target.Record.Slots);
-  const auto it = StreamLimits.find(target.Record.Service);
-  const std::uint32_t limit =
-      it == StreamLimits.end() ? slots : std::min(slots, it->second);
-  const auto &place = target.Record.Membership;
-  return place ? Slowdowns.limit(place->Group, place->Rank, place->GroupSize,
-                                 limit, now())
-               : limit;
-}
-
-/// Returns whether a request may be sent to a target without the risk that all
-/// entries together exceed the request rate that it can serve while cold. A
-/// target may become cold before any entry learns of it, so the limit also
-/// applies to warm targets, which rarely reach it. This entry's share of the
-/// rate can't be computed before the number of entries is known.
-bool Entry::isWithinColdRate(const gateway::Service *service,
-                             const std::string &target) {
-  if (!service || service->ColdRequestsPerSecond <= 0)
-    return true;
-  if (!EntryNamesSet)
-    return false;
-  const TimePoint at = now();
-  const double maxPerSecond = Shares.requestsPerSecond(
-      target, gateway::coldRateFraction(at - Settings.StartedAt) *
-                  service->ColdRequestsPerSecond);
-  return static_cast<double>(DispatchesByTarget[target].count(at)) + 1 <=
-         maxPerSecond;
+  terms.BusyTargets = exchange.busyTargets();
+  terms.FailedTargets = exchange.failedTargets();
+  return terms;
 }
 
 void Entry::withdraw(const Exchange &exchange) {
@@ -288,8 +202,8 @@
 }
 
 bool Entry::hasFreeTarget(const Exchange &exchange) {
-  return gateway::chooseTarget(candidates(exchange.service(), exchange),
-                               drawUniform()) >= 0;
+  return Scheduler.choose(dispatchTerms(exchange), drawUniform(), now()) !=
+         nullptr;
 }
 
 void Entry::removeExchange(Exchange &exchange, const char *outcome,
@@ -308,12 +222,12 @@
 }
 
 void Entry::addInFlight(const std::string &target) {
-  TargetLoads.addLocalRequest(target);
+  Scheduler.loads().addLocalRequest(target);
 }
 
 void Entry::removeInFlight(const Exchange &exchange,
                            const std::string &target) {
-  TargetLoads.removeLocalRequest(target);
+  Scheduler.loads().removeLocalRequest(target);
   scheduleQueueProcessing(exchange.service());
 }
 
--- a/src/entrypath/entrytargets.cpp
+++ b/src/entrypath/entrytargets.cpp
@@ -33,17 +33,19 @@
                            TimePoint sentAt, const TargetResponse &response) {
   const TimePoint at = now();
   if (response.ColdFor && response.ColdFor->count() > 0)
-    Directory.setColdUntil(target, at + *response.ColdFor);
+    Scheduler.directory().setColdUntil(target, at + *response.ColdFor);
   // The response is from another instance, so what it states doesn't apply to
   // the target.
   if (response.Misdirected)
     return;
-  if (response.IsDraining && !DrainingTargets.contains(target, startedAtMs)) {
+  gateway::DrainingTargets &draining = Scheduler.drainingTargets();
+  if (response.IsDraining && !draining.contains(target, startedAtMs)) {
     base::logDecision("target.leaving", {{"target", target}});
-    DrainingTargets.add(target, startedAtMs, at);
+    draining.add(target, startedAtMs, at);
   }
   if (response.BackoffFor)
-    Backoffs.setBackoff(target, startedAtMs, at + *response.BackoffFor, at);
+    Scheduler.backoffs().setBackoff(target, startedAtMs,
+                                    at + *response.BackoffFor, at);
   const bool hasBackoff = response.BackoffFor || response.HasInvalidBackoff;
   if (hasBackoff && EventLog.admit("target.rest", at))
     base::logDecision(
@@ -62,8 +64,9 @@
     return;
   }
   const gateway::TargetHash hash = gateway::targetHash(target);
-  if (!RateLimits.recordResponse(
-          {hash, startedAtMs, response.RequestRateLimit, at}, sentAt))
+  gateway::TargetRateLimits &limits = Scheduler.rateLimits();
+  if (!limits.recordResponse({hash, startedAtMs, response.RequestRateLimit, at},
+                             sentAt))
     return;
   if (EventLog.admit("target.limit", at))
     base::logDecision(
@@ -72,18 +75,13 @@
          {"valid", true},
          {"limited", response.RequestRateLimit.has_value()},
          {"per_second", response.RequestRateLimit.value_or(0)},
-         {"share", RateLimits.share(hash, startedAtMs, at).value_or(0)}});
+         {"share", limits.share(hash, startedAtMs, at).value_or(0)}});
   if (OnRateLimit)
     OnRateLimit();
 }
 
 void Entry::mergeRateStatements(const std::vector<gateway::RateStatement> &it) {
-  RateLimits.merge(it, now());
-}
-
-void Entry::updateRateLimitEntries() {
-  RateLimits.setEntries(Settings.Name, TargetLoads.liveEntryNames(),
-                        EntryNames);
+  Scheduler.rateLimits().merge(it, now());
 }
 
 void Entry::recordUnknownFields(const std::string &target,
@@ -105,8 +103,8 @@
                            const std::string &group) {
   if (group.empty())
     return;
-  const bool wasServing = Groups.isReady(group, now());
-  Groups.recordProgress(group, now());
+  const bool wasServing = groups().isReady(group, now());
+  groups().recordProgress(group, now());
   if (wasServing)
     return;
   base::logDecision("group.moves", {{"group", group}});
@@ -114,24 +112,25 @@
 }
 
 void Entry::recordSuccess(const std::string &target) {
-  Health.addResult(target, false, now());
+  Scheduler.health().addResult(target, false, now());
 }
 
 void Entry::recordFailure(const std::string &target, AttemptFailure failure) {
   if (failure == AttemptFailure::Misdirected) {
     base::logDecision("target.replaced", {{"target", target}});
-    Directory.removeReplacedTarget(target);
+    Scheduler.directory().removeReplacedTarget(target);
     return;
   }
   if (failure != AttemptFailure::Refused)
-    Health.addResult(target, true, now());
+    Scheduler.health().addResult(target, true, now());
 }
 
 void Entry::recordUnresponsive(const std::string &target) {
   const TimePoint at = now();
-  if (!Health.isUnresponsive(target, at))
+  gateway::TargetHealth &health = Scheduler.health();
+  if (!health.isUnresponsive(target, at))
     base::logDecision("target.silent", {{"target", target}});
-  Health.markUnresponsive(target, at + UnresponsiveTargetBackoff);
+  health.markUnresponsive(target, at + UnresponsiveTargetBackoff);
 }
 
 void Entry::returnToPool(const std::string &target,
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -76,8 +76,8 @@
   bool isFinished() const { return Finished; }
   /// Returns whether the request is queued for a target.
   bool isQueued() const { return Queued && !Finished; }
-  /// Returns whether an attempt is in progress at a target.
-  bool hasAttemptAt(const std::string &target) const;
+  /// Returns the targets at which an attempt is in progress.
+  std::set<std::string> busyTargets() const;
   bool hasResponseStarted() const { return ResponseStarted; }
   std::uint32_t priority() const { return Priority; }
   const CallerRequest &request() const { return RequestInfo; }
--- a/src/entrypath/exchangesilence.cpp
+++ b/src/entrypath/exchangesilence.cpp
@@ -57,10 +57,13 @@
   Owner.enqueue(shared_from_this());
 }
 
-bool Exchange::hasAttemptAt(const std::string &target) const {
-  const auto isAt = [&](const auto &it) { return it->TargetId == target; };
-  return (Current && isAt(Current)) ||
-         std::any_of(Standbys.begin(), Standbys.end(), isAt);
+std::set<std::string> Exchange::busyTargets() const {
+  std::set<std::string> targets;
+  if (Current)
+    targets.insert(Current->TargetId);
+  for (const auto &it : Standbys)
+    targets.insert(it->TargetId);
+  return targets;
 }
 
 void Exchange::makeStandby() {
--- /dev/null
+++ b/src/libbergamotgateway/targetscheduler.h
@@ -0,0 +1,163 @@
+#ifndef BERGAMOT_LIBBERGAMOTGATEWAY_TARGETSCHEDULER_H
+#define BERGAMOT_LIBBERGAMOTGATEWAY_TARGETSCHEDULER_H
+
+#include "libbergamotgateway/drainingtargets.h"
+#include "libbergamotgateway/groupprogress.h"
+#include "libbergamotgateway/loadtracker.h"
+#include "libbergamotgateway/rankslowdowns.h"
+#include "libbergamotgateway/ratewindow.h"
+#include "libbergamotgateway/routetable.h"
+#include "libbergamotgateway/targetbackoffs.h"
+#include "libbergamotgateway/targetdirectory.h"
+#include "libbergamotgateway/targethealth.h"
+#include "libbergamotgateway/targetratelimits.h"
+#include "libbergamotgateway/targetselection.h"
+#include "libbergamotgateway/targetshares.h"
+#include "libbergamotgateway/waitpolicy.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bergamot::gateway {
+
+/// Settings of a TargetScheduler.
+struct SchedulerSettings {
+  /// The name of this entry.
+  std::string Name;
+  std::string FailureDomain;
+  /// When the process started.
+  TimePoint StartedAt;
+  /// See TargetDirectory.
+  base::Duration RemovalGrace{};
+  base::Duration DrainBound{};
+  base::Duration SilenceBound{};
+  /// How long another entry's report is used.
+  base::Duration ReportLifetime{};
+};
+
+/// What the choice of a target depends on in a request.
+struct DispatchTerms {
+  std::string Service;
+  std::uint32_t Priority = 0;
+  /// The request can't meet its latency objective any more.
+  bool IsLate = false;
+  /// The request may be sent to a group of which it isn't known whether it
+  /// makes progress.
+  bool MayProbe = true;
+  /// Targets at which an attempt of the request is in progress.
+  std::set<std::string> BusyTargets;
+  /// Targets at which an attempt of the request has failed. They are chosen
+  /// only if no other target is left.
+  std::set<std::string> FailedTargets;
+};
+
+/// Why a target isn't a candidate for a request.
+enum class Exclusion {
+  None,
+  OtherService,
+  /// The target drains or leaves, or its failure domain is evacuated.
+  NotUsable,
+  Unresponsive,
+  /// The target has asked for a back-off, or the entry has used up its share of
+  /// the target's request rate.
+  RateLimited,
+  AttemptInProgress,
+  ColdRateExceeded,
+  GroupStalled,
+};
+
+/// Returns the name of an exclusion for logs and operators.
+const char *exclusionName(Exclusion exclusion);
+
+/// What an entry knows of the targets, and what it decides from that: which
+/// targets a request may be sent to, how many requests each may have, and which
+/// one is chosen. Knows nothing of connections and clocks; every time is passed
+/// in.
+class TargetScheduler {
+public:
+  explicit TargetScheduler(const SchedulerSettings &settings);
+
+  /// Applies a configuration.
+  void setRouteTable(std::shared_ptr<const RouteTable> table);
+  /// Sets the names of the entries that may be running. This entry's own name
+  /// may be omitted.
+  void setEntryNames(const std::set<std::string> &names);
+  /// Replaces the last report of another entry.
+  void setReport(const std::string &entry, RequestCounts counts, TimePoint now);
+  /// Removes expired targets, reports and statements.
+  void removeExpired(TimePoint now);
+  /// Discards what has been saved up while the process was suspended.
+  void handleSuspension(TimePoint now);
+
+  /// Returns whether new requests may be sent to a target at all.
+  bool isUsable(const KnownTarget &target) const;
+  /// Returns whether the service has targets and none of them makes progress.
+  bool isStalled(const std::string &service, TimePoint now) const;
+  /// Returns how many requests of all entries a target may have.
+  std::uint32_t requestLimit(const KnownTarget &target, TimePoint now) const;
+  /// Returns this entry's equal share of the slots of a service's targets.
+  std::size_t slotShare(const std::string &service, TimePoint now) const;
+  /// Returns how many entries are or may be running, including this one.
+  unsigned entryCount() const;
+  /// Returns whether setEntryNames() has been called.
+  bool knowsEntries() const { return EntryNamesSet; }
+  /// Adds what the back-offs and the request rates of a service's targets
+  /// permit.
+  void addTargetLimits(const std::string &service, QueueState &state,
+                       TimePoint now);
+
+  /// Returns why a target isn't a candidate for a request, if so.
+  Exclusion exclusion(const KnownTarget &target, const DispatchTerms &terms,
+                      TimePoint now);
+  /// Returns the targets to which a request may be sent, which may all be full.
+  std::vector<Candidate> candidates(const DispatchTerms &terms, TimePoint now);
+  /// Returns the target for a request, or null if none has a free slot. `draw`
+  /// in [0, 1) decides between equal ones.
+  const KnownTarget *choose(const DispatchTerms &terms, double draw,
+                            TimePoint now);
+  /// Records that a request is sent to a target.
+  void recordDispatch(const KnownTarget &target, TimePoint now);
+
+  TargetDirectory &directory() { return Directory; }
+  const TargetDirectory &directory() const { return Directory; }
+  LoadTracker &loads() { return Loads; }
+  const LoadTracker &loads() const { return Loads; }
+  TargetHealth &health() { return Health; }
+  DrainingTargets &drainingTargets() { return Draining; }
+  TargetBackoffs &backoffs() { return Backoffs; }
+  TargetRateLimits &rateLimits() { return RateLimits; }
+  const TargetRateLimits &rateLimits() const { return RateLimits; }
+  GroupProgress &groups() { return Groups; }
+  RankSlowdowns &slowdowns() { return Slowdowns; }
+
+private:
+  TimePoint nextSendAt(const KnownTarget &target, TimePoint now);
+  bool isWithinColdRate(const std::string &service, const std::string &target,
+                        TimePoint now);
+  void updateRateLimitEntries();
+
+  SchedulerSettings Settings;
+  std::shared_ptr<const RouteTable> Table;
+  std::map<std::string, std::uint32_t> StreamLimits;
+  TargetDirectory Directory;
+  LoadTracker Loads;
+  TargetShares Shares;
+  TargetHealth Health;
+  DrainingTargets Draining;
+  TargetBackoffs Backoffs;
+  TargetRateLimits RateLimits;
+  GroupProgress Groups;
+  RankSlowdowns Slowdowns;
+  std::map<std::string, RateWindow> DispatchesByTarget;
+  std::set<std::string> EntryNames;
+  bool EntryNamesSet = false;
+};
+
+} // namespace bergamot::gateway
+
+#endif
