--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -50,6 +50,7 @@
   settings.DrainBound = it.DrainBound - DrainMargin;
   settings.SilenceBound = it.StableWindow - DrainMargin;
   settings.ReportLifetime = PeerReportLifetime;
+  settings.ShareSlots = it.ShareSlots;
   return settings;
 }
 
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -63,6 +63,8 @@
   /// When the process started.
   base::TimePoint StartedAt = std::chrono::steady_clock::now();
   unsigned LogLinesPerSecond = 40;
+  /// See gateway::SchedulerSettings.
+  gateway::Activation ShareSlots = gateway::Activation::Auto;
   /// Bound on the bytes of all incomplete requests. The memory for them may be
   /// twice as large, which is half of that of an entry's VM.
   std::size_t MaxUploadBytes = 64UL * 1024 * 1024;
@@ -137,7 +139,9 @@
 
   gateway::TargetDirectory &directory() { return Scheduler.directory(); }
   gateway::RankSlowdowns &slowdowns() { return Scheduler.slowdowns(); }
-  const gateway::LoadTracker &loadTracker() const { return Scheduler.loads(); }
+  /// Returns what the other entries should know of this one's requests, and
+  /// records that they have been told.
+  gateway::RequestCounts takeReport();
   std::shared_ptr<const gateway::RouteTable> routeTable() const {
     return Table;
   }
@@ -275,6 +279,8 @@
     gateway::RecentDurations Durations;
     gateway::FramingHabit Framing;
     bool QueueProcessingPosted = false;
+    /// Requests wait for more slots than are free.
+    bool SlotsContended = false;
   };
 
   /// A request that is held until the first configuration has been read.
@@ -311,7 +317,9 @@
   bool isStalled(const std::string &serviceName) const;
   bool dispatchNext(const std::string &serviceName, ServiceState &state);
   bool dispatch(ServiceState &state, std::uint64_t exchangeId);
-  gateway::DispatchTerms dispatchTerms(const Exchange &exchange) const;
+  gateway::DispatchTerms dispatchTerms(const Exchange &exchange);
+  void recordSlotView(const std::string &serviceName, ServiceState &state,
+                      const gateway::Choice &choice);
   std::optional<unsigned> budgetEntryCount() const;
   void tick();
 
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -167,8 +167,10 @@
     });
     return true;
   }
-  const auto *target =
+  const gateway::Choice choice =
       Scheduler.choose(dispatchTerms(*exchange), drawUniform(), now());
+  recordSlotView(exchange->service(), state, choice);
+  const gateway::KnownTarget *target = choice.Target;
   if (!target)
     return false;
   state.Queue.remove(exchange->exchangeId());
@@ -179,7 +181,41 @@
   return true;
 }
 
-gateway::DispatchTerms Entry::dispatchTerms(const Exchange &exchange) const {
+/// Counts and logs which of the shared slots a request may use.
+void Entry::recordSlotView(const std::string &serviceName, ServiceState &state,
+                           const gateway::Choice &choice) {
+  const gateway::SlotView &slots = choice.Slots;
+  if (!slots.Shared)
+    return;
+  const char *claim = choice.Claim == gateway::SlotClaim::Own      ? "own"
+                      : choice.Claim == gateway::SlotClaim::Shared ? "shared"
+                                                                   : "none";
+  Metrics.addCount("bergamot_slot_claims_total",
+                   std::string("claim=\"") + claim + "\"");
+  if (std::exchange(state.SlotsContended, slots.Interval.Contended) ==
+      slots.Interval.Contended)
+    return;
+  if (EventLog.admit("slots.contended", now()))
+    base::logDecision("slots.contended",
+                      {{"service", serviceName},
+                       {"contended", slots.Interval.Contended},
+                       {"isolated", slots.Interval.Isolated},
+                       {"free", slots.FreeSlots},
+                       {"left_to_others", slots.LeftToOthers},
+                       {"waiting", state.Queue.onTimeCount()},
+                       {"share", slots.Interval.End - slots.Interval.Begin},
+                       {"entries", Scheduler.slotSharing().entryCount()}});
+}
+
+gateway::RequestCounts Entry::takeReport() {
+  std::map<std::string, gateway::WaitingCounts> waiting;
+  for (const auto &[serviceName, state] : Services)
+    if (!state.Queue.isEmpty())
+      waiting[serviceName] = state.Queue.onTimeCounts();
+  return Scheduler.takeReport(waiting);
+}
+
+gateway::DispatchTerms Entry::dispatchTerms(const Exchange &exchange) {
   gateway::DispatchTerms terms;
   terms.Service = exchange.service();
   terms.Priority = exchange.priority();
@@ -192,6 +228,8 @@
       exchange.failedTargets().empty() || exchange.dispatchesLeft() > 1;
   terms.BusyTargets = exchange.busyTargets();
   terms.FailedTargets = exchange.failedTargets();
+  if (Scheduler.slotSharing().isActive(terms.Service))
+    terms.Waiting = service(terms.Service).Queue.onTimeCounts();
   return terms;
 }
 
@@ -202,8 +240,8 @@
 }
 
 bool Entry::hasFreeTarget(const Exchange &exchange) {
-  return Scheduler.choose(dispatchTerms(exchange), drawUniform(), now()) !=
-         nullptr;
+  return Scheduler.choose(dispatchTerms(exchange), drawUniform(), now())
+             .Target != nullptr;
 }
 
 void Entry::removeExchange(Exchange &exchange, const char *outcome,
--- a/src/entrypath/peerlink.cpp
+++ b/src/entrypath/peerlink.cpp
@@ -195,8 +195,7 @@
 
 void PeerLink::sendPeriodically() {
   const TimePoint now = Owner.now();
-  const std::string message =
-      encodeReport({Config.Name, Owner.loadTracker().localCounts()});
+  const std::string message = encodeReport({Config.Name, Owner.takeReport()});
   if (message != LastSent || now >= NextResendAt) {
     sendToAll(message);
     LastSent = message;
--- a/src/libbergamotgateway/loadtracker.cpp
+++ b/src/libbergamotgateway/loadtracker.cpp
@@ -46,11 +46,25 @@
   });
 }
 
+void LoadTracker::recordReported() { ReportedCounts = LocalCounts; }
+
 std::uint32_t LoadTracker::total(const std::string &target) const {
-  const auto local = LocalCounts.find(target);
-  const auto remote = RemoteTotals.find(targetHash(target));
-  return (local == LocalCounts.end() ? 0 : local->second) +
-         (remote == RemoteTotals.end() ? 0 : remote->second);
+  return local(target) + remote(targetHash(target));
+}
+
+std::uint32_t LoadTracker::local(const std::string &target) const {
+  const auto it = LocalCounts.find(target);
+  return it == LocalCounts.end() ? 0 : it->second;
+}
+
+std::uint32_t LoadTracker::remote(TargetHash target) const {
+  const auto it = RemoteTotals.find(target);
+  return it == RemoteTotals.end() ? 0 : it->second;
+}
+
+std::uint32_t LoadTracker::reported(const std::string &target) const {
+  const auto it = ReportedCounts.find(target);
+  return it == ReportedCounts.end() ? 0 : it->second;
 }
 
 RequestCounts LoadTracker::localCounts() const {
--- a/src/libbergamotgateway/loadtracker.h
+++ b/src/libbergamotgateway/loadtracker.h
@@ -35,6 +35,8 @@
 
   void addLocalRequest(const std::string &target);
   void removeLocalRequest(const std::string &target);
+  /// Records that the present local counts have been reported to the others.
+  void recordReported();
   /// Replaces the last report of another entry.
   void setReport(const std::string &entry, RequestCounts counts, TimePoint now);
   /// Drops reports that have expired.
@@ -44,6 +46,15 @@
   /// doesn't depend on the number of entries.
   std::uint32_t total(const std::string &target) const;
   RequestCounts localCounts() const;
+  /// Returns the number of requests of this entry at a target, and of all other
+  /// entries by their last reports.
+  std::uint32_t local(const std::string &target) const;
+  std::uint32_t remote(TargetHash target) const;
+  /// Returns the number of requests of this entry at a target by its own last
+  /// report.
+  std::uint32_t reported(const std::string &target) const;
+  /// Changes how long reports are used, beginning with the next ones.
+  void setReportLifetime(base::Duration lifetime) { ReportLifetime = lifetime; }
   /// Returns the number of entries with a current report, plus this one.
   unsigned liveEntryCount() const {
     return static_cast<unsigned>(Reports.size()) + 1;
@@ -61,6 +72,7 @@
 
   base::Duration ReportLifetime;
   std::map<std::string, std::uint32_t> LocalCounts;
+  std::map<std::string, std::uint32_t> ReportedCounts;
   std::map<std::string, Report> Reports;
   /// Totals over all reports.
   std::unordered_map<TargetHash, std::uint32_t> RemoteTotals;
--- a/src/libbergamotgateway/routetable.h
+++ b/src/libbergamotgateway/routetable.h
@@ -136,6 +136,7 @@
   const CallerLimits &limits() const { return Limits; }
   const std::map<std::string, Service> &services() const { return Services; }
   const std::vector<Route> &routes() const { return Routes; }
+  const std::vector<ClientAccount> &accounts() const { return Accounts; }
   std::size_t routeCount() const { return Routes.size(); }
 
 private:
--- /dev/null
+++ b/src/libbergamotgateway/slotsharing.h
@@ -0,0 +1,127 @@
+#ifndef BERGAMOT_LIBBERGAMOTGATEWAY_SLOTSHARING_H
+#define BERGAMOT_LIBBERGAMOTGATEWAY_SLOTSHARING_H
+
+#include "libbergamotgateway/loadtracker.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bergamot::gateway {
+
+/// The number of requests that wait at an entry for a slot of one service, by
+/// priority.
+using WaitingCounts = std::map<std::uint32_t, std::uint32_t>;
+
+/// Returns the key under which an entry's report counts the requests of a
+/// priority that wait for a service. A version that doesn't know these keys
+/// takes them for the load of targets that don't exist.
+TargetHash waitingKey(const std::string &service, std::uint32_t priority);
+
+/// The part of the hash space of slots that belongs to this entry, in [0, 1).
+struct SlotInterval {
+  double Begin = 0;
+  double End = 1;
+  /// Requests wait for more slots than are free, so that an entry may only take
+  /// free slots of its own interval.
+  bool Contended = false;
+  /// This entry hears too few others to know how many slots are taken.
+  bool Isolated = false;
+};
+
+/// The requests at a target, as an entry sees them.
+struct SlotCounts {
+  TargetHash Target = 0;
+  /// Upper bound of the requests of all entries.
+  std::uint32_t Limit = 0;
+  /// Requests of all other entries, by their last reports.
+  std::uint32_t Others = 0;
+  /// Requests of this entry: now, and by its own last report.
+  std::uint32_t Own = 0;
+  std::uint32_t OwnReported = 0;
+};
+
+/// Whether an entry may fill the next free slot of a target.
+enum class SlotClaim {
+  /// The slot is this entry's: it has freed one since its last report, or the
+  /// slot is in its interval.
+  Own,
+  /// The slot is in the interval of another entry, but there are enough.
+  Shared,
+  /// The target is full, or the slot is left to another entry.
+  None,
+};
+
+/// Divides the free slots of targets among the entries, so that entries that
+/// learn of the same free slot at the same time don't all fill it.
+///
+/// This answers load that exceeds the slots at many entries at the same time.
+/// Each entry learns of a freed slot with the next report, tens of milliseconds
+/// late. When each of 18 entries filled each free slot that it saw, 595
+/// requests were in flight under a limit of 384.
+///
+/// A slot that an entry has freed since its last report is its own to refill:
+/// no other entry knows that it is free. Every other free slot has a point in
+/// [0, 1), a hash of the target and the number of the slot, and belongs to the
+/// entry in whose interval the point lies. Entries that have the same reports
+/// compute the same intervals, so no messages are needed beyond the reports.
+/// The lengths of the intervals follow the requests that wait at each entry,
+/// the most urgent ones first.
+class SlotSharing {
+public:
+  /// Sets the entries among which slots are divided. `heard` are the ones with
+  /// a current report, `known` all that may be running; both may omit this
+  /// entry (`self`). An entry that hears no majority of the others is probably
+  /// partitioned from them, and counts all of them.
+  void setEntries(const std::string &self, const std::set<std::string> &heard,
+                  const std::set<std::string> &known);
+  /// Sets the services whose slots are divided and the priorities of their
+  /// requests.
+  void
+  setServices(const std::map<std::string, std::set<std::uint32_t>> &priorities);
+  bool isActive(const std::string &service) const {
+    return PrioritiesByService.contains(service);
+  }
+  const std::map<std::string, std::set<std::uint32_t>> &services() const {
+    return PrioritiesByService;
+  }
+  /// Replaces what another entry has last reported of its waiting requests;
+  /// `counts` may contain other keys.
+  void setReport(const std::string &entry, const RequestCounts &counts);
+
+  /// Returns this entry's interval for a service. `freeSlots` is the number of
+  /// free slots of all its targets by the last reports, and `own` what waits at
+  /// this entry now.
+  SlotInterval interval(const std::string &service, std::size_t freeSlots,
+                        const WaitingCounts &own) const;
+  /// Returns whether this entry may fill the next free slot of a target.
+  static SlotClaim claim(const SlotInterval &interval,
+                         const SlotCounts &counts);
+  /// Returns how many entries share the slots, including this one.
+  std::size_t entryCount() const { return EntryNames.size(); }
+  bool isIsolated() const { return Isolated; }
+
+private:
+  struct WaitingKey {
+    std::string Service;
+    std::uint32_t Priority = 0;
+  };
+  using WaitingByService = std::map<std::string, WaitingCounts>;
+
+  const WaitingCounts *waiting(const std::string &entry,
+                               const std::string &service) const;
+
+  std::string Self;
+  /// Sorted, so that all entries compute the intervals in the same order.
+  std::vector<std::string> EntryNames{""};
+  bool Isolated = false;
+  std::map<std::string, std::set<std::uint32_t>> PrioritiesByService;
+  std::map<TargetHash, WaitingKey> WaitingKeys;
+  std::map<std::string, WaitingByService> WaitingByEntry;
+};
+
+} // namespace bergamot::gateway
+
+#endif
--- a/src/libbergamotgateway/targetscheduler.cpp
+++ b/src/libbergamotgateway/targetscheduler.cpp
@@ -10,6 +10,27 @@
 
 /// Stands for a time at which no target takes a request from this entry.
 constexpr std::chrono::hours MaxNextSendDelay{1};
+/// How long reports are used where slots are shared: the slots of an entry that
+/// has crashed must not stay idle for longer than a second.
+constexpr std::chrono::milliseconds SharedReportLifetime{1000};
+/// Requests that the owner of a slot is taken to have sent to it since its last
+/// report. With less, entries with the same view fill each other's slots
+/// although they have free ones of their own.
+constexpr double UnreportedRequestsOfOwner = 2;
+
+/// Returns the priorities that requests of a service may have.
+std::set<std::uint32_t> prioritiesOf(const std::string &service,
+                                     const RouteTable &table) {
+  std::set<std::uint32_t> priorities;
+  for (const auto &route : table.routes())
+    for (const auto &it : route.Services)
+      if (it.Service == service)
+        priorities.insert(route.Priority);
+  for (const auto &it : table.accounts())
+    if (it.Priority)
+      priorities.insert(*it.Priority);
+  return priorities;
+}
 
 } // namespace
 
@@ -43,17 +64,24 @@
 void TargetScheduler::setRouteTable(std::shared_ptr<const RouteTable> table) {
   Table = std::move(table);
   StreamLimits = maxConcurrentStreamsByService(*Table);
+  std::map<std::string, std::set<std::uint32_t>> priorities;
+  for (const auto &it : activeServices(Settings.ShareSlots, *Table))
+    priorities[it] = prioritiesOf(it, *Table);
+  Sharing.setServices(priorities);
+  Loads.setReportLifetime(priorities.empty() ? Settings.ReportLifetime
+                                             : SharedReportLifetime);
 }
 
 void TargetScheduler::setEntryNames(const std::set<std::string> &names) {
   EntryNames = names;
   EntryNamesSet = true;
   Shares.setEntries(Settings.Name, names);
-  updateRateLimitEntries();
+  updateEntries();
 }
 
 void TargetScheduler::setReport(const std::string &entry, RequestCounts counts,
                                 TimePoint now) {
+  Sharing.setReport(entry, counts);
   Loads.setReport(entry, std::move(counts), now);
 }
 
@@ -61,15 +89,17 @@
   Directory.removeExpiredTargets(now);
   Loads.removeExpired(now);
   RateLimits.removeExpired(now);
-  updateRateLimitEntries();
+  updateEntries();
 }
 
 void TargetScheduler::handleSuspension(TimePoint now) {
   RateLimits.handleSuspension(now);
 }
 
-void TargetScheduler::updateRateLimitEntries() {
-  RateLimits.setEntries(Settings.Name, Loads.liveEntryNames(), EntryNames);
+void TargetScheduler::updateEntries() {
+  const std::set<std::string> heard = Loads.liveEntryNames();
+  RateLimits.setEntries(Settings.Name, heard, EntryNames);
+  Sharing.setEntries(Settings.Name, heard, EntryNames);
 }
 
 bool TargetScheduler::isUsable(const KnownTarget &target) const {
@@ -204,31 +234,84 @@
   return Exclusion::None;
 }
 
-std::vector<Candidate> TargetScheduler::candidates(const DispatchTerms &terms,
-                                                   TimePoint now) {
-  std::vector<Candidate> choices;
-  std::vector<Candidate> failedBefore;
+std::vector<TargetScheduler::Option>
+TargetScheduler::options(const DispatchTerms &terms, TimePoint now) {
+  std::vector<Option> options;
   for (const auto &[id, target] : Directory.targets()) {
     if (exclusion(target, terms, now) != Exclusion::None)
       continue;
     const std::uint32_t limit = requestLimit(target, now);
-    Candidate it{id, Loads.total(id),
-                 terms.IsLate ? lateRequestLimit(limit) : limit,
+    Option it;
+    it.Slots.Target = targetHash(id);
+    it.Slots.Limit = terms.IsLate ? lateRequestLimit(limit) : limit;
+    it.Slots.Others = Loads.remote(it.Slots.Target);
+    it.Slots.Own = Loads.local(id);
+    it.Slots.OwnReported = Loads.reported(id);
+    it.Target = {id, it.Slots.Others + it.Slots.Own, it.Slots.Limit,
                  target.Record.FailureDomain == Settings.FailureDomain,
                  Health.penalty(id, now)};
-    (terms.FailedTargets.contains(id) ? failedBefore : choices)
-        .push_back(std::move(it));
+    it.FailedBefore = terms.FailedTargets.contains(id);
+    options.push_back(std::move(it));
   }
-  return choices.empty() ? failedBefore : choices;
+  return options;
 }
 
-const KnownTarget *TargetScheduler::choose(const DispatchTerms &terms,
-                                           double draw, TimePoint now) {
-  const auto choices = candidates(terms, now);
+/// Removes the options whose next slot is left to other entries.
+SlotView TargetScheduler::applySharing(const DispatchTerms &terms,
+                                       std::vector<Option> &options) const {
+  SlotView view;
+  view.Shared = Sharing.isActive(terms.Service);
+  if (!view.Shared)
+    return view;
+  for (const auto &it : options) {
+    const std::uint32_t taken = it.Slots.Others + it.Slots.OwnReported;
+    view.FreeSlots += it.Slots.Limit - std::min(it.Slots.Limit, taken);
+  }
+  view.Interval =
+      Sharing.interval(terms.Service, view.FreeSlots, terms.Waiting);
+  std::erase_if(options, [&](Option &it) {
+    const SlotClaim claim = SlotSharing::claim(view.Interval, it.Slots);
+    if (claim == SlotClaim::Shared)
+      it.Target.UnreportedRequests = UnreportedRequestsOfOwner;
+    if (claim != SlotClaim::None)
+      return false;
+    view.LeftToOthers += it.Target.Requests < it.Target.MaxRequests ? 1 : 0;
+    return true;
+  });
+  return view;
+}
+
+Choice TargetScheduler::choose(const DispatchTerms &terms, double draw,
+                               TimePoint now) {
+  std::vector<Option> all = options(terms, now);
+  Choice choice;
+  choice.Slots = applySharing(terms, all);
+  const bool allFailedBefore = std::all_of(
+      all.begin(), all.end(), [](const Option &it) { return it.FailedBefore; });
+  std::vector<Candidate> choices;
+  for (auto &it : all)
+    if (it.FailedBefore == allFailedBefore)
+      choices.push_back(std::move(it.Target));
   const int chosen = chooseTarget(choices, draw);
-  return chosen < 0
-             ? nullptr
-             : Directory.target(choices[static_cast<std::size_t>(chosen)].Id);
+  if (chosen < 0)
+    return choice;
+  const Candidate &best = choices[static_cast<std::size_t>(chosen)];
+  choice.Target = Directory.target(best.Id);
+  choice.Claim =
+      best.UnreportedRequests > 0 ? SlotClaim::Shared : SlotClaim::Own;
+  return choice;
+}
+
+RequestCounts TargetScheduler::takeReport(
+    const std::map<std::string, WaitingCounts> &waitingByService) {
+  RequestCounts counts = Loads.localCounts();
+  Loads.recordReported();
+  for (const auto &[service, waiting] : waitingByService)
+    if (Sharing.isActive(service))
+      for (const auto &[priority, requests] : waiting)
+        if (requests > 0)
+          counts.emplace_back(waitingKey(service, priority), requests);
+  return counts;
 }
 
 void TargetScheduler::recordDispatch(const KnownTarget &target, TimePoint now) {
--- a/src/libbergamotgateway/targetscheduler.h
+++ b/src/libbergamotgateway/targetscheduler.h
@@ -1,12 +1,14 @@
 #ifndef BERGAMOT_LIBBERGAMOTGATEWAY_TARGETSCHEDULER_H
 #define BERGAMOT_LIBBERGAMOTGATEWAY_TARGETSCHEDULER_H
 
+#include "libbergamotgateway/competingterms.h"
 #include "libbergamotgateway/drainingtargets.h"
 #include "libbergamotgateway/groupprogress.h"
 #include "libbergamotgateway/loadtracker.h"
 #include "libbergamotgateway/rankslowdowns.h"
 #include "libbergamotgateway/ratewindow.h"
 #include "libbergamotgateway/routetable.h"
+#include "libbergamotgateway/slotsharing.h"
 #include "libbergamotgateway/targetbackoffs.h"
 #include "libbergamotgateway/targetdirectory.h"
 #include "libbergamotgateway/targethealth.h"
@@ -38,6 +40,8 @@
   base::Duration SilenceBound{};
   /// How long another entry's report is used.
   base::Duration ReportLifetime{};
+  /// For which services free slots are divided among the entries.
+  Activation ShareSlots = Activation::Auto;
 };
 
 /// What the choice of a target depends on in a request.
@@ -54,6 +58,8 @@
   /// Targets at which an attempt of the request has failed. They are chosen
   /// only if no other target is left.
   std::set<std::string> FailedTargets;
+  /// The requests of the service that wait at this entry.
+  WaitingCounts Waiting;
 };
 
 /// Why a target isn't a candidate for a request.
@@ -74,6 +80,25 @@
 /// Returns the name of an exclusion for logs and operators.
 const char *exclusionName(Exclusion exclusion);
 
+/// The free slots of a service's targets, as far as a request may use them.
+struct SlotView {
+  /// Whether the slots are divided among the entries at all.
+  bool Shared = false;
+  /// Free slots by the last reports of all entries.
+  std::size_t FreeSlots = 0;
+  /// Targets that aren't full but whose next slot is left to other entries.
+  std::size_t LeftToOthers = 0;
+  SlotInterval Interval;
+};
+
+/// A decision on where to send a request.
+struct Choice {
+  /// Null if no target has a free slot for the request.
+  const KnownTarget *Target = nullptr;
+  SlotClaim Claim = SlotClaim::None;
+  SlotView Slots;
+};
+
 /// What an entry knows of the targets, and what it decides from that: which
 /// targets a request may be sent to, how many requests each may have, and which
 /// one is chosen. Knows nothing of connections and clocks; every time is passed
@@ -114,12 +139,15 @@
   /// Returns why a target isn't a candidate for a request, if so.
   Exclusion exclusion(const KnownTarget &target, const DispatchTerms &terms,
                       TimePoint now);
-  /// Returns the targets to which a request may be sent, which may all be full.
-  std::vector<Candidate> candidates(const DispatchTerms &terms, TimePoint now);
-  /// Returns the target for a request, or null if none has a free slot. `draw`
-  /// in [0, 1) decides between equal ones.
-  const KnownTarget *choose(const DispatchTerms &terms, double draw,
-                            TimePoint now);
+  /// Chooses the target for a request. `draw` in [0, 1) decides between equal
+  /// ones.
+  Choice choose(const DispatchTerms &terms, double draw, TimePoint now);
+  /// Returns this entry's report: its requests in flight, and those that wait
+  /// for services whose slots are shared. Records that the others know it.
+  RequestCounts
+  takeReport(const std::map<std::string, WaitingCounts> &waitingByService);
+  /// Returns the services whose slots are divided among the entries.
+  const SlotSharing &slotSharing() const { return Sharing; }
   /// Records that a request is sent to a target.
   void recordDispatch(const KnownTarget &target, TimePoint now);
 
@@ -136,10 +164,20 @@
   RankSlowdowns &slowdowns() { return Slowdowns; }
 
 private:
+  /// A candidate, and the slots at it.
+  struct Option {
+    Candidate Target;
+    SlotCounts Slots;
+    bool FailedBefore = false;
+  };
+
+  std::vector<Option> options(const DispatchTerms &terms, TimePoint now);
+  SlotView applySharing(const DispatchTerms &terms,
+                        std::vector<Option> &options) const;
   TimePoint nextSendAt(const KnownTarget &target, TimePoint now);
   bool isWithinColdRate(const std::string &service, const std::string &target,
                         TimePoint now);
-  void updateRateLimitEntries();
+  void updateEntries();
 
   SchedulerSettings Settings;
   std::shared_ptr<const RouteTable> Table;
@@ -153,6 +191,7 @@
   TargetRateLimits RateLimits;
   GroupProgress Groups;
   RankSlowdowns Slowdowns;
+  SlotSharing Sharing;
   std::map<std::string, RateWindow> DispatchesByTarget;
   std::set<std::string> EntryNames;
   bool EntryNamesSet = false;
--- a/src/libbergamotgateway/targetselection.cpp
+++ b/src/libbergamotgateway/targetselection.cpp
@@ -16,7 +16,7 @@
 constexpr double TieTolerance = 0.02;
 
 double score(const Candidate &it) {
-  const double load = static_cast<double>(it.Requests) / it.MaxRequests;
+  const double load = (it.Requests + it.UnreportedRequests) / it.MaxRequests;
   return load + PenaltyWeight * it.Penalty -
          (it.SameFailureDomain ? SameFailureDomainBonus : 0.0);
 }
--- a/src/libbergamotgateway/targetselection.h
+++ b/src/libbergamotgateway/targetselection.h
@@ -23,6 +23,9 @@
   bool SameFailureDomain = false;
   /// Penalty for recent failures, from 0 for a healthy target to 1.
   double Penalty = 0;
+  /// Requests that other entries may have sent to the target since their last
+  /// reports. They add to its load but don't make it full.
+  double UnreportedRequests = 0;
 };
 
 /// Returns the index of the candidate below MaxRequests that has the lowest
--- a/src/libbergamotgateway/waitqueue.cpp
+++ b/src/libbergamotgateway/waitqueue.cpp
@@ -23,6 +23,14 @@
   return Waiting.empty() ? nullptr : &Waiting.begin()->second;
 }
 
+std::map<std::uint32_t, std::uint32_t> WaitQueue::onTimeCounts() const {
+  std::map<std::uint32_t, std::uint32_t> counts;
+  for (const auto &[key, request] : Waiting)
+    if (!key.IsLate)
+      ++counts[key.Priority];
+  return counts;
+}
+
 std::vector<WaitingRequest> WaitQueue::demoteLate(TimePoint now) {
   std::vector<WaitingRequest> demoted;
   for (const auto &[key, request] : Waiting)
--- a/src/libbergamotgateway/waitqueue.h
+++ b/src/libbergamotgateway/waitqueue.h
@@ -42,6 +42,8 @@
   std::vector<WaitingRequest> demoteLate(TimePoint now);
   /// Removes and returns the requests that have passed their ExpiresAt.
   std::vector<WaitingRequest> takeExpired(TimePoint now);
+  /// Returns the number of on-time requests by priority.
+  std::map<std::uint32_t, std::uint32_t> onTimeCounts() const;
   std::size_t size() const { return Waiting.size(); }
   std::size_t lateCount() const { return LateCount; }
   std::size_t onTimeCount() const { return Waiting.size() - LateCount; }
