--- a/src/libbergamotgateway/enginelimit.cpp
+++ b/src/libbergamotgateway/enginelimit.cpp
@@ -24,17 +24,25 @@
   const std::uint32_t slots = std::max(1U, engine.Slots);
   if (eventGapObjective.count() == 0 || engine.StepMsPerSequence <= 0)
     return slots;
+  const double streams = std::floor(
+      maxStreamsPerRank(engine, eventGapObjective, PopularityShiftSkew, {}));
+  return static_cast<std::uint32_t>(
+      std::clamp(streams, 1.0, static_cast<double>(slots)));
+}
+
+double maxStreamsPerRank(const EngineProfile &engine,
+                         milliseconds eventGapObjective, double skew,
+                         base::Duration reserved) {
   const double expertFraction =
       engine.LayerSets > 0 ? engine.ExpertWorkFraction : 0;
-  const double skew = 1 - expertFraction + expertFraction * PopularityShiftSkew;
+  const double sequenceFactor = 1 - expertFraction + expertFraction * skew;
   const double stepsPerPass = std::max(1U, engine.StepsPerPass);
   const double sequenceBudgetMs =
       MaxPassFraction * static_cast<double>(eventGapObjective.count()) -
+      std::chrono::duration<double, std::milli>(reserved).count() -
       stepsPerPass * engine.StepBaseMs;
-  const double streams = std::floor(
-      sequenceBudgetMs / (stepsPerPass * engine.StepMsPerSequence * skew));
-  return static_cast<std::uint32_t>(
-      std::clamp(streams, 1.0, static_cast<double>(slots)));
+  return sequenceBudgetMs /
+         (stepsPerPass * engine.StepMsPerSequence * sequenceFactor);
 }
 
 std::map<std::string, std::uint32_t>
--- a/src/libbergamotgateway/enginelimit.h
+++ b/src/libbergamotgateway/enginelimit.h
@@ -18,6 +18,14 @@
 std::uint32_t maxConcurrentStreams(const EngineProfile &engine,
                                    std::chrono::milliseconds eventGapObjective);
 
+/// Returns the mean number of streams per rank at which a pass takes as long as
+/// the event gap objective permits. `skew` is the ratio of the highest to the
+/// mean load of the ranks; `reserved` is kept free for other work in the pass,
+/// in addition to the usual margin. The result may be fractional or negative.
+double maxStreamsPerRank(const EngineProfile &engine,
+                         std::chrono::milliseconds eventGapObjective,
+                         double skew, base::Duration reserved);
+
 /// Returns the limit for each service that has an engine profile, using the
 /// shortest event gap objective among the routes to the service.
 std::map<std::string, std::uint32_t>
