--- a/src/libbergamotgateway/waitpolicy.cpp
+++ b/src/libbergamotgateway/waitpolicy.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 namespace bergamot::gateway {
 
@@ -58,6 +59,11 @@
   return state.NextSendIn + drainTime(ahead, *state.MaxRate);
 }
 
+/// Returns the number of waiting requests that count as ahead of a new one.
+std::size_t waitingAhead(const QueueState &state) {
+  return state.OnTimeAhead.value_or(state.OnTimeWaiting + state.LateWaiting);
+}
+
 } // namespace
 
 WaitLimits waitLimits(const Route &route, const RequestTimes &times) {
@@ -92,18 +98,51 @@
     return state.OnTimeWaiting + state.LateWaiting <= slots;
   }
   if (state.MaxRate)
-    return now + limitedWait(state, state.OnTimeWaiting + state.LateWaiting) <=
-           limits.ExpiresAt;
+    return now + limitedWait(state, waitingAhead(state)) <= limits.ExpiresAt;
   if (limits.OnTimeUntil <= now) {
     QueueState withRequest = state;
     ++withRequest.LateWaiting;
     return shouldStayQueued(limits, withRequest, now);
   }
-  if (state.OnTimeWaiting < MinQueueForEstimate)
+  const std::size_t ahead = state.OnTimeAhead.value_or(state.OnTimeWaiting);
+  if (ahead < MinQueueForEstimate)
     return true;
-  const Duration ahead =
-      drainTime(state.OnTimeWaiting, static_cast<double>(state.Dispatched));
-  return ahead <= scaled(limits.OnTimeUntil - now, MaxQueueFraction);
+  return drainTime(ahead, static_cast<double>(state.Dispatched)) <=
+         scaled(limits.OnTimeUntil - now, MaxQueueFraction);
+}
+
+std::vector<WaitingRequest>
+takeUnservable(WaitQueue &queue, const QueueState &state, TimePoint now) {
+  std::vector<WaitingRequest> unservable;
+  // Requests that a rate limit or a stall delays may be served late.
+  if (!queue.settings().CountsByPriority || state.Stalled || state.MaxRate)
+    return unservable;
+  const auto order = queue.expectedOrder();
+  const auto mostUrgent =
+      std::min_element(order.begin(), order.end(),
+                       [](const WaitingRequest *a, const WaitingRequest *b) {
+                         return a->Priority < b->Priority;
+                       });
+  std::size_t ahead = 0;
+  // The removal of a request shortens the wait of those behind it, not of those
+  // ahead, so removing the ones behind in its place would serve none on time.
+  for (const WaitingRequest *it : order) {
+    const Duration wait =
+        drainTime(ahead, static_cast<double>(state.Dispatched));
+    if (it->Priority > (*mostUrgent)->Priority && !it->WasSentBefore &&
+        ahead >= MinQueueForEstimate && now + wait > it->OnTimeUntil)
+      unservable.push_back(*it);
+    else
+      ++ahead;
+  }
+  std::sort(unservable.begin(), unservable.end(),
+            [](const WaitingRequest &a, const WaitingRequest &b) {
+              return std::tie(a.Priority, a.ArrivedAt) >
+                     std::tie(b.Priority, b.ArrivedAt);
+            });
+  for (const auto &it : unservable)
+    queue.remove(it.SequenceNumber);
+  return unservable;
 }
 
 bool shouldStayQueued(const WaitLimits &limits, const QueueState &state,
@@ -130,12 +169,11 @@
       state.Stalled ? StalledMinRetryAfterFraction : MinRetryAfterFraction;
   const Duration backlog =
       state.Stalled ? Duration::zero()
-                    : drainTime(state.OnTimeWaiting + state.LateWaiting,
+                    : drainTime(waitingAhead(state),
                                 static_cast<double>(state.Dispatched));
-  const Duration lowest = std::min(
-      highest,
-      std::max({scaled(timeLeft, minFraction), backlog,
-                limitedWait(state, state.OnTimeWaiting + state.LateWaiting)}));
+  const Duration lowest =
+      std::min(highest, std::max({scaled(timeLeft, minFraction), backlog,
+                                  limitedWait(state, waitingAhead(state))}));
   return lowest + scaled(highest - lowest, draw);
 }
 
--- a/src/libbergamotgateway/waitpolicy.h
+++ b/src/libbergamotgateway/waitpolicy.h
@@ -2,9 +2,11 @@
 #define BERGAMOT_LIBBERGAMOTGATEWAY_WAITPOLICY_H
 
 #include "libbergamotgateway/routetable.h"
+#include "libbergamotgateway/waitqueue.h"
 
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace bergamot::gateway {
 
@@ -51,6 +53,9 @@
   /// Time until a target takes a request at all: all of them have asked for a
   /// back-off or have used up their request rate.
   Duration NextSendIn{0};
+  /// The waiting on-time requests that count as ahead of the request in
+  /// question (`WaitQueue::onTimeAhead`). If unset, all waiting requests do.
+  std::optional<std::size_t> OnTimeAhead;
 };
 
 /// Returns whether a request should be queued when it arrives. Two situations
@@ -66,6 +71,16 @@
 bool shouldEnqueue(const WaitLimits &limits, const RequestTimes &times,
                    const QueueState &state, TimePoint now);
 
+/// Removes and returns the requests that have been pushed back by more urgent
+/// ones so far that they can't be sent while on time, the least urgent and
+/// latest first. They are rejected at once, so that their callers can retry in
+/// time. Load: a burst of the least urgent requests has filled the queue, then
+/// urgent ones arrive. Requests of the most urgent priority that is waiting,
+/// and requests that were sent before, always stay. Removes none unless the
+/// requests of `queue` count by priority.
+std::vector<WaitingRequest>
+takeUnservable(WaitQueue &queue, const QueueState &state, TimePoint now);
+
 /// Returns whether a late request, which is in the queue and counted in
 /// `state`, should stay there, because the capacity not needed by on-time
 /// requests can serve it before its caller disconnects.
@@ -82,8 +97,8 @@
 /// until the caller's deadline; callers ignore a Retry-After longer than a
 /// third of it. `draw` in [0, 1) spreads the retries of callers that are
 /// rejected at the same time. The delay lasts at least until the current queue
-/// has been served and a target takes requests, but is capped so that callers
-/// don't ignore it.
+/// has been served, as far as it counts as ahead of the request, and a target
+/// takes requests, but is capped so that callers don't ignore it.
 Duration retryAfterDelay(Duration timeLeft, const QueueState &state,
                          double draw);
 
--- a/src/libbergamotgateway/waitqueue.h
+++ b/src/libbergamotgateway/waitqueue.h
@@ -2,9 +2,12 @@
 #define BERGAMOT_LIBBERGAMOTGATEWAY_WAITQUEUE_H
 
 #include "libbergamotbase/timetypes.h"
+#include "libbergamotgateway/ratewindow.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace bergamot::gateway {
@@ -23,6 +26,20 @@
   /// Latest time at which the request can be sent so that its response begins
   /// before the caller disconnects.
   TimePoint ExpiresAt;
+  /// The request has been sent to a target before, or its response has already
+  /// started. It goes by priority and arrival only.
+  bool WasSentBefore = false;
+};
+
+/// Which rules apply to the queue of a service. With the defaults the order is
+/// by priority and then by arrival, and all on-time requests count as ahead of
+/// a new one.
+struct WaitSettings {
+  /// Only requests of the same or a higher priority count as ahead of a new
+  /// one, and each priority gets a minimum share of the sends.
+  bool CountsByPriority = false;
+
+  bool operator==(const WaitSettings &) const = default;
 };
 
 /// The waiting requests of one service at this entry. Requests that can still
@@ -30,11 +47,23 @@
 /// and then by arrival. After a power loss or a burst there are more
 /// requests than slots, and in strict order of arrival the backlog would make
 /// all later requests late, too.
+///
+/// If requests count by priority, the order among on-time requests has one
+/// exception: a priority that was served less than a quarter as often as all
+/// requests in the last second, relative to its arrivals, is sent first.
 class WaitQueue {
 public:
+  /// Requests that are waiting stay in the queue under the new rules.
+  void setSettings(const WaitSettings &settings) { Settings = settings; }
+  const WaitSettings &settings() const { return Settings; }
+  /// Counts the arrival of a request that wasn't sent before, whether it is
+  /// queued or rejected.
+  void recordArrival(std::uint32_t priority, TimePoint now);
   /// Adds a request; it is late from the start if its OnTimeUntil has passed.
   void add(const WaitingRequest &request, TimePoint now);
   void remove(std::uint64_t sequenceNumber);
+  /// Removes a request because it is sent to a target.
+  void removeSent(std::uint64_t sequenceNumber, TimePoint now);
   /// Returns the next request to send, or null if the queue is empty.
   const WaitingRequest *next() const;
   /// Moves requests that have become late behind the on-time ones and returns
@@ -46,6 +75,15 @@
   std::size_t lateCount() const { return LateCount; }
   std::size_t onTimeCount() const { return Waiting.size() - LateCount; }
   bool isEmpty() const { return Waiting.empty(); }
+  /// Returns the number of waiting on-time requests that count as ahead of a
+  /// request that isn't queued yet. Unset if all waiting requests count: by the
+  /// settings, or because the request is late or was sent before.
+  std::optional<std::size_t> onTimeAhead(const WaitingRequest &request,
+                                         TimePoint now) const;
+  /// Returns the on-time requests in the order in which they will be sent, as
+  /// far as the requests that are waiting and the current counts of sends
+  /// determine it. The pointers are valid until the queue changes.
+  std::vector<const WaitingRequest *> expectedOrder() const;
 
 private:
   struct OrderKey {
@@ -56,8 +94,24 @@
     auto operator<=>(const OrderKey &) const = default;
   };
 
+  /// The on-time requests of one priority, and its arrivals and sends in the
+  /// last second.
+  struct Level {
+    std::size_t OnTimeWaiting = 0;
+    RateWindow Arrived;
+    RateWindow Sent;
+  };
+
+  /// Returns how many sends the priority is short of its minimum share.
+  std::size_t dueSends(const Level &level) const;
+  /// Returns the first on-time request of a priority that has one.
+  const WaitingRequest *firstOnTime(std::uint32_t priority) const;
+  void expireCounts(TimePoint now);
+
+  WaitSettings Settings;
   std::map<OrderKey, WaitingRequest> Waiting;
   std::map<std::uint64_t, OrderKey> BySequenceNumber;
+  std::map<std::uint32_t, Level> Levels;
   std::size_t LateCount = 0;
 };
 
--- a/tests/worstload/loadreplay.h
+++ b/tests/worstload/loadreplay.h
@@ -62,6 +62,77 @@
     } -> std::same_as<std::vector<gateway::WaitingRequest>>;
 };
 
+/// Uses WaitQueue and the functions of waitpolicy.h in the same way as Entry.
+class CurrentPolicy {
+public:
+  explicit CurrentPolicy(const gateway::WaitSettings &settings = {}) {
+    Queue.setSettings(settings);
+  }
+  bool admit(const gateway::WaitingRequest &request, TimePoint now,
+             bool stalled, std::uint32_t slots) {
+    OnTimeArrived.add(now);
+    Queue.recordArrival(request.Priority, now);
+    gateway::QueueState state = queueState(now, stalled, slots);
+    state.OnTimeAhead = Queue.onTimeAhead(request, now);
+    const gateway::RequestTimes times{
+        request.ArrivedAt, request.ArrivedAt + milliseconds(8000), false};
+    if (!Queue.isEmpty() &&
+        !gateway::shouldEnqueue({request.OnTimeUntil, request.ExpiresAt}, times,
+                                state, now))
+      return false;
+    Queue.add(request, now);
+    return true;
+  }
+  std::optional<gateway::WaitingRequest>
+  next(TimePoint now, std::uint32_t slotsInUse, std::uint32_t slots) {
+    Queue.demoteLate(now);
+    const gateway::WaitingRequest *first = Queue.next();
+    if (!first)
+      return std::nullopt;
+    const bool isLate = first->OnTimeUntil <= now;
+    if (slotsInUse >= (isLate ? gateway::lateRequestLimit(slots) : slots))
+      return std::nullopt;
+    const gateway::WaitingRequest it = *first;
+    Queue.removeSent(it.SequenceNumber, now);
+    Dispatched.add(now);
+    return it;
+  }
+  std::vector<gateway::WaitingRequest> drop(TimePoint now, bool stalled,
+                                            std::uint32_t slots) {
+    auto dropped = Queue.takeExpired(now);
+    for (const auto &it : Queue.demoteLate(now)) {
+      if (gateway::shouldStayQueued({it.OnTimeUntil, it.ExpiresAt},
+                                    queueState(now, stalled, slots), now))
+        continue;
+      Queue.remove(it.SequenceNumber);
+      dropped.push_back(it);
+    }
+    for (const auto &it :
+         gateway::takeUnservable(Queue, queueState(now, stalled, slots), now))
+      dropped.push_back(it);
+    return dropped;
+  }
+  /// Returns the Retry-After delay of a rejected request.
+  base::Duration retryAfter(const gateway::WaitingRequest &request,
+                            base::Duration timeLeft, double draw, TimePoint now,
+                            std::uint32_t slots) {
+    gateway::QueueState state = queueState(now, false, slots);
+    state.OnTimeAhead = Queue.onTimeAhead(request, now);
+    return gateway::retryAfterDelay(timeLeft, state, draw);
+  }
+
+private:
+  gateway::QueueState queueState(TimePoint now, bool stalled,
+                                 std::uint32_t slots) {
+    return {Queue.onTimeCount(),      Queue.lateCount(), Dispatched.count(now),
+            OnTimeArrived.count(now), stalled,           slots};
+  }
+
+  gateway::WaitQueue Queue;
+  gateway::RateWindow Dispatched;
+  gateway::RateWindow OnTimeArrived;
+};
+
 inline TimePoint at(milliseconds time) { return TimePoint() + time; }
 
 /// Returns the arrival times of a load; the same seed gives the same times.
--- a/tests/worstload/test_worstload.cpp
+++ b/tests/worstload/test_worstload.cpp
@@ -47,60 +47,6 @@
   std::vector<WaitingRequest> Waiting;
 };
 
-/// Uses WaitQueue and the functions of waitpolicy.h in the same way as Entry.
-class CurrentPolicy {
-public:
-  bool admit(const WaitingRequest &request, TimePoint now, bool stalled,
-             std::uint32_t slots) {
-    OnTimeArrived.add(now);
-    const gateway::RequestTimes times{request.ArrivedAt,
-                                      request.ArrivedAt + 8000ms, false};
-    if (!Queue.isEmpty() &&
-        !gateway::shouldEnqueue({request.OnTimeUntil, request.ExpiresAt}, times,
-                                queueState(now, stalled, slots), now))
-      return false;
-    Queue.add(request, now);
-    return true;
-  }
-  std::optional<WaitingRequest> next(TimePoint now, std::uint32_t slotsInUse,
-                                     std::uint32_t slots) {
-    Queue.demoteLate(now);
-    const WaitingRequest *first = Queue.next();
-    if (!first)
-      return std::nullopt;
-    const bool isLate = first->OnTimeUntil <= now;
-    if (slotsInUse >= (isLate ? gateway::lateRequestLimit(slots) : slots))
-      return std::nullopt;
-    const WaitingRequest it = *first;
-    Queue.remove(it.SequenceNumber);
-    Dispatched.add(now);
-    return it;
-  }
-  std::vector<WaitingRequest> drop(TimePoint now, bool stalled,
-                                   std::uint32_t slots) {
-    auto dropped = Queue.takeExpired(now);
-    for (const auto &it : Queue.demoteLate(now)) {
-      if (gateway::shouldStayQueued({it.OnTimeUntil, it.ExpiresAt},
-                                    queueState(now, stalled, slots), now))
-        continue;
-      Queue.remove(it.SequenceNumber);
-      dropped.push_back(it);
-    }
-    return dropped;
-  }
-
-private:
-  gateway::QueueState queueState(TimePoint now, bool stalled,
-                                 std::uint32_t slots) {
-    return {Queue.onTimeCount(),      Queue.lateCount(), Dispatched.count(now),
-            OnTimeArrived.count(now), stalled,           slots};
-  }
-
-  gateway::WaitQueue Queue;
-  gateway::RateWindow Dispatched;
-  gateway::RateWindow OnTimeArrived;
-};
-
 struct Comparison {
   Result Fifo;
   Result Current;
