--- a/src/libbergamotgateway/waitpolicy.cpp
+++ b/src/libbergamotgateway/waitpolicy.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string_view>
 #include <tuple>
+#include <utility>
 
 namespace bergamot::gateway {
 
@@ -115,7 +118,8 @@
 takeUnservable(WaitQueue &queue, const QueueState &state, TimePoint now) {
   std::vector<WaitingRequest> unservable;
   // Requests that a rate limit or a stall delays may be served late.
-  if (!queue.settings().CountsByPriority || state.Stalled || state.MaxRate)
+  const WaitSettings &settings = queue.settings();
+  if (settings == WaitSettings() || state.Stalled || state.MaxRate)
     return unservable;
   const auto order = queue.expectedOrder();
   const auto mostUrgent =
@@ -123,22 +127,30 @@
                        [](const WaitingRequest *a, const WaitingRequest *b) {
                          return a->Priority < b->Priority;
                        });
+  std::set<std::pair<std::uint32_t, std::string_view>> accounts;
   std::size_t ahead = 0;
   // The removal of a request shortens the wait of those behind it, not of those
   // ahead, so removing the ones behind in its place would serve none on time.
   for (const WaitingRequest *it : order) {
     const Duration wait =
         drainTime(ahead, static_cast<double>(state.Dispatched));
-    if (it->Priority > (*mostUrgent)->Priority && !it->WasSentBefore &&
-        ahead >= MinQueueForEstimate && now + wait > it->OnTimeUntil)
+    const bool isPushedBack =
+        (settings.CountsByPriority && it->Priority > (*mostUrgent)->Priority) ||
+        (settings.FairAccounts &&
+         accounts.contains({it->Priority, it->Account}));
+    if (isPushedBack && !it->WasSentBefore && ahead >= MinQueueForEstimate &&
+        now + wait > it->OnTimeUntil) {
       unservable.push_back(*it);
-    else
-      ++ahead;
+      continue;
+    }
+    ++ahead;
+    if (!it->WasSentBefore)
+      accounts.emplace(it->Priority, it->Account);
   }
   std::sort(unservable.begin(), unservable.end(),
             [](const WaitingRequest &a, const WaitingRequest &b) {
-              return std::tie(a.Priority, a.ArrivedAt) >
-                     std::tie(b.Priority, b.ArrivedAt);
+              return std::tie(a.Priority, a.ArrivedAt, a.SequenceNumber) >
+                     std::tie(b.Priority, b.ArrivedAt, b.SequenceNumber);
             });
   for (const auto &it : unservable)
     queue.remove(it.SequenceNumber);
--- a/src/libbergamotgateway/waitpolicy.h
+++ b/src/libbergamotgateway/waitpolicy.h
@@ -71,13 +71,14 @@
 bool shouldEnqueue(const WaitLimits &limits, const RequestTimes &times,
                    const QueueState &state, TimePoint now);
 
-/// Removes and returns the requests that have been pushed back by more urgent
-/// ones so far that they can't be sent while on time, the least urgent and
-/// latest first. They are rejected at once, so that their callers can retry in
-/// time. Load: a burst of the least urgent requests has filled the queue, then
-/// urgent ones arrive. Requests of the most urgent priority that is waiting,
-/// and requests that were sent before, always stay. Removes none unless the
-/// requests of `queue` count by priority.
+/// Removes and returns the requests that have been pushed back by others so far
+/// that they can't be sent while on time, the least urgent and latest first.
+/// They are rejected at once, so that their callers can retry in time. Load: a
+/// burst of the least urgent requests has filled the queue, then urgent ones
+/// arrive. If requests count by priority, those below the most urgent priority
+/// that is waiting may be removed; if accounts are served in turn, those of an
+/// account that has an earlier one waiting. Requests that were sent before
+/// always stay.
 std::vector<WaitingRequest>
 takeUnservable(WaitQueue &queue, const QueueState &state, TimePoint now);
 
--- a/src/libbergamotgateway/waitqueue.cpp
+++ b/src/libbergamotgateway/waitqueue.cpp
@@ -1,6 +1,7 @@
 #include "libbergamotgateway/waitqueue.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bergamot::gateway {
 
@@ -17,60 +18,98 @@
   Levels[priority].Arrived.add(now);
 }
 
+void WaitQueue::setSettings(const WaitSettings &settings) {
+  if (Settings == settings)
+    return;
+  Settings = settings;
+  const auto waiting = std::exchange(Waiting, {});
+  for (const auto &[key, request] : waiting) {
+    erase(request.SequenceNumber, false);
+    insert(request, key.IsLate);
+  }
+}
+
 void WaitQueue::add(const WaitingRequest &request, TimePoint now) {
-  const OrderKey key{request.OnTimeUntil <= now, request.Priority,
-                     request.ArrivedAt, request.SequenceNumber};
+  insert(request, request.OnTimeUntil <= now);
+}
+
+void WaitQueue::insert(const WaitingRequest &request, bool isLate) {
+  const bool takesTurn =
+      Settings.FairAccounts && !isLate && !request.WasSentBefore;
+  const OrderKey key{isLate, request.Priority, takesTurn, request.ArrivedAt,
+                     request.SequenceNumber};
+  Level &level = Levels[request.Priority];
+  Place place{key, {}};
+  if (takesTurn)
+    place.Turn = level.AccountTurns.add(base::AccountId{request.Account}, 1,
+                                        {request.SequenceNumber});
   Waiting.emplace(key, request);
-  BySequenceNumber.emplace(request.SequenceNumber, key);
-  LateCount += key.IsLate ? 1 : 0;
-  Levels[request.Priority].OnTimeWaiting += key.IsLate ? 0 : 1;
+  BySequenceNumber.emplace(request.SequenceNumber, place);
+  LateCount += isLate ? 1 : 0;
+  level.OnTimeWaiting += isLate ? 0 : 1;
 }
 
-void WaitQueue::remove(std::uint64_t sequenceNumber) {
+void WaitQueue::erase(std::uint64_t sequenceNumber, bool wasSent) {
   const auto it = BySequenceNumber.find(sequenceNumber);
   if (it == BySequenceNumber.end())
     return;
-  LateCount -= it->second.IsLate ? 1 : 0;
-  Levels[it->second.Priority].OnTimeWaiting -= it->second.IsLate ? 0 : 1;
-  Waiting.erase(it->second);
+  const Place &place = it->second;
+  Level &level = Levels[place.Key.Priority];
+  if (place.Key.TakesTurn && wasSent)
+    level.AccountTurns.removeServed(place.Turn);
+  else if (place.Key.TakesTurn)
+    level.AccountTurns.remove(place.Turn);
+  LateCount -= place.Key.IsLate ? 1 : 0;
+  level.OnTimeWaiting -= place.Key.IsLate ? 0 : 1;
+  Waiting.erase(place.Key);
   BySequenceNumber.erase(it);
 }
 
+void WaitQueue::remove(std::uint64_t sequenceNumber) {
+  erase(sequenceNumber, false);
+}
+
 void WaitQueue::removeSent(std::uint64_t sequenceNumber, TimePoint now) {
   const auto it = BySequenceNumber.find(sequenceNumber);
   if (it == BySequenceNumber.end())
     return;
   expireCounts(now);
-  if (!Waiting.at(it->second).WasSentBefore)
-    Levels[it->second.Priority].Sent.add(now);
-  remove(sequenceNumber);
+  const OrderKey &key = it->second.Key;
+  if (!Waiting.at(key).WasSentBefore)
+    Levels[key.Priority].Sent.add(now);
+  erase(sequenceNumber, true);
 }
 
-const WaitingRequest *WaitQueue::next() const {
+const WaitingRequest *WaitQueue::next() {
   if (Waiting.empty())
     return nullptr;
   const auto &[key, first] = *Waiting.begin();
-  if (!Settings.CountsByPriority || key.IsLate || first.WasSentBefore)
+  if (key.IsLate || first.WasSentBefore)
     return &first;
-  for (const auto &[priority, level] : Levels)
-    if (priority > first.Priority && level.OnTimeWaiting > 0 &&
-        dueSends(level) > 0)
-      return firstOnTime(priority);
-  return &first;
+  if (Settings.CountsByPriority)
+    for (const auto &[priority, level] : Levels)
+      if (priority > first.Priority && level.OnTimeWaiting > 0 &&
+          dueSends(level) > 0)
+        return firstOnTime(priority);
+  return firstOnTime(first.Priority);
 }
 
 std::optional<std::size_t> WaitQueue::onTimeAhead(const WaitingRequest &request,
                                                   TimePoint now) const {
-  if (!Settings.CountsByPriority || request.WasSentBefore ||
+  if (Settings == WaitSettings() || request.WasSentBefore ||
       request.OnTimeUntil <= now)
     return std::nullopt;
   std::size_t ahead = 0;
   for (const auto &[priority, level] : Levels) {
-    if (priority > request.Priority)
-      break;
-    if (priority == request.Priority && level.OnTimeWaiting < dueSends(level))
-      return level.OnTimeWaiting;
-    ahead += level.OnTimeWaiting;
+    if (priority != request.Priority) {
+      if (priority < request.Priority || !Settings.CountsByPriority)
+        ahead += level.OnTimeWaiting;
+      continue;
+    }
+    const std::size_t inLevel = aheadInLevel(level, request.Account);
+    if (Settings.CountsByPriority && inLevel < dueSends(level))
+      return inLevel;
+    ahead += inLevel;
   }
   return ahead;
 }
@@ -79,14 +118,23 @@
   std::vector<const WaitingRequest *> order;
   std::vector<const WaitingRequest *> undue;
   for (const auto &[priority, level] : Levels) {
-    if (level.OnTimeWaiting == 0)
-      continue;
+    std::vector<const WaitingRequest *> ofLevel;
+    ofLevel.reserve(level.OnTimeWaiting);
+    const auto first =
+        Waiting.lower_bound({false, priority, false, TimePoint::min(), 0});
+    for (auto it = first;
+         ofLevel.size() + level.AccountTurns.size() < level.OnTimeWaiting; ++it)
+      ofLevel.push_back(&it->second);
+    for (const Turn *it : level.AccountTurns.inOrder())
+      ofLevel.push_back(
+          &Waiting.at(BySequenceNumber.at(it->SequenceNumber).Key));
     // The most urgent requests go first after those that are due.
-    std::size_t due =
+    const std::size_t due =
         Settings.CountsByPriority && !undue.empty() ? dueSends(level) : 0;
-    auto it = Waiting.lower_bound({false, priority, TimePoint::min(), 0});
-    for (std::size_t i = 0; i < level.OnTimeWaiting; ++i, ++it)
-      (i < due ? order : undue).push_back(&it->second);
+    const auto middle = ofLevel.begin() + static_cast<std::ptrdiff_t>(
+                                              std::min(due, ofLevel.size()));
+    order.insert(order.end(), ofLevel.begin(), middle);
+    undue.insert(undue.end(), middle, ofLevel.end());
   }
   order.insert(order.end(), undue.begin(), undue.end());
   return order;
@@ -109,8 +157,21 @@
   return share - std::min(share, level.Sent.storedCount());
 }
 
-const WaitingRequest *WaitQueue::firstOnTime(std::uint32_t priority) const {
-  return &Waiting.lower_bound({false, priority, TimePoint::min(), 0})->second;
+const WaitingRequest *WaitQueue::firstOnTime(std::uint32_t priority) {
+  const auto first =
+      Waiting.lower_bound({false, priority, false, TimePoint::min(), 0});
+  if (!first->first.TakesTurn)
+    return &first->second;
+  const Turn *turn = Levels[priority].AccountTurns.next();
+  return &Waiting.at(BySequenceNumber.at(turn->SequenceNumber).Key);
+}
+
+std::size_t WaitQueue::aheadInLevel(const Level &level,
+                                    const std::string &account) const {
+  if (!Settings.FairAccounts)
+    return level.OnTimeWaiting;
+  return level.OnTimeWaiting - level.AccountTurns.size() +
+         level.AccountTurns.countAhead(base::AccountId{account});
 }
 
 void WaitQueue::expireCounts(TimePoint now) {
--- a/src/libbergamotgateway/waitqueue.h
+++ b/src/libbergamotgateway/waitqueue.h
@@ -1,6 +1,7 @@
 #ifndef BERGAMOT_LIBBERGAMOTGATEWAY_WAITQUEUE_H
 #define BERGAMOT_LIBBERGAMOTGATEWAY_WAITQUEUE_H
 
+#include "libbergamotbase/accountscheduler.h"
 #include "libbergamotbase/timetypes.h"
 #include "libbergamotgateway/ratewindow.h"
 
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace bergamot::gateway {
@@ -29,6 +31,9 @@
   /// The request has been sent to a target before, or its response has already
   /// started. It goes by priority and arrival only.
   bool WasSentBefore = false;
+  /// The client account. Requests without one are handled as those of a single
+  /// account.
+  std::string Account;
 };
 
 /// Which rules apply to the queue of a service. With the defaults the order is
@@ -38,6 +43,10 @@
   /// Only requests of the same or a higher priority count as ahead of a new
   /// one, and each priority gets a minimum share of the sends.
   bool CountsByPriority = false;
+  /// On-time requests of the same priority are sent in turn by account, each
+  /// with the same weight, and only those whose turn is earlier count as ahead
+  /// of a new one.
+  bool FairAccounts = false;
 
   bool operator==(const WaitSettings &) const = default;
 };
@@ -50,11 +59,13 @@
 ///
 /// If requests count by priority, the order among on-time requests has one
 /// exception: a priority that was served less than a quarter as often as all
-/// requests in the last second, relative to its arrivals, is sent first.
+/// requests in the last second, relative to its arrivals, is sent first. If
+/// accounts are served in turn, requests that were sent before come first
+/// within their priority, by arrival.
 class WaitQueue {
 public:
   /// Requests that are waiting stay in the queue under the new rules.
-  void setSettings(const WaitSettings &settings) { Settings = settings; }
+  void setSettings(const WaitSettings &settings);
   const WaitSettings &settings() const { return Settings; }
   /// Counts the arrival of a request that wasn't sent before, whether it is
   /// queued or rejected.
@@ -65,7 +76,7 @@
   /// Removes a request because it is sent to a target.
   void removeSent(std::uint64_t sequenceNumber, TimePoint now);
   /// Returns the next request to send, or null if the queue is empty.
-  const WaitingRequest *next() const;
+  const WaitingRequest *next();
   /// Moves requests that have become late behind the on-time ones and returns
   /// copies of them; they stay queued.
   std::vector<WaitingRequest> demoteLate(TimePoint now);
@@ -89,28 +100,52 @@
   struct OrderKey {
     bool IsLate;
     std::uint32_t Priority;
+    /// The account's turn decides when the request is sent.
+    bool TakesTurn;
     TimePoint ArrivedAt;
     std::uint64_t SequenceNumber;
     auto operator<=>(const OrderKey &) const = default;
   };
 
+  /// A request in the turns of its account. All cost the same.
+  struct Turn {
+    std::uint64_t SequenceNumber = 0;
+    double Cost = 1;
+  };
+  using Turns = base::AccountScheduler<Turn>;
+
+  struct Place {
+    OrderKey Key;
+    /// Valid if the key takes a turn.
+    Turns::Position Turn;
+  };
+
   /// The on-time requests of one priority, and its arrivals and sends in the
   /// last second.
   struct Level {
     std::size_t OnTimeWaiting = 0;
     RateWindow Arrived;
     RateWindow Sent;
+    Turns AccountTurns{1, base::ServedAccounts::KeptUntilRoundEnds};
   };
 
+  void insert(const WaitingRequest &request, bool isLate);
+  /// Removes a request; if it was sent, its account is charged for the turn.
+  void erase(std::uint64_t sequenceNumber, bool wasSent);
+
   /// Returns how many sends the priority is short of its minimum share.
   std::size_t dueSends(const Level &level) const;
   /// Returns the first on-time request of a priority that has one.
-  const WaitingRequest *firstOnTime(std::uint32_t priority) const;
+  const WaitingRequest *firstOnTime(std::uint32_t priority);
+  /// Returns the number of on-time requests of the priority that are sent
+  /// before a new one of an account.
+  std::size_t aheadInLevel(const Level &level,
+                           const std::string &account) const;
   void expireCounts(TimePoint now);
 
   WaitSettings Settings;
   std::map<OrderKey, WaitingRequest> Waiting;
-  std::map<std::uint64_t, OrderKey> BySequenceNumber;
+  std::map<std::uint64_t, Place> BySequenceNumber;
   std::map<std::uint32_t, Level> Levels;
   std::size_t LateCount = 0;
 };
--- a/src/libbergamotrouting/fairqueue.cpp
+++ b/src/libbergamotrouting/fairqueue.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 namespace bergamot::routing {
 
@@ -40,15 +39,11 @@
     WindowStart = now;
     ServedCostInWindow = 0;
   }
-  Level &level = Levels[request.Priority];
-  const auto flow = findOrAddFlow(level, request);
-  flow->Waiting.push_back(request);
-  flow->QueuedCost += request.Cost;
-  level.QueuedCost += request.Cost;
+  Level &level =
+      Levels.try_emplace(request.Priority, Settings.Quantum).first->second;
+  const auto position = level.add(request.Account, request.Weight, request);
   Bytes += request.Bytes;
-  Entries.emplace(
-      request.Request,
-      Entry{request.Priority, flow, std::prev(flow->Waiting.end()), expiry});
+  Entries.emplace(request.Request, Entry{request.Priority, position, expiry});
   ByExpiry.emplace(expiry, request.Request);
   return {Refusal::None, {}, evicted};
 }
@@ -56,40 +51,11 @@
 std::optional<RequestId> FairQueue::removeNext(TimePoint now) {
   if (Levels.empty())
     return std::nullopt;
-  Level &level = Levels.begin()->second;
-  for (std::size_t rotations = 0;;) {
-    Flow &flow = level.Flows.front();
-    const QueuedRequest &next = flow.Waiting.front();
-    if (!flow.QuantumGranted) {
-      flow.QuantumGranted = true;
-      flow.Deficit += Settings.Quantum * flow.Weight;
-    }
-    if (flow.Deficit >= next.Cost) {
-      flow.Deficit -= next.Cost;
-      const RequestId id = next.Request;
-      addServedCost(next.Cost, now);
-      removeEntry(Entries.find(id));
-      return id;
-    }
-    flow.QuantumGranted = false;
-    level.Flows.splice(level.Flows.end(), level.Flows, level.Flows.begin());
-    if (++rotations == level.Flows.size()) {
-      skipRounds(level);
-      rotations = 0;
-    }
-  }
-}
-
-void FairQueue::skipRounds(Level &level) const {
-  double rounds = std::numeric_limits<double>::max();
-  for (const auto &flow : level.Flows)
-    rounds = std::min(rounds, (flow.Waiting.front().Cost - flow.Deficit) /
-                                  (Settings.Quantum * flow.Weight));
-  // The loop runs the last round, as it serves the accounts in their order.
-  rounds = std::ceil(rounds) - 1;
-  if (rounds >= 1)
-    for (auto &flow : level.Flows)
-      flow.Deficit += rounds * Settings.Quantum * flow.Weight;
+  const QueuedRequest *next = Levels.begin()->second.next();
+  const RequestId id = next->Request;
+  addServedCost(next->Cost, now);
+  removeEntry(Entries.find(id), true);
+  return id;
 }
 
 std::vector<RequestId> FairQueue::removeExpired(TimePoint now) {
@@ -119,38 +85,34 @@
     if (priority > request.Priority)
       break;
     if (priority < request.Priority) {
-      costAhead += level.QueuedCost;
+      costAhead += level.queuedCost();
       continue;
     }
-    const auto it = level.ByAccount.find(request.Account);
-    const bool hasFlow = it != level.ByAccount.end();
-    const double own = hasFlow ? it->second->QueuedCost : 0;
+    const Level::Account *account = level.find(request.Account);
+    const double own = account ? account->QueuedCost : 0;
     const double totalWeight =
-        level.TotalWeight + (hasFlow ? 0 : request.Weight);
+        level.totalWeight() + (account ? 0 : request.Weight);
     // The account's own requests are served at its share of the rate. The total
     // queued cost is the upper bound.
-    costAhead += std::min(level.QueuedCost,
+    costAhead += std::min(level.queuedCost(),
                           (own + request.Cost) * totalWeight / request.Weight);
   }
   return fromSeconds(std::min(MaxRetryAfterSeconds, costAhead / rate));
 }
 
-void FairQueue::removeEntry(std::unordered_map<RequestId, Entry>::iterator it) {
+void FairQueue::removeEntry(std::unordered_map<RequestId, Entry>::iterator it,
+                            bool isServed) {
   const Entry entry = it->second;
   const auto level = Levels.find(entry.Priority);
-  const QueuedRequest &request = *entry.Position;
-  entry.OwningFlow->QueuedCost -= request.Cost;
-  level->second.QueuedCost -= request.Cost;
+  const QueuedRequest &request = *entry.Position.Entry;
   Bytes -= request.Bytes;
   ByExpiry.erase({entry.Expiry, request.Request});
-  entry.OwningFlow->Waiting.erase(entry.Position);
-  if (entry.OwningFlow->Waiting.empty()) {
-    level->second.TotalWeight -= entry.OwningFlow->Weight;
-    level->second.ByAccount.erase(entry.OwningFlow->Account);
-    level->second.Flows.erase(entry.OwningFlow);
-    if (level->second.Flows.empty())
-      Levels.erase(level);
-  }
+  if (isServed)
+    level->second.removeServed(entry.Position);
+  else
+    level->second.remove(entry.Position);
+  if (level->second.size() == 0)
+    Levels.erase(level);
   Entries.erase(it);
 }
 
@@ -161,20 +123,19 @@
   const auto lowest = std::prev(Levels.end());
   if (Levels.empty() || lowest->first < request.Priority)
     return std::nullopt;
-  const auto costPerWeight = [](const Flow &flow) {
-    return flow.QueuedCost / flow.Weight;
+  const auto costPerWeight = [](const Level::Account &account) {
+    return account.QueuedCost / account.Weight;
   };
+  const auto &accounts = lowest->second.accounts();
   const auto largest =
-      std::max_element(lowest->second.Flows.begin(), lowest->second.Flows.end(),
-                       [&](const Flow &a, const Flow &b) {
+      std::max_element(accounts.begin(), accounts.end(),
+                       [&](const Level::Account &a, const Level::Account &b) {
                          return costPerWeight(a) < costPerWeight(b);
                        });
   if (lowest->first == request.Priority) {
-    const auto own = lowest->second.ByAccount.find(request.Account);
-    const double cost = own == lowest->second.ByAccount.end()
-                            ? request.Cost
-                            : own->second->QueuedCost + request.Cost;
-    if (largest->Account == request.Account ||
+    const Level::Account *own = lowest->second.find(request.Account);
+    const double cost = (own ? own->QueuedCost : 0) + request.Cost;
+    if (largest->Id == request.Account ||
         cost / request.Weight >= costPerWeight(*largest))
       return std::nullopt;
   }
@@ -186,18 +147,6 @@
   return id;
 }
 
-std::list<FairQueue::Flow>::iterator
-FairQueue::findOrAddFlow(Level &level, const QueuedRequest &request) {
-  const auto it = level.ByAccount.find(request.Account);
-  if (it != level.ByAccount.end())
-    return it->second;
-  level.Flows.push_back({request.Account, request.Weight, 0, 0, false, {}});
-  level.TotalWeight += request.Weight;
-  const auto flow = std::prev(level.Flows.end());
-  level.ByAccount.emplace(request.Account, flow);
-  return flow;
-}
-
 double FairQueue::servedCostPerSecond(TimePoint now) const {
   const Duration idleTime = now - std::max(LastServedAt, WindowStart);
   if (Entries.empty() || idleTime <= RateWindow)
--- a/src/libbergamotrouting/fairqueue.h
+++ b/src/libbergamotrouting/fairqueue.h
@@ -1,10 +1,9 @@
 #ifndef BERGAMOT_LIBBERGAMOTROUTING_FAIRQUEUE_H
 #define BERGAMOT_LIBBERGAMOTROUTING_FAIRQUEUE_H
 
+#include "libbergamotbase/accountscheduler.h"
 #include "libbergamotrouting/routingtypes.h"
 
-#include <deque>
-#include <list>
 #include <map>
 #include <optional>
 #include <set>
@@ -77,35 +76,16 @@
   Duration expectedWait(const QueuedRequest &request, TimePoint now) const;
 
 private:
-  struct Flow {
-    AccountId Account;
-    double Weight = 1;
-    double Deficit = 0;
-    double QueuedCost = 0;
-    bool QuantumGranted = false;
-    std::list<QueuedRequest> Waiting;
-  };
-  struct Level {
-    std::list<Flow> Flows;
-    std::unordered_map<AccountId, std::list<Flow>::iterator> ByAccount;
-    double QueuedCost = 0;
-    double TotalWeight = 0;
-  };
+  using Level = base::AccountScheduler<QueuedRequest>;
   struct Entry {
     std::uint32_t Priority = 0;
-    std::list<Flow>::iterator OwningFlow;
-    std::list<QueuedRequest>::iterator Position;
+    Level::Position Position;
     TimePoint Expiry;
   };
 
-  void removeEntry(std::unordered_map<RequestId, Entry>::iterator it);
+  void removeEntry(std::unordered_map<RequestId, Entry>::iterator it,
+                   bool isServed = false);
   std::optional<RequestId> evictToMakeRoomFor(const QueuedRequest &request);
-  std::list<Flow>::iterator findOrAddFlow(Level &level,
-                                          const QueuedRequest &request);
-  /// If no account can send in the next rounds, credits the quanta of all those
-  /// rounds at once, so that the cost of removeNext() doesn't depend on the
-  /// ratio of request costs to the quantum.
-  void skipRounds(Level &level) const;
   double servedCostPerSecond(TimePoint now) const;
   void addServedCost(double cost, TimePoint now);
 
--- a/tests/gateway/test_competingqueue.cpp
+++ b/tests/gateway/test_competingqueue.cpp
@@ -5,8 +5,12 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
+#include <optional>
 #include <random>
+#include <string>
 #include <tuple>
+#include <utility>
 
 using namespace bergamot;
 using namespace bergamot::gateway;
@@ -31,61 +35,93 @@
   return result;
 }
 
-// Keeps requests in a vector and searches it for each decision.
+// Keeps requests in a vector and searches it for each decision. In each round,
+// each account has one turn.
 class NaiveQueue {
 public:
   explicit NaiveQueue(const WaitSettings &settings) : Settings(settings) {}
 
   void add(const WaitingRequest &request, TimePoint now) {
     Waiting.push_back({request, request.OnTimeUntil <= now});
+    Round &round = Rounds[request.Priority];
+    if (takesTurn(Waiting.back()) &&
+        !contains(round.Current, request.Account) &&
+        !contains(round.Served, request.Account))
+      round.Current.push_back(request.Account);
   }
   void demoteLate(TimePoint now) {
     for (auto &it : Waiting)
       it.IsLate = it.IsLate || it.Request.OnTimeUntil <= now;
+    dropIdle();
   }
-  void remove(std::uint64_t number) {
+  void remove(const WaitingRequest &request) {
     std::erase_if(Waiting, [&](const Item &it) {
-      return it.Request.SequenceNumber == number;
+      return it.Request.SequenceNumber == request.SequenceNumber;
     });
+    dropIdle();
   }
   void recordArrival(std::uint32_t priority, TimePoint now) {
     Arrived.emplace_back(priority, now);
     Now = now;
   }
   void removeSent(const WaitingRequest &request, TimePoint now) {
+    Now = now;
     if (!request.WasSentBefore)
       Sent.emplace_back(request.Priority, now);
-    Now = now;
-    remove(request.SequenceNumber);
+    if (std::any_of(Waiting.begin(), Waiting.end(), [&](const Item &it) {
+          return it.Request.SequenceNumber == request.SequenceNumber &&
+                 takesTurn(it);
+        })) {
+      std::erase(Rounds[request.Priority].Current, request.Account);
+      Rounds[request.Priority].Served.push_back(request.Account);
+    }
+    remove(request);
   }
-  std::optional<WaitingRequest> next() const {
-    const Item *best = nullptr;
-    for (const auto &it : Waiting)
-      if (!best || isBefore(it, *best))
-        best = &it;
-    if (!best)
-      return std::nullopt;
-    if (!Settings.CountsByPriority || best->IsLate ||
-        best->Request.WasSentBefore)
+  std::optional<WaitingRequest> next() {
+    const Item *best = first({});
+    if (!best || best->IsLate || best->Request.WasSentBefore)
+      return best ? std::optional(best->Request) : std::nullopt;
+    std::uint32_t priority = best->Request.Priority;
+    if (Settings.CountsByPriority)
+      for (std::uint32_t p = 2; p > best->Request.Priority; --p)
+        if (count(p) > 0 && isDue(p))
+          priority = p;
+    best = first(priority);
+    if (!takesTurn(*best))
       return best->Request;
-    const Item *due = nullptr;
+    Round &round = Rounds[priority];
+    if (round.Current.empty()) {
+      round.Current = std::exchange(round.Served, {});
+      dropIdle();
+    }
     for (const auto &it : Waiting)
-      if (!it.IsLate && it.Request.Priority > best->Request.Priority &&
-          isDue(it.Request.Priority) && (!due || isBefore(it, *due)))
-        due = &it;
-    return due ? due->Request : best->Request;
+      if (takesTurn(it) && it.Request.Priority == priority &&
+          it.Request.Account == round.Current.front())
+        return it.Request;
+    return std::nullopt;
   }
-  std::size_t ahead(std::uint32_t priority) const {
-    const auto count = [&](auto matches) {
-      return static_cast<std::size_t>(
-          std::count_if(Waiting.begin(), Waiting.end(), [&](const Item &it) {
-            return !it.IsLate && matches(it.Request.Priority);
-          }));
-    };
-    const std::size_t own = count([&](auto it) { return it == priority; });
-    return isDue(priority, own)
-               ? own
-               : count([&](auto it) { return it <= priority; });
+  std::optional<WaitingRequest> any(std::uint64_t draw) const {
+    if (Waiting.empty())
+      return std::nullopt;
+    return Waiting[draw % Waiting.size()].Request;
+  }
+  // Adds the request to a copy and takes requests from it until that one comes.
+  std::size_t ahead(const WaitingRequest &request, TimePoint now) const {
+    NaiveQueue copy = *this;
+    copy.Settings.CountsByPriority = false;
+    copy.add(request, now);
+    std::size_t inLevel = 0;
+    std::size_t others = 0;
+    for (auto it = copy.next(); it->SequenceNumber != request.SequenceNumber;
+         it = copy.next()) {
+      ++(it->Priority == request.Priority ? inLevel : others);
+      copy.removeSent(*it, now);
+    }
+    if (Settings.CountsByPriority)
+      return isDue(request.Priority, inLevel) ? inLevel : inLevel + others;
+    for (std::uint32_t p = request.Priority + 1; p <= 2; ++p)
+      others += count(p);
+    return inLevel + others;
   }
 
 private:
@@ -93,14 +129,46 @@
     WaitingRequest Request;
     bool IsLate;
   };
+  struct Round {
+    std::vector<std::string> Current;
+    std::vector<std::string> Served;
+  };
   using Event = std::pair<std::uint32_t, TimePoint>;
 
-  static bool isBefore(const Item &a, const Item &b) {
-    const auto key = [](const Item &it) {
-      return std::tuple(it.IsLate, it.Request.Priority, it.Request.ArrivedAt,
-                        it.Request.SequenceNumber);
+  static bool contains(const std::vector<std::string> &names,
+                       const std::string &name) {
+    return std::find(names.begin(), names.end(), name) != names.end();
+  }
+  bool takesTurn(const Item &it) const {
+    return Settings.FairAccounts && !it.IsLate && !it.Request.WasSentBefore;
+  }
+  void dropIdle() {
+    for (auto &round : Rounds)
+      std::erase_if(round.second.Current, [&](const std::string &account) {
+        return std::none_of(
+            Waiting.begin(), Waiting.end(), [&](const Item &it) {
+              return takesTurn(it) && it.Request.Priority == round.first &&
+                     it.Request.Account == account;
+            });
+      });
+  }
+  const Item *first(std::optional<std::uint32_t> priority) const {
+    const auto key = [&](const Item &it) {
+      return std::tuple(it.IsLate, it.Request.Priority, takesTurn(it),
+                        it.Request.ArrivedAt, it.Request.SequenceNumber);
     };
-    return key(a) < key(b);
+    const Item *best = nullptr;
+    for (const auto &it : Waiting)
+      if ((!priority || (!it.IsLate && it.Request.Priority == *priority)) &&
+          (!best || key(it) < key(*best)))
+        best = &it;
+    return best;
+  }
+  std::size_t count(std::uint32_t priority) const {
+    return static_cast<std::size_t>(
+        std::count_if(Waiting.begin(), Waiting.end(), [&](const Item &it) {
+          return !it.IsLate && it.Request.Priority == priority;
+        }));
   }
   double inLastSecond(const std::vector<Event> &events,
                       std::optional<std::uint32_t> priority) const {
@@ -118,6 +186,7 @@
 
   WaitSettings Settings;
   std::vector<Item> Waiting;
+  std::map<std::uint32_t, Round> Rounds;
   std::vector<Event> Arrived;
   std::vector<Event> Sent;
   TimePoint Now;
@@ -138,6 +207,7 @@
       auto request = makeRequest(step, static_cast<std::uint32_t>(below(3)), t);
       request.OnTimeUntil = at(t + std::chrono::milliseconds(below(400)));
       request.WasSentBefore = below(10) == 0;
+      request.Account = std::string(below(3), 'a');
       if (request.WasSentBefore) {
         request.ArrivedAt -= 50ms;
       } else {
@@ -146,23 +216,31 @@
       }
       const auto ahead = queue.onTimeAhead(request, at(t));
       REQUIRE(ahead.has_value() ==
-              (settings.CountsByPriority && !request.WasSentBefore &&
+              (settings != WaitSettings() && !request.WasSentBefore &&
                request.OnTimeUntil > at(t)));
       if (ahead)
-        REQUIRE(*ahead == naive.ahead(request.Priority));
+        REQUIRE(*ahead == naive.ahead(request, at(t)));
       queue.add(request, at(t));
       naive.add(request, at(t));
     } else if (const auto expected = naive.next()) {
       REQUIRE(queue.next()->SequenceNumber == expected->SequenceNumber);
-      if (below(4) == 0) {
-        queue.remove(expected->SequenceNumber);
-        naive.remove(expected->SequenceNumber);
-      } else {
-        queue.removeSent(expected->SequenceNumber, at(t));
-        naive.removeSent(*expected, at(t));
+      queue.removeSent(expected->SequenceNumber, at(t));
+      naive.removeSent(*expected, at(t));
+    }
+    if (below(10) == 0)
+      if (const auto withdrawn = naive.any(below(100))) {
+        queue.remove(withdrawn->SequenceNumber);
+        naive.remove(*withdrawn);
+      }
+    const auto order = queue.expectedOrder();
+    REQUIRE(order.size() == queue.onTimeCount());
+    if (!settings.CountsByPriority) {
+      NaiveQueue rest = naive;
+      for (const WaitingRequest *it : order) {
+        REQUIRE(rest.next()->SequenceNumber == it->SequenceNumber);
+        rest.removeSent(*rest.next(), at(t));
       }
     }
-    REQUIRE(queue.expectedOrder().size() == queue.onTimeCount());
   }
 }
 
@@ -174,7 +252,9 @@
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
     INFO("seed " << seed);
     compareWithNaive({}, seed);
-    compareWithNaive({true}, seed);
+    compareWithNaive({true, false}, seed);
+    compareWithNaive({false, true}, seed);
+    compareWithNaive({true, true}, seed);
   }
 }
 
@@ -230,6 +310,27 @@
   CHECK(takeUnservable(queue, state, at(200ms)).empty());
 }
 
+// Guards against rejecting requests of other accounts in place of those of an
+// account that has several waiting.
+TEST_CASE(
+    "requests that other accounts have pushed back are rejected at once") {
+  WaitQueue queue;
+  queue.setSettings({false, true});
+  QueueState state;
+  state.Dispatched = 40; // 25 ms per request
+  for (std::uint64_t i = 1; i <= 7; ++i) {
+    auto request = makeRequest(i, 1, 1ms * i);
+    request.Account = i <= 3 ? "large" : std::to_string(i);
+    CHECK(queue.onTimeAhead(request, at(7ms)) == i - (i > 3 ? 3 : 1));
+    queue.add(request, at(7ms));
+  }
+  CHECK(takeUnservable(queue, state, at(20ms)).empty());
+  // Five are ahead of request 2; request 7 would be late, too, but has its turn
+  // before.
+  CHECK(numbers(takeUnservable(queue, state, at(90ms))) ==
+        std::vector<std::uint64_t>{3, 2});
+}
+
 // Guards against starving a priority: the sends in any second in which it waits
 // are compared with its arrivals.
 TEST_CASE("less urgent requests get a quarter of an equal share of the sends") {
--- a/tests/worstload/test_urgentburst.cpp
+++ b/tests/worstload/test_urgentburst.cpp
@@ -6,6 +6,7 @@
 
 #include <cstdio>
 #include <map>
+#include <string>
 
 using namespace bergamot;
 using namespace bergamot::worstload;
@@ -21,6 +22,9 @@
   milliseconds LatencyObjective{500};
   /// Requests per second by the start of each phase.
   std::map<milliseconds, double> Rates;
+  std::string Account;
+  /// Rejected requests are retried at once until their callers give up.
+  bool RetriesAtOnce = false;
 };
 
 struct KindResult {
@@ -40,6 +44,7 @@
   constexpr milliseconds RequestTimeout{8000};
   constexpr milliseconds CallerTimeout{2000};
   constexpr milliseconds Tick{5};
+  constexpr milliseconds RetryDelay{20};
   const Load load;
   struct Attempt {
     std::size_t Kind = 0;
@@ -65,6 +70,11 @@
     const TimePoint now = at(t);
     const auto reject = [&](const WaitingRequest &request) {
       const Attempt &attempt = attempts[request.SequenceNumber];
+      if (kinds[attempt.Kind].RetriesAtOnce) {
+        if (now < attempt.FirstArrivedAt + CallerTimeout)
+          due.emplace(now + RetryDelay, attempt);
+        return;
+      }
       const auto left = attempt.FirstArrivedAt + RequestTimeout - now;
       const double draw = std::uniform_real_distribution<double>(0, 1)(random);
       const auto delay =
@@ -82,8 +92,9 @@
       route.LatencyObjective = kind.LatencyObjective;
       const auto limits = gateway::waitLimits(
           route, {arrivedAt, attempt.FirstArrivedAt + RequestTimeout, false});
-      const WaitingRequest request{attempts.size(), kind.Priority, arrivedAt,
-                                   limits.OnTimeUntil, limits.ExpiresAt};
+      const WaitingRequest request{
+          attempts.size(),  kind.Priority, arrivedAt,   limits.OnTimeUntil,
+          limits.ExpiresAt, false,         kind.Account};
       attempts.push_back(attempt);
       if (!policy.admit(request, now, false, load.Slots))
         reject(request);
@@ -140,7 +151,7 @@
       {1, 500ms, {{0ms, 6}}},
       {2, 1000ms, {{0ms, 4}, {2000ms, 40}, {4000ms, 4}}}};
   const auto before = replaySeeds(kinds, {});
-  const auto now = replaySeeds(kinds, {true});
+  const auto now = replaySeeds(kinds, {true, false});
   print("previous", before);
   print("by priority", now);
   CHECK(now[0].onTimeShare() > 1.4 * before[0].onTimeShare());
@@ -155,7 +166,7 @@
   const std::vector<Kind> kinds{
       {0, 500ms, {{0ms, 40}}}, {1, 500ms, {{0ms, 6}}}, {2, 1000ms, {{0ms, 4}}}};
   const auto before = replaySeeds(kinds, {});
-  const auto now = replaySeeds(kinds, {true});
+  const auto now = replaySeeds(kinds, {true, false});
   print("previous", before);
   print("by priority", now);
   double served = 0;
@@ -167,3 +178,44 @@
   for (const auto &it : now)
     CHECK(it.servedShare() >= served / arrived / 4);
 }
+
+// Guards against an account that pushes back others of the same priority by
+// sending three times as often and by retrying rejected requests at once.
+TEST_CASE(
+    "account that sends more than others gains nothing at their expense") {
+  // The capacity is 25 requests per second, demand without retries 35.
+  const auto accounts = [](double firstRate, bool retriesAtOnce) {
+    std::vector<Kind> kinds(24);
+    for (std::size_t i = 0; i < kinds.size(); ++i)
+      kinds[i] = {1,
+                  500ms,
+                  {{0ms, i == 0 ? firstRate : 1.35}},
+                  std::to_string(i),
+                  i == 0 && retriesAtOnce};
+    return kinds;
+  };
+  // Returns the results of the first account and of all others together.
+  const auto replayAccounts = [&](const char *name, double firstRate,
+                                  bool retriesAtOnce, bool fairAccounts) {
+    const auto results =
+        replaySeeds(accounts(firstRate, retriesAtOnce), {true, fairAccounts});
+    std::vector<KindResult> sums{results[0], {}};
+    for (std::size_t i = 1; i < results.size(); ++i) {
+      sums[1].Arrived += results[i].Arrived;
+      sums[1].OnTime += results[i].OnTime;
+      sums[1].Served += results[i].Served;
+    }
+    print(name, sums);
+    return sums;
+  };
+  for (const bool retries : {false, true}) {
+    const auto before = replayAccounts("by arrival", 4.05, retries, false);
+    const auto now = replayAccounts("by account", 4.05, retries, true);
+    CHECK(now[0].onTimeShare() < 0.9 * now[1].onTimeShare());
+    CHECK(now[1].onTimeShare() > before[1].onTimeShare() + 0.02);
+    CHECK(now[1].servedShare() > before[1].servedShare());
+    CHECK(now[0].servedShare() > now[1].servedShare() / 4);
+  }
+  replayAccounts("equal accounts, by arrival", 1.35, false, false);
+  replayAccounts("equal accounts, by account", 1.35, false, true);
+}
