--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -51,6 +51,7 @@
   settings.SilenceBound = it.StableWindow - DrainMargin;
   settings.ReportLifetime = PeerReportLifetime;
   settings.ShareSlots = it.ShareSlots;
+  settings.LimitByGroup = it.LimitByGroup;
   return settings;
 }
 
@@ -222,6 +223,12 @@
                      {"routes", table->routeCount()}});
   Table = std::move(table);
   Scheduler.setRouteTable(Table);
+  ServicesByPriority =
+      gateway::activeServices(Settings.CountByPriority, *Table);
+  ServicesWithFairAccounts =
+      gateway::activeServices(Settings.FairAccounts, *Table);
+  for (auto &[serviceName, state] : Services)
+    updateWaitSettings(serviceName, state);
   Metrics.setGauge("bergamot_config_version", "",
                    static_cast<double>(Table->version()));
   startHeldRequests();
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -65,6 +65,11 @@
   unsigned LogLinesPerSecond = 40;
   /// See gateway::SchedulerSettings.
   gateway::Activation ShareSlots = gateway::Activation::Auto;
+  gateway::Activation LimitByGroup = gateway::Activation::Auto;
+  /// For which services only more urgent requests count as ahead of a new one.
+  gateway::Activation CountByPriority = gateway::Activation::Auto;
+  /// For which services client accounts are served in turn.
+  gateway::Activation FairAccounts = gateway::Activation::Auto;
   /// Bound on the bytes of all incomplete requests. The memory for them may be
   /// twice as large, which is half of that of an entry's VM.
   std::size_t MaxUploadBytes = 64UL * 1024 * 1024;
@@ -236,6 +241,10 @@
   gateway::FramingHabit &framing(const std::string &serviceName) {
     return service(serviceName).Framing;
   }
+  /// Records the time between two events of a stream.
+  void recordEventGap(const std::string &target, base::Duration gap) {
+    Scheduler.recordEventGap(target, gap, now());
+  }
   void recordSuccess(const std::string &target);
   void recordPromptBegun(const std::vector<gateway::PromptPart> &parts);
   /// Finds out whether a target has crashed that closed its connection while a
@@ -311,6 +320,8 @@
   void rejectExpired(const std::string &serviceName, ServiceState &state);
   gateway::QueueState queueState(const std::string &serviceName,
                                  ServiceState &state);
+  gateway::WaitingRequest waitingRequest(const Exchange &exchange) const;
+  void updateWaitSettings(const std::string &serviceName, ServiceState &state);
   gateway::WaitLimits waitLimits(const Exchange &exchange) const;
   void recordRateLimit(const std::string &target, std::int64_t startedAtMs,
                        base::TimePoint sentAt, const TargetResponse &response);
@@ -336,6 +347,8 @@
   /// The unknown response fields that have been logged.
   std::set<std::string> UnknownFields;
   std::map<std::string, ServiceState> Services;
+  std::set<std::string> ServicesByPriority;
+  std::set<std::string> ServicesWithFairAccounts;
   std::vector<HeldRequest> HeldRequests;
   gateway::PromptSuspects Suspects;
   std::vector<SuspectedRequest> SuspectedRequests;
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -23,7 +23,16 @@
 } // namespace
 
 Entry::ServiceState &Entry::service(const std::string &serviceName) {
-  return Services.try_emplace(serviceName, Settings).first->second;
+  const auto [it, added] = Services.try_emplace(serviceName, Settings);
+  if (added)
+    updateWaitSettings(serviceName, it->second);
+  return it->second;
+}
+
+void Entry::updateWaitSettings(const std::string &serviceName,
+                               ServiceState &state) {
+  state.Queue.setSettings({ServicesByPriority.contains(serviceName),
+                           ServicesWithFairAccounts.contains(serviceName)});
 }
 
 std::size_t Entry::queuedCount(const std::string &serviceName) {
@@ -54,6 +63,7 @@
   ServiceState &state = service(serviceName);
   if (exchange->failedTargets().empty()) {
     state.Budget.addRequest(at);
+    state.Queue.recordArrival(exchange->priority(), at);
     if (waitLimits(*exchange).OnTimeUntil > at)
       state.OnTimeArrivals.add(at);
   }
@@ -76,22 +86,35 @@
   const bool isExempt =
       exchange->hasResponseStarted() ||
       (!exchange->failedTargets().empty() && isStalled(serviceName));
+  const gateway::WaitingRequest request = waitingRequest(*exchange);
+  gateway::QueueState queue = queueState(serviceName, state);
+  queue.OnTimeAhead = state.Queue.onTimeAhead(request, at);
   if (!isExempt && mustQueue &&
-      !gateway::shouldEnqueue(limits, exchange->times(),
-                              queueState(serviceName, state), at)) {
+      !gateway::shouldEnqueue(limits, exchange->times(), queue, at)) {
     exchange->rejectQueued(isStalled(serviceName) ? "standstill"
                            : permitted.MaxRate    ? "rate_limited"
                                                   : "overload");
     return;
   }
   state.QueuedExchanges.emplace(exchange->exchangeId(), exchange);
-  state.Queue.add({exchange->exchangeId(),
-                   exchange->hasResponseStarted() ? 0 : exchange->priority(),
-                   exchange->arrivedAt(), limits.OnTimeUntil, limits.ExpiresAt},
-                  at);
+  state.Queue.add(request, at);
   processQueue(serviceName);
 }
 
+gateway::WaitingRequest Entry::waitingRequest(const Exchange &exchange) const {
+  const gateway::WaitLimits limits = waitLimits(exchange);
+  gateway::WaitingRequest request;
+  request.SequenceNumber = exchange.exchangeId();
+  request.Priority = exchange.hasResponseStarted() ? 0 : exchange.priority();
+  request.ArrivedAt = exchange.arrivedAt();
+  request.OnTimeUntil = limits.OnTimeUntil;
+  request.ExpiresAt = limits.ExpiresAt;
+  request.WasSentBefore =
+      exchange.hasResponseStarted() || !exchange.failedTargets().empty();
+  request.Account = exchange.account();
+  return request;
+}
+
 void Entry::scheduleQueueProcessing(const std::string &serviceName) {
   ServiceState &state = service(serviceName);
   if (state.QueueProcessingPosted || state.Queue.isEmpty())
@@ -133,6 +156,9 @@
     if (!gateway::shouldStayQueued({it.OnTimeUntil, it.ExpiresAt},
                                    queueState(serviceName, state), at))
       rejectQueued(state, it.SequenceNumber);
+  for (const auto &it :
+       gateway::takeUnservable(state.Queue, queueState(serviceName, state), at))
+    rejectQueued(state, it.SequenceNumber);
 }
 
 bool Entry::dispatchNext(const std::string &serviceName, ServiceState &state) {
@@ -173,7 +199,7 @@
   const gateway::KnownTarget *target = choice.Target;
   if (!target)
     return false;
-  state.Queue.remove(exchange->exchangeId());
+  state.Queue.removeSent(exchange->exchangeId(), now());
   state.QueuedExchanges.erase(exchange->exchangeId());
   state.Dispatched.add(now());
   Scheduler.recordDispatch(*target, now());
--- a/src/entrypath/entrylimits.cpp
+++ b/src/entrypath/entrylimits.cpp
@@ -30,9 +30,13 @@
     return;
   }
   const std::string &serviceName = exchange.service();
-  const gateway::QueueState queue =
-      serviceName.empty() ? gateway::QueueState()
-                          : queueState(serviceName, service(serviceName));
+  gateway::QueueState queue;
+  if (!serviceName.empty()) {
+    ServiceState &state = service(serviceName);
+    queue = queueState(serviceName, state);
+    queue.OnTimeAhead =
+        state.Queue.onTimeAhead(waitingRequest(exchange), now());
+  }
   std::chrono::duration<double> delay =
       gateway::retryAfterDelay(left, queue, drawUniform());
   const TimePoint at = now();
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -80,6 +80,8 @@
   std::set<std::string> busyTargets() const;
   bool hasResponseStarted() const { return ResponseStarted; }
   std::uint32_t priority() const { return Priority; }
+  /// The name of the client account; empty if the request has none.
+  const std::string &account() const { return Account; }
   const CallerRequest &request() const { return RequestInfo; }
   /// Returns how many more times the request may be dispatched. A dispatch is
   /// an attempt in which the request has been sent to its target: it doesn't
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -221,10 +221,13 @@
   endOtherAttempts();
   recordBegun();
   recordExecution(now);
-  if (ResponseStarted)
-    LongestEventGap = std::max(LongestEventGap, now - LastEventAt);
-  else
+  if (ResponseStarted) {
+    const base::Duration gap = now - LastEventAt;
+    LongestEventGap = std::max(LongestEventGap, gap);
+    Owner.recordEventGap(Current->TargetId, gap);
+  } else {
     FirstEventAt = now;
+  }
   LastEventAt = now;
   Owner.recordProgress(Service, Current->TargetGroup);
   relay(events);
--- a/src/libbergamotgateway/enginelimit.cpp
+++ b/src/libbergamotgateway/enginelimit.cpp
@@ -45,30 +45,29 @@
          (stepsPerPass * engine.StepMsPerSequence * sequenceFactor);
 }
 
+milliseconds minEventGapObjective(const RouteTable &table,
+                                  const std::string &service) {
+  milliseconds objective{0};
+  for (const auto &route : table.routes()) {
+    const bool usesService = std::any_of(
+        route.Services.begin(), route.Services.end(),
+        [&](const WeightedService &it) { return it.Service == service; });
+    if (!usesService || route.EventGapObjective.count() == 0)
+      continue;
+    objective = objective.count() == 0
+                    ? route.EventGapObjective
+                    : std::min(objective, route.EventGapObjective);
+  }
+  return objective;
+}
+
 std::map<std::string, std::uint32_t>
 maxConcurrentStreamsByService(const RouteTable &table) {
   std::map<std::string, std::uint32_t> limits;
-  for (const auto &it : table.services()) {
-    const std::string &name = it.first;
-    const Service &service = it.second;
-    if (!service.Engine)
-      continue;
-    milliseconds minEventGapObjective{0};
-    for (const auto &route : table.routes()) {
-      const bool usesService =
-          std::any_of(route.Services.begin(), route.Services.end(),
-                      [&](const WeightedService &weighted) {
-                        return weighted.Service == name;
-                      });
-      if (!usesService || route.EventGapObjective.count() == 0)
-        continue;
-      minEventGapObjective =
-          minEventGapObjective.count() == 0
-              ? route.EventGapObjective
-              : std::min(minEventGapObjective, route.EventGapObjective);
-    }
-    limits[name] = maxConcurrentStreams(*service.Engine, minEventGapObjective);
-  }
+  for (const auto &[name, service] : table.services())
+    if (service.Engine)
+      limits[name] = maxConcurrentStreams(*service.Engine,
+                                          minEventGapObjective(table, name));
   return limits;
 }
 
--- a/src/libbergamotgateway/enginelimit.h
+++ b/src/libbergamotgateway/enginelimit.h
@@ -26,8 +26,13 @@
                          std::chrono::milliseconds eventGapObjective,
                          double skew, base::Duration reserved);
 
-/// Returns the limit for each service that has an engine profile, using the
-/// shortest event gap objective among the routes to the service.
+/// Returns the shortest event gap objective among the routes to a service; 0 if
+/// none has one.
+std::chrono::milliseconds minEventGapObjective(const RouteTable &table,
+                                               const std::string &service);
+
+/// Returns the limit for each service that has an engine profile, for its
+/// minEventGapObjective().
 std::map<std::string, std::uint32_t>
 maxConcurrentStreamsByService(const RouteTable &table);
 
--- a/src/libbergamotgateway/targetscheduler.cpp
+++ b/src/libbergamotgateway/targetscheduler.cpp
@@ -17,6 +17,9 @@
 /// report. With less, entries with the same view fill each other's slots
 /// although they have free ones of their own.
 constexpr double UnreportedRequestsOfOwner = 2;
+/// How long the load of a group is used before it is computed again. A group
+/// sends an event per stream in each pass, and a pass takes 50 ms or more.
+constexpr std::chrono::milliseconds GroupLoadLifetime{25};
 
 /// Returns the priorities that requests of a service may have.
 std::set<std::uint32_t> prioritiesOf(const std::string &service,
@@ -68,6 +71,12 @@
   for (const auto &it : activeServices(Settings.ShareSlots, *Table))
     priorities[it] = prioritiesOf(it, *Table);
   Sharing.setServices(priorities);
+  EngineLimits.clear();
+  for (const auto &it : activeServices(Settings.LimitByGroup, *Table)) {
+    const Service *service = Table->service(it);
+    if (service && service->Engine)
+      EngineLimits[it] = {*service->Engine, minEventGapObjective(*Table, it)};
+  }
   Loads.setReportLifetime(priorities.empty() ? Settings.ReportLifetime
                                              : SharedReportLifetime);
 }
@@ -125,9 +134,14 @@
                                             TimePoint now) const {
   const std::uint32_t slots = std::max(1U, target.Record.Slots);
   const auto it = StreamLimits.find(target.Record.Service);
-  const std::uint32_t limit =
+  std::uint32_t limit =
       it == StreamLimits.end() ? slots : std::min(slots, it->second);
   const auto &place = target.Record.Membership;
+  const auto engine = EngineLimits.find(target.Record.Service);
+  if (place && engine != EngineLimits.end())
+    limit = std::min(
+        slots, GroupLimits.limit(place->Group, engine->second.Engine,
+                                 engine->second.EventGapObjective, limit, now));
   return place ? Slowdowns.limit(place->Group, place->Rank, place->GroupSize,
                                  limit, now)
                : limit;
@@ -314,6 +328,37 @@
   return counts;
 }
 
+double TargetScheduler::requestsPerTarget(const std::string &group,
+                                          TimePoint now) {
+  GroupLoad &load = LoadByGroup[group];
+  if (now < load.ExpiresAt)
+    return load.RequestsPerTarget;
+  double requests = 0;
+  double targets = 0;
+  for (const auto &[id, target] : Directory.targets()) {
+    const auto &membership = target.Record.Membership;
+    if (!membership || membership->Group != group)
+      continue;
+    requests += Loads.total(id);
+    targets += 1;
+  }
+  load = {targets > 0 ? requests / targets : 0, now + GroupLoadLifetime};
+  return load.RequestsPerTarget;
+}
+
+void TargetScheduler::recordEventGap(const std::string &target,
+                                     base::Duration gap, TimePoint now) {
+  const KnownTarget *known = Directory.target(target);
+  if (!known || !known->Record.Membership)
+    return;
+  const auto engine = EngineLimits.find(known->Record.Service);
+  if (engine == EngineLimits.end())
+    return;
+  const std::string &group = known->Record.Membership->Group;
+  GroupLimits.recordGap(group, engine->second.Engine, gap,
+                        requestsPerTarget(group, now), now);
+}
+
 void TargetScheduler::recordDispatch(const KnownTarget &target, TimePoint now) {
   const std::string &id = target.Record.Id;
   DispatchesByTarget[id].add(now);
--- a/src/libbergamotgateway/targetscheduler.h
+++ b/src/libbergamotgateway/targetscheduler.h
@@ -4,6 +4,7 @@
 #include "libbergamotgateway/competingterms.h"
 #include "libbergamotgateway/drainingtargets.h"
 #include "libbergamotgateway/groupprogress.h"
+#include "libbergamotgateway/groupstreamlimit.h"
 #include "libbergamotgateway/loadtracker.h"
 #include "libbergamotgateway/rankslowdowns.h"
 #include "libbergamotgateway/ratewindow.h"
@@ -42,6 +43,8 @@
   base::Duration ReportLifetime{};
   /// For which services free slots are divided among the entries.
   Activation ShareSlots = Activation::Auto;
+  /// For which services the limit on streams follows the passes of the groups.
+  Activation LimitByGroup = Activation::Auto;
 };
 
 /// What the choice of a target depends on in a request.
@@ -148,6 +151,9 @@
   takeReport(const std::map<std::string, WaitingCounts> &waitingByService);
   /// Returns the services whose slots are divided among the entries.
   const SlotSharing &slotSharing() const { return Sharing; }
+  /// Records the time between two events of a stream from a target.
+  void recordEventGap(const std::string &target, base::Duration gap,
+                      TimePoint now);
   /// Records that a request is sent to a target.
   void recordDispatch(const KnownTarget &target, TimePoint now);
 
@@ -171,6 +177,18 @@
     bool FailedBefore = false;
   };
 
+  /// The limit on streams of a service whose limit follows its groups.
+  struct EngineLimit {
+    EngineProfile Engine;
+    std::chrono::milliseconds EventGapObjective{0};
+  };
+  /// The mean number of requests at the targets of a group.
+  struct GroupLoad {
+    double RequestsPerTarget = 0;
+    TimePoint ExpiresAt;
+  };
+
+  double requestsPerTarget(const std::string &group, TimePoint now);
   std::vector<Option> options(const DispatchTerms &terms, TimePoint now);
   SlotView applySharing(const DispatchTerms &terms,
                         std::vector<Option> &options) const;
@@ -182,6 +200,7 @@
   SchedulerSettings Settings;
   std::shared_ptr<const RouteTable> Table;
   std::map<std::string, std::uint32_t> StreamLimits;
+  std::map<std::string, EngineLimit> EngineLimits;
   TargetDirectory Directory;
   LoadTracker Loads;
   TargetShares Shares;
@@ -192,6 +211,8 @@
   GroupProgress Groups;
   RankSlowdowns Slowdowns;
   SlotSharing Sharing;
+  GroupStreamLimit GroupLimits;
+  std::map<std::string, GroupLoad> LoadByGroup;
   std::map<std::string, RateWindow> DispatchesByTarget;
   std::set<std::string> EntryNames;
   bool EntryNamesSet = false;
