--- a/src/libbergamotgateway/slotsharing.cpp
+++ b/src/libbergamotgateway/slotsharing.cpp
@@ -21,6 +21,11 @@
 /// Free slots from which on a slot of another entry may be filled. The last one
 /// is left to its owner.
 constexpr std::uint32_t MinFreeForShared = 2;
+/// Part of its equal share of the slots that an isolated entry uses. The demand
+/// of a single entry varies more than that of all; with no more than the equal
+/// share, entries that were partitioned from each other rejected requests while
+/// slots were free.
+constexpr double IsolatedShareFraction = 1.5;
 
 /// Returns the point of a slot in [0, 1). Slots of a target are numbered
 /// from 1.
@@ -93,7 +98,7 @@
 }
 
 SlotInterval SlotSharing::interval(const std::string &service,
-                                   std::size_t freeSlots,
+                                   const SlotTotals &slots,
                                    const WaitingCounts &own) const {
   const std::size_t entries = EntryNames.size();
   std::vector<const WaitingCounts *> byEntry(entries);
@@ -116,10 +121,10 @@
   interval.Isolated = Isolated;
   interval.Contended =
       Isolated ||
-      totalWaiting > ContendedFraction * static_cast<double>(freeSlots);
+      totalWaiting > ContendedFraction * static_cast<double>(slots.Free);
   std::vector<double> weights(entries, IdleEntryWeight);
   if (interval.Contended && !Isolated) {
-    double remaining = static_cast<double>(freeSlots);
+    double remaining = static_cast<double>(slots.Free);
     for (const auto &[priority, requests] : total) {
       if (requests == 0)
         continue;
@@ -142,6 +147,10 @@
   }
   interval.Begin = begin / sum;
   interval.End = (begin + weights[self]) / sum;
+  interval.Exhausted = Isolated && static_cast<double>(slots.Own) >=
+                                       IsolatedShareFraction *
+                                           static_cast<double>(slots.Limit) /
+                                           static_cast<double>(entries);
   return interval;
 }
 
@@ -152,13 +161,8 @@
     return SlotClaim::None;
   if (counts.Own < counts.OwnReported)
     return SlotClaim::Own;
-  if (interval.Isolated) {
-    // The other entries are assumed to use all slots outside the interval.
-    std::uint32_t share = 0;
-    for (std::uint32_t slot = 1; slot <= counts.Limit; ++slot)
-      share += contains(interval, counts.Target, slot) ? 1 : 0;
-    return counts.Own < share ? SlotClaim::Own : SlotClaim::None;
-  }
+  if (interval.Isolated)
+    return interval.Exhausted ? SlotClaim::None : SlotClaim::Own;
   if (contains(interval, counts.Target, taken + 1))
     return SlotClaim::Own;
   return !interval.Contended && counts.Limit - taken >= MinFreeForShared
--- a/src/libbergamotgateway/slotsharing.h
+++ b/src/libbergamotgateway/slotsharing.h
@@ -29,6 +29,18 @@
   bool Contended = false;
   /// This entry hears too few others to know how many slots are taken.
   bool Isolated = false;
+  /// An isolated entry uses as many slots as it may.
+  bool Exhausted = false;
+};
+
+/// The slots of all targets of a service to which a request may be sent.
+struct SlotTotals {
+  /// Upper bound of the requests of all entries.
+  std::size_t Limit = 0;
+  /// Slots that are free by the last reports of all entries.
+  std::size_t Free = 0;
+  /// Requests of this entry.
+  std::size_t Own = 0;
 };
 
 /// The requests at a target, as an entry sees them.
@@ -91,10 +103,9 @@
   /// `counts` may contain other keys.
   void setReport(const std::string &entry, const RequestCounts &counts);
 
-  /// Returns this entry's interval for a service. `freeSlots` is the number of
-  /// free slots of all its targets by the last reports, and `own` what waits at
-  /// this entry now.
-  SlotInterval interval(const std::string &service, std::size_t freeSlots,
+  /// Returns this entry's interval for a service. `own` is what waits at this
+  /// entry now.
+  SlotInterval interval(const std::string &service, const SlotTotals &slots,
                         const WaitingCounts &own) const;
   /// Returns whether this entry may fill the next free slot of a target.
   static SlotClaim claim(const SlotInterval &interval,
--- a/src/libbergamotgateway/targetscheduler.cpp
+++ b/src/libbergamotgateway/targetscheduler.cpp
@@ -279,10 +279,11 @@
     return view;
   for (const auto &it : options) {
     const std::uint32_t taken = it.Slots.Others + it.Slots.OwnReported;
-    view.FreeSlots += it.Slots.Limit - std::min(it.Slots.Limit, taken);
+    view.Totals.Limit += it.Slots.Limit;
+    view.Totals.Free += it.Slots.Limit - std::min(it.Slots.Limit, taken);
+    view.Totals.Own += it.Slots.Own;
   }
-  view.Interval =
-      Sharing.interval(terms.Service, view.FreeSlots, terms.Waiting);
+  view.Interval = Sharing.interval(terms.Service, view.Totals, terms.Waiting);
   std::erase_if(options, [&](Option &it) {
     const SlotClaim claim = SlotSharing::claim(view.Interval, it.Slots);
     if (claim == SlotClaim::Shared)
--- a/src/libbergamotgateway/targetscheduler.h
+++ b/src/libbergamotgateway/targetscheduler.h
@@ -87,8 +87,7 @@
 struct SlotView {
   /// Whether the slots are divided among the entries at all.
   bool Shared = false;
-  /// Free slots by the last reports of all entries.
-  std::size_t FreeSlots = 0;
+  SlotTotals Totals;
   /// Targets that aren't full but whose next slot is left to other entries.
   std::size_t LeftToOthers = 0;
   SlotInterval Interval;
