--- a/src/bergamotctl/command.cpp
+++ b/src/bergamotctl/command.cpp
@@ -81,9 +81,13 @@
     text << "  " << std::left << std::setw(28)
          << command.Name + " " + command.Arguments << command.Summary << "\n";
   text << "\nFlags (each also as the variable BERGAMOT_<NAME>):\n";
-  for (const FlagHelp &flag : flagHelp())
-    text << "  --" << std::left << std::setw(14) << flag.Name
-         << flag.Description
+  const std::vector<FlagHelp> flags = flagHelp();
+  std::size_t longestName = 0;
+  for (const FlagHelp &flag : flags)
+    longestName = std::max(longestName, flag.Name.size());
+  for (const FlagHelp &flag : flags)
+    text << "  --" << std::left << std::setw(static_cast<int>(longestName) + 2)
+         << flag.Name << flag.Description
          << (flag.Default.empty() ? "" : " (" + flag.Default + ")") << "\n";
   return text.str() + ExitCodeHelp;
 }
--- a/tests/config/test_ctl.cpp
+++ b/tests/config/test_ctl.cpp
@@ -329,14 +329,15 @@
         "127.0.0.1:7002");
 }
 
-// Guards against a manual page that lacks a command, a flag or an exit code.
+// Guards against a flag whose name runs into its description, and against a
+// manual page that lacks a command, a flag or an exit code.
 TEST_CASE("the manual page names every command and flag", "[ctl]") {
   std::ifstream file(BERGAMOT_MANUAL_PAGE);
   const std::string page{std::istreambuf_iterator<char>(file), {}};
   const std::string help = helpText();
   REQUIRE_FALSE(flagHelp().empty());
   for (const FlagHelp &flag : flagHelp()) {
-    CHECK_THAT(help, Catch::Contains("--" + flag.Name));
+    CHECK_THAT(help, Catch::Contains("--" + flag.Name + "  "));
     CHECK_THAT(page, Catch::Contains("\\-\\-" + flag.Name));
   }
   for (const Command &command : commands()) {
