--- a/src/libbergamotgateway/targetscheduler.cpp
+++ b/src/libbergamotgateway/targetscheduler.cpp
@@ -234,29 +234,34 @@
   return Exclusion::None;
 }
 
-std::vector<TargetScheduler::Option>
-TargetScheduler::options(const DispatchTerms &terms, TimePoint now) {
-  std::vector<Option> options;
-  for (const auto &[id, target] : Directory.targets()) {
-    if (exclusion(target, terms, now) != Exclusion::None)
-      continue;
-    const std::uint32_t limit = requestLimit(target, now);
-    Option it;
-    it.Slots.Target = targetHash(id);
-    it.Slots.Limit = terms.IsLate ? lateRequestLimit(limit) : limit;
-    it.Slots.Others = Loads.remote(it.Slots.Target);
-    it.Slots.Own = Loads.local(id);
-    it.Slots.OwnReported = Loads.reported(id);
-    it.Target = {id, it.Slots.Others + it.Slots.Own, it.Slots.Limit,
-                 target.Record.FailureDomain == Settings.FailureDomain,
-                 Health.penalty(id, now)};
-    it.FailedBefore = terms.FailedTargets.contains(id);
-    options.push_back(std::move(it));
-  }
-  return options;
+TargetScheduler::Option TargetScheduler::option(const KnownTarget &target,
+                                                const DispatchTerms &terms,
+                                                TimePoint now) const {
+  const std::string &id = target.Record.Id;
+  const std::uint32_t limit = requestLimit(target, now);
+  Option it;
+  it.Target = &target;
+  it.Slots.Target = targetHash(id);
+  it.Slots.Limit = terms.IsLate ? lateRequestLimit(limit) : limit;
+  it.Slots.Others = Loads.remote(it.Slots.Target);
+  it.Slots.Own = Loads.local(id);
+  it.Slots.OwnReported = Loads.reported(id);
+  it.Penalty = Health.penalty(id, now);
+  it.FailedBefore = terms.FailedTargets.contains(id);
+  return it;
 }
 
-/// Removes the options whose next slot is left to other entries.
+Candidate TargetScheduler::candidate(const Option &option) const {
+  const TargetRecord &record = option.Target->Record;
+  return {record.Id,
+          option.Slots.Others + option.Slots.Own,
+          option.Slots.Limit,
+          record.FailureDomain == Settings.FailureDomain,
+          option.Penalty,
+          option.Claim == SlotClaim::Shared ? UnreportedRequestsOfOwner : 0};
+}
+
+/// Sets for each option whether this entry may fill its next slot.
 SlotView TargetScheduler::applySharing(const DispatchTerms &terms,
                                        std::vector<Option> &options) const {
   SlotView view;
@@ -269,36 +274,49 @@
   }
   view.Interval =
       Sharing.interval(terms.Service, view.FreeSlots, terms.Waiting);
-  std::erase_if(options, [&](Option &it) {
-    const SlotClaim claim = SlotSharing::claim(view.Interval, it.Slots);
-    if (claim == SlotClaim::Shared)
-      it.Target.UnreportedRequests = UnreportedRequestsOfOwner;
-    if (claim != SlotClaim::None)
-      return false;
-    view.LeftToOthers += it.Target.Requests < it.Target.MaxRequests ? 1 : 0;
-    return true;
-  });
+  for (auto &it : options) {
+    it.Claim = SlotSharing::claim(view.Interval, it.Slots);
+    const bool isFull = it.Slots.Others + it.Slots.Own >= it.Slots.Limit;
+    view.LeftToOthers += it.Claim == SlotClaim::None && !isFull ? 1 : 0;
+  }
   return view;
 }
 
+TargetScheduler::Decision TargetScheduler::decide(const DispatchTerms &terms,
+                                                  TimePoint now) {
+  Decision decision;
+  auto &options = decision.Options;
+  for (const auto &[id, target] : Directory.targets())
+    if (exclusion(target, terms, now) == Exclusion::None)
+      options.push_back(option(target, terms, now));
+  decision.Slots = applySharing(terms, options);
+  const bool allFailedBefore =
+      std::all_of(options.begin(), options.end(), [](const Option &it) {
+        return it.Claim == SlotClaim::None || it.FailedBefore;
+      });
+  for (std::size_t i = 0; i < options.size(); ++i) {
+    if (options[i].Claim == SlotClaim::None ||
+        options[i].FailedBefore != allFailedBefore)
+      continue;
+    decision.Candidates.push_back(candidate(options[i]));
+    decision.OptionIndices.push_back(i);
+  }
+  return decision;
+}
+
 Choice TargetScheduler::choose(const DispatchTerms &terms, double draw,
                                TimePoint now) {
-  std::vector<Option> all = options(terms, now);
+  const Decision decision = decide(terms, now);
   Choice choice;
-  choice.Slots = applySharing(terms, all);
-  const bool allFailedBefore = std::all_of(
-      all.begin(), all.end(), [](const Option &it) { return it.FailedBefore; });
-  std::vector<Candidate> choices;
-  for (auto &it : all)
-    if (it.FailedBefore == allFailedBefore)
-      choices.push_back(std::move(it.Target));
-  const int chosen = chooseTarget(choices, draw);
+  choice.Slots = decision.Slots;
+  const int chosen = chooseTarget(decision.Candidates, draw);
   if (chosen < 0)
     return choice;
-  const Candidate &best = choices[static_cast<std::size_t>(chosen)];
-  choice.Target = Directory.target(best.Id);
-  choice.Claim =
-      best.UnreportedRequests > 0 ? SlotClaim::Shared : SlotClaim::Own;
+  const Option &option =
+      decision
+          .Options[decision.OptionIndices[static_cast<std::size_t>(chosen)]];
+  choice.Target = option.Target;
+  choice.Claim = option.Claim;
   return choice;
 }
 
--- a/src/libbergamotgateway/targetscheduler.h
+++ b/src/libbergamotgateway/targetscheduler.h
@@ -164,16 +164,31 @@
   RankSlowdowns &slowdowns() { return Slowdowns; }
 
 private:
-  /// A candidate, and the slots at it.
+  /// A target that isn't excluded, and the slots at it.
   struct Option {
-    Candidate Target;
+    const KnownTarget *Target = nullptr;
     SlotCounts Slots;
+    double Penalty = 0;
     bool FailedBefore = false;
+    /// Own if the slots aren't shared.
+    SlotClaim Claim = SlotClaim::Own;
   };
 
-  std::vector<Option> options(const DispatchTerms &terms, TimePoint now);
+  /// All options for a request, and those that are eligible.
+  struct Decision {
+    std::vector<Option> Options;
+    SlotView Slots;
+    std::vector<Candidate> Candidates;
+    /// The index in Options of each candidate.
+    std::vector<std::size_t> OptionIndices;
+  };
+
+  Option option(const KnownTarget &target, const DispatchTerms &terms,
+                TimePoint now) const;
+  Candidate candidate(const Option &option) const;
   SlotView applySharing(const DispatchTerms &terms,
                         std::vector<Option> &options) const;
+  Decision decide(const DispatchTerms &terms, TimePoint now);
   TimePoint nextSendAt(const KnownTarget &target, TimePoint now);
   bool isWithinColdRate(const std::string &service, const std::string &target,
                         TimePoint now);
--- a/src/libbergamotgateway/targetselection.cpp
+++ b/src/libbergamotgateway/targetselection.cpp
@@ -15,28 +15,35 @@
 /// Scores that differ by no more than this count as equal.
 constexpr double TieTolerance = 0.02;
 
-double score(const Candidate &it) {
-  const double load = (it.Requests + it.UnreportedRequests) / it.MaxRequests;
-  return load + PenaltyWeight * it.Penalty -
-         (it.SameFailureDomain ? SameFailureDomainBonus : 0.0);
-}
-
 } // namespace
 
-int chooseTarget(std::span<const Candidate> candidates, double draw) {
+double loadScore(const Candidate &candidate) {
+  const double load = (candidate.Requests + candidate.UnreportedRequests) /
+                      candidate.MaxRequests;
+  return load + PenaltyWeight * candidate.Penalty -
+         (candidate.SameFailureDomain ? SameFailureDomainBonus : 0.0);
+}
+
+std::vector<std::size_t>
+equallyGoodCandidates(std::span<const Candidate> candidates) {
   double lowest = HUGE_VAL;
   for (const auto &it : candidates)
     if (it.Requests < it.MaxRequests)
-      lowest = std::min(lowest, score(it));
-  if (lowest == HUGE_VAL)
-    return -1;
-  std::vector<int> tied;
+      lowest = std::min(lowest, loadScore(it));
+  std::vector<std::size_t> tied;
   for (std::size_t i = 0; i < candidates.size(); ++i)
     if (candidates[i].Requests < candidates[i].MaxRequests &&
-        score(candidates[i]) <= lowest + TieTolerance)
-      tied.push_back(static_cast<int>(i));
-  return tied[static_cast<std::size_t>(draw *
-                                       static_cast<double>(tied.size()))];
+        loadScore(candidates[i]) <= lowest + TieTolerance)
+      tied.push_back(i);
+  return tied;
+}
+
+int chooseTarget(std::span<const Candidate> candidates, double draw) {
+  const std::vector<std::size_t> tied = equallyGoodCandidates(candidates);
+  if (tied.empty())
+    return -1;
+  return static_cast<int>(
+      tied[static_cast<std::size_t>(draw * static_cast<double>(tied.size()))]);
 }
 
 } // namespace bergamot::gateway
--- a/src/libbergamotgateway/targetselection.h
+++ b/src/libbergamotgateway/targetselection.h
@@ -3,6 +3,7 @@
 
 #include "libbergamotbase/timetypes.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <span>
@@ -28,6 +29,16 @@
   double UnreportedRequests = 0;
 };
 
+/// Returns the load of a candidate relative to MaxRequests, including its
+/// penalty and the preference for the entry's own failure domain. Lower is
+/// better.
+double loadScore(const Candidate &candidate);
+
+/// Returns the indices of the candidates below MaxRequests whose score is the
+/// lowest or close enough to it to count as equal; none if all are full.
+std::vector<std::size_t>
+equallyGoodCandidates(std::span<const Candidate> candidates);
+
 /// Returns the index of the candidate below MaxRequests that has the lowest
 /// load relative to MaxRequests, or -1 if all are full. Targets in the entry's
 /// own failure domain win ties, which reduces traffic between failure domains.
