--- a/src/libbergamotgateway/loadtracker.cpp
+++ b/src/libbergamotgateway/loadtracker.cpp
@@ -2,6 +2,8 @@
 
 #include "libbergamotbase/digest.h"
 
+#include <algorithm>
+
 namespace bergamot::gateway {
 
 TargetHash targetHash(std::string_view target) {
@@ -34,7 +36,7 @@
   subtract(report.Counts);
   for (const auto &[hash, requests] : counts)
     RemoteTotals[hash] += requests;
-  report = {std::move(counts), now + ReportLifetime};
+  report = {std::move(counts), now, now + ReportLifetime};
 }
 
 void LoadTracker::removeExpired(TimePoint now) {
@@ -81,4 +83,16 @@
   return names;
 }
 
+ReportTimes LoadTracker::reportTimes() const {
+  ReportTimes times;
+  times.Reports = Reports.size();
+  for (const auto &[entry, report] : Reports) {
+    times.Oldest =
+        std::min(times.Oldest.value_or(report.ReceivedAt), report.ReceivedAt);
+    times.Newest =
+        std::max(times.Newest.value_or(report.ReceivedAt), report.ReceivedAt);
+  }
+  return times;
+}
+
 } // namespace bergamot::gateway
--- a/src/libbergamotgateway/loadtracker.h
+++ b/src/libbergamotgateway/loadtracker.h
@@ -3,8 +3,10 @@
 
 #include "libbergamotbase/timetypes.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -24,6 +26,14 @@
 /// One entry's requests in flight by target.
 using RequestCounts = std::vector<std::pair<TargetHash, std::uint32_t>>;
 
+/// When the reports arrived that are in use.
+struct ReportTimes {
+  std::size_t Reports = 0;
+  /// Unset if there are no reports.
+  std::optional<TimePoint> Oldest;
+  std::optional<TimePoint> Newest;
+};
+
 /// The number of requests in flight at each target over all entries: exact for
 /// this entry's own requests, as last reported for those of the other entries.
 /// Reports expire, so that the requests of an entry that has stopped no longer
@@ -61,10 +71,15 @@
   }
   /// Returns the names of the other entries with a current report.
   std::set<std::string> liveEntryNames() const;
+  /// Returns when the current reports of the other entries arrived. Each of
+  /// them concerns all targets: an entry omits the targets at which it has no
+  /// requests.
+  ReportTimes reportTimes() const;
 
 private:
   struct Report {
     RequestCounts Counts;
+    TimePoint ReceivedAt;
     TimePoint ExpiresAt;
   };
 
--- a/src/libbergamotgateway/targetscheduler.h
+++ b/src/libbergamotgateway/targetscheduler.h
@@ -99,6 +99,8 @@
   SlotView Slots;
 };
 
+struct ChoiceExplanation;
+
 /// What an entry knows of the targets, and what it decides from that: which
 /// targets a request may be sent to, how many requests each may have, and which
 /// one is chosen. Knows nothing of connections and clocks; every time is passed
@@ -142,6 +144,9 @@
   /// Chooses the target for a request. `draw` in [0, 1) decides between equal
   /// ones.
   Choice choose(const DispatchTerms &terms, double draw, TimePoint now);
+  /// Returns what choose() would decide now, and why. Nothing changes: no slot
+  /// and no part of a request rate is taken. See targetexplanation.h.
+  ChoiceExplanation explain(const DispatchTerms &terms, TimePoint now) const;
   /// Returns this entry's report: its requests in flight, and those that wait
   /// for services whose slots are shared. Records that the others know it.
   RequestCounts
@@ -189,6 +194,7 @@
   SlotView applySharing(const DispatchTerms &terms,
                         std::vector<Option> &options) const;
   Decision decide(const DispatchTerms &terms, TimePoint now);
+  ChoiceExplanation explainDecision(const DispatchTerms &terms, TimePoint now);
   TimePoint nextSendAt(const KnownTarget &target, TimePoint now);
   bool isWithinColdRate(const std::string &service, const std::string &target,
                         TimePoint now);
