--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -145,6 +145,12 @@
   std::shared_ptr<const gateway::RouteTable> routeTable() const {
     return Table;
   }
+  const gateway::TargetScheduler &scheduler() const { return Scheduler; }
+  /// Returns the queue of a service, or null if it has had no requests yet.
+  const gateway::WaitQueue *waitQueue(const std::string &serviceName) const {
+    const auto it = Services.find(serviceName);
+    return it == Services.end() ? nullptr : &it->second.Queue;
+  }
   const EntrySettings &settings() const { return Settings; }
   bool isShuttingDown() const { return Shutdown.has_value(); }
   base::TimePoint now() const { return std::chrono::steady_clock::now(); }
