--- a/src/bergamotctl/command.cpp
+++ b/src/bergamotctl/command.cpp
@@ -4,6 +4,7 @@
 #include "bergamotctl/configcommands.h"
 #include "bergamotctl/ctlflags.h"
 #include "bergamotctl/exitcode.h"
+#include "bergamotctl/explaincommand.h"
 #include "bergamotctl/keycommands.h"
 #include "libbergamotbase/error.h"
 
@@ -24,20 +25,22 @@
 Exit codes:
   0  done; the change is accepted
   1  the document, key or input has problems; nothing was appended. An audit
-     export lacks batches, or one was changed
+     export lacks batches, or one was changed. The entry has no such route,
+     account or service
   2  the command line is wrong
   3  the race was lost to the change named; nothing of this one is in force
-  4  not decided: the log can't be read or didn't decide in time
+  4  not decided: the log can't be read or didn't decide in time. The entry
+     can't be reached or has no configuration
   5  every reader of the log refuses the change
   6  not in force at every daemon
 )";
 
 const Command *findCommand(const std::vector<std::string> &words) {
-  if (words.size() < 2)
-    return nullptr;
   const auto it = std::find_if(
       commands().begin(), commands().end(), [&](const Command &command) {
-        return command.Name == words[0] + " " + words[1];
+        return !words.empty() && (command.Name == words[0] ||
+                                  (words.size() > 1 &&
+                                   command.Name == words[0] + " " + words[1]));
       });
   return it == commands().end() ? nullptr : &*it;
 }
@@ -65,6 +68,8 @@
        MostFiles, runAuditVerify},
       {"audit show", "FILE...", "search exports for audit records", 1,
        MostFiles, runAuditShow},
+      {"explain", "", "show where an entry would send a request now, and why",
+       0, 0, explainDecision},
       {"key new", "", "make a signing key, or an API key with --account", 0, 0,
        newKey},
       {"key hash", "", "print the hash of the API key on standard input", 0, 0,
@@ -110,7 +115,9 @@
     return Usage;
   }
   auto &arguments = context.Arguments;
-  arguments.erase(arguments.begin(), arguments.begin() + 2);
+  const auto words =
+      1 + std::count(command->Name.begin(), command->Name.end(), ' ');
+  arguments.erase(arguments.begin(), arguments.begin() + words);
   if (arguments.size() < command->LeastArguments ||
       arguments.size() > command->MostArguments) {
     context.Err << "usage: bergamotctl " << command->Name << " "
--- a/src/bergamotctl/command.h
+++ b/src/bergamotctl/command.h
@@ -32,6 +32,13 @@
   std::int64_t ConfigVersion = -1;
   std::string FromTime;
   std::string ToTime;
+  /// The entry that `explain` asks, and the request that it asks about, with
+  /// Account.
+  std::string Entry;
+  std::string Host;
+  std::string Path;
+  std::string Service;
+  bool Json = false;
 };
 
 /// What a command works with. Log returns the platform's log and throws
@@ -58,8 +65,8 @@
   }
 };
 
-/// One command: its words, the arguments after them, a line for the help and
-/// the function that returns the exit code.
+/// One command: its one or two words, the arguments after them, a line for the
+/// help and the function that returns the exit code.
 struct Command {
   std::string Name;
   std::string Arguments;
@@ -75,8 +82,8 @@
 /// Returns the text of `--help`: commands, flags and exit codes.
 std::string helpText();
 
-/// Runs the command that the first two arguments name and returns the exit
-/// code. Errors are printed with their step and peer.
+/// Runs the command that the first one or two arguments name and returns the
+/// exit code. Errors are printed with their step and peer.
 int runCommand(CommandContext context);
 
 /// Reads a file, or standard input if the path is `-`. Throws base::Error.
--- a/src/bergamotctl/ctlflags.cpp
+++ b/src/bergamotctl/ctlflags.cpp
@@ -11,7 +11,9 @@
 DEFINE_int64(base, -1, "version that the document was made from; 0: first");
 DEFINE_string(change_id, "",
               "id of an undecided change to publish again; default: a new one");
-DEFINE_string(account, "", "account of a new API key, or to search for");
+DEFINE_string(
+    account, "",
+    "account of a new API key, to search for, or of the request to explain");
 DEFINE_string(daemons, "",
               "IP addresses and ports of daemons' HTTP servers, "
               "separated by commas");
@@ -23,6 +25,12 @@
 DEFINE_string(from_time, "",
               "search from this second on, such as 2026-01-31T23:59:00Z");
 DEFINE_string(to_time, "", "search up to and including this second");
+DEFINE_string(entry, "", "IP address and peer port of the entry to ask");
+DEFINE_string(host, "", "host of the request to explain");
+DEFINE_string(path, "", "path of the request to explain");
+DEFINE_string(service, "",
+              "service to explain; default: the route's one with most weight");
+DEFINE_bool(json, false, "print the entry's JSON report");
 DEFINE_int64(timeout_ms, 10000, "time after which a command gives up");
 
 namespace bergamot::bergamotctl {
@@ -51,6 +59,11 @@
   options.ConfigVersion = FLAGS_config_version;
   options.FromTime = FLAGS_from_time;
   options.ToTime = FLAGS_to_time;
+  options.Entry = FLAGS_entry;
+  options.Host = FLAGS_host;
+  options.Path = FLAGS_path;
+  options.Service = FLAGS_service;
+  options.Json = FLAGS_json;
   options.Timeout = std::chrono::milliseconds(FLAGS_timeout_ms);
   std::istringstream daemons(FLAGS_daemons);
   for (std::string daemon; std::getline(daemons, daemon, ',');)
