--- a/src/libbergamotgateway/targetscheduler.h
+++ b/src/libbergamotgateway/targetscheduler.h
@@ -101,6 +101,8 @@
   SlotView Slots;
 };
 
+struct ChoiceExplanation;
+
 /// What an entry knows of the targets, and what it decides from that: which
 /// targets a request may be sent to, how many requests each may have, and which
 /// one is chosen. Knows nothing of connections and clocks; every time is passed
@@ -144,6 +146,9 @@
   /// Chooses the target for a request. `draw` in [0, 1) decides between equal
   /// ones.
   Choice choose(const DispatchTerms &terms, double draw, TimePoint now);
+  /// Returns what choose() would decide now, and why. Nothing changes: no slot
+  /// and no part of a request rate is taken. See targetexplanation.h.
+  ChoiceExplanation explain(const DispatchTerms &terms, TimePoint now) const;
   /// Returns this entry's report: its requests in flight, and those that wait
   /// for services whose slots are shared. Records that the others know it.
   RequestCounts
@@ -169,11 +174,14 @@
   RankSlowdowns &slowdowns() { return Slowdowns; }
 
 private:
-  /// A candidate, and the slots at it.
+  /// A target that isn't excluded, and the slots at it.
   struct Option {
-    Candidate Target;
+    const KnownTarget *Target = nullptr;
     SlotCounts Slots;
+    double Penalty = 0;
     bool FailedBefore = false;
+    /// Own if the slots aren't shared.
+    SlotClaim Claim = SlotClaim::Own;
   };
 
   /// The limit on streams of a service whose limit follows its groups.
@@ -188,9 +196,22 @@
   };
 
   double requestsPerTarget(const std::string &group, TimePoint now);
-  std::vector<Option> options(const DispatchTerms &terms, TimePoint now);
+  /// All options for a request, and those that are eligible.
+  struct Decision {
+    std::vector<Option> Options;
+    SlotView Slots;
+    std::vector<Candidate> Candidates;
+    /// The index in Options of each candidate.
+    std::vector<std::size_t> OptionIndices;
+  };
+
+  Option option(const KnownTarget &target, const DispatchTerms &terms,
+                TimePoint now) const;
+  Candidate candidate(const Option &option) const;
   SlotView applySharing(const DispatchTerms &terms,
                         std::vector<Option> &options) const;
+  Decision decide(const DispatchTerms &terms, TimePoint now);
+  ChoiceExplanation explainDecision(const DispatchTerms &terms, TimePoint now);
   TimePoint nextSendAt(const KnownTarget &target, TimePoint now);
   bool isWithinColdRate(const std::string &service, const std::string &target,
                         TimePoint now);
