--- a/tests/entrypath/test_explain.cpp
+++ b/tests/entrypath/test_explain.cpp
@@ -21,7 +21,7 @@
   const auto response = reportDecision(fixture.entry(), "/explain" + query);
   CHECK(response.Status == status);
   CHECK(response.ContentType == "application/json");
-  const json body = json::parse(response.Body);
+  json body = json::parse(response.Body);
   CHECK(body.contains("error") == (status != 200));
   return body;
 }
