--- a/src/libbergamotgateway/groupstreamlimit.cpp
+++ b/src/libbergamotgateway/groupstreamlimit.cpp
@@ -33,38 +33,12 @@
 /// Gaps shorter than this fraction of the shortest possible pass are ignored.
 /// Slightly shorter ones occur if the number of streams is outdated.
 constexpr double MinPassFraction = 0.5;
-/// Skew at and above which a group counts as shifted. It is about 1.3 between
-/// shifts, and 2 or more after a shift.
-constexpr double ShiftedSkew = 2;
 /// Decrease of the present skew per second of shorter passes. At higher values,
 /// the prefill of all streams that start after a shift makes others late.
 constexpr double SkewDecreasePerSecond = 2;
 /// Time after which gaps no longer show the present skew; longer than any pass
 /// and shorter than the interval between shifts.
 constexpr std::chrono::seconds GapLifetime{2};
-/// A shift may have remained unnoticed in a time without gaps of this length,
-/// because shifts last 0.3 s or more.
-constexpr milliseconds MaxUnseenTime{300};
-/// Time without a shift after which no shift is expected; more than two
-/// intervals between shifts, which are 3.5 to 4 s.
-constexpr std::chrono::seconds ShiftMemory{10};
-/// Part of the raise above the fallback that is used if no shift is expected.
-/// Streams run at this limit for all of their passes, some of which contain
-/// several long prompts: in a replay without shifts, the full raise made up to
-/// 44 % of the streams late.
-constexpr double LastingFraction = 0.5;
-/// Number of shifts from which the shortest interval is known; a single
-/// interval may span a shift that wasn't noticed.
-constexpr std::size_t MinShifts = 3;
-/// Starts of shifts closer together than this belong to the same shift; a shift
-/// lasts up to 0.5 s.
-constexpr std::chrono::seconds MinShiftInterval{1};
-/// A shift may start by this much earlier than expected: intervals vary by
-/// 0.5 s, and shifts are noticed after two passes of about 0.13 s.
-constexpr milliseconds ShiftTimeError{750};
-/// Time for the streams above the fallback to end; about the duration of a
-/// stream.
-constexpr milliseconds DrainTime{2000};
 
 Duration prefillTime(const EngineProfile &engine, double prompts) {
   if (engine.PrefillTokensPerMs <= 0)
@@ -113,47 +87,15 @@
   return std::min(LatestPass.value(), PreviousPassSkew);
 }
 
-TimePoint GroupStreamLimit::State::lastShiftAt() const {
-  return ShiftStarts.at((ShiftCount - 1) % MaxShifts);
-}
-
-void GroupStreamLimit::State::recordShift(TimePoint startedAt) {
-  EvenSince = startedAt;
-  if (ShiftCount > 0 && startedAt - lastShiftAt() >= ShiftMemory)
-    ShiftCount = 0;
-  if (ShiftCount > 0 && startedAt - lastShiftAt() < MinShiftInterval)
-    return;
-  ShiftStarts.at(ShiftCount % MaxShifts) = startedAt;
-  ++ShiftCount;
-}
-
 void GroupStreamLimit::State::endPass(TimePoint now) {
   const double skew = steadySkew();
   const double decrease = SkewDecreasePerSecond * Seconds(now - LastPassAt) /
                           std::chrono::seconds(1);
   PresentSkew = std::max(skew, PresentSkew - decrease);
-  if (skew >= ShiftedSkew && !IsShifted)
-    recordShift(LastPassAt);
-  IsShifted = skew >= ShiftedSkew;
   PreviousPassSkew = LatestPass.value();
   LatestPass = {};
 }
 
-std::optional<TimePoint>
-GroupStreamLimit::State::nextShiftAt(TimePoint now) const {
-  if (now - EvenSince >= ShiftMemory)
-    return TimePoint::max();
-  if (ShiftCount < MinShifts)
-    return std::nullopt;
-  Duration minInterval = Duration::max();
-  const std::size_t first = ShiftCount - std::min(ShiftCount, MaxShifts);
-  for (std::size_t i = first + 1; i < ShiftCount; ++i)
-    minInterval =
-        std::min(minInterval, ShiftStarts.at(i % MaxShifts) -
-                                  ShiftStarts.at((i - 1) % MaxShifts));
-  return lastShiftAt() + minInterval;
-}
-
 void GroupStreamLimit::recordGap(const std::string &group,
                                  const EngineProfile &engine, Duration gap,
                                  double streamsPerRank, TimePoint now) {
@@ -167,13 +109,10 @@
   State &state = it->second;
   if (isNew || now - state.LastGapAt >= GapLifetime) {
     state = {};
-    state.EvenSince = now;
     state.LastPassAt = now;
   } else if (now - state.LastPassAt > gap / 2) {
     // The events of a pass arrive almost at the same time.
     state.endPass(now);
-    if (now - state.LastGapAt >= MaxUnseenTime)
-      state.EvenSince += now - state.LastGapAt;
     state.LastPassAt = now;
   }
   state.LatestPass.add(skew);
@@ -191,22 +130,12 @@
     return fallback;
   const State &state = it->second;
   const double skew = std::max(state.PresentSkew, state.steadySkew());
-  const double shiftLimit =
+  const double lowered =
       std::min(static_cast<double>(fallback),
                maxStreamsPerRank(engine, eventGapObjective, skew, {}));
-  const double evenLimit = std::max(
-      shiftLimit, maxStreamsPerRank(engine, eventGapObjective, skew,
-                                    prefillTime(engine, ReservedPrompts)));
-  double evenFraction = 0;
-  if (const auto nextShiftAt = state.nextShiftAt(now))
-    evenFraction =
-        *nextShiftAt == TimePoint::max()
-            ? LastingFraction
-            : std::clamp((Milliseconds(*nextShiftAt - now) - ShiftTimeError) /
-                             DrainTime,
-                         0.0, 1.0);
-  const double streams =
-      std::floor(shiftLimit + evenFraction * (evenLimit - shiftLimit));
+  const double raised = maxStreamsPerRank(engine, eventGapObjective, skew,
+                                          prefillTime(engine, ReservedPrompts));
+  const double streams = std::floor(std::max(lowered, raised));
   const double slots = std::max(1U, engine.Slots);
   return static_cast<std::uint32_t>(std::clamp(streams, 1.0, slots));
 }
--- a/src/libbergamotgateway/groupstreamlimit.h
+++ b/src/libbergamotgateway/groupstreamlimit.h
@@ -3,11 +3,8 @@
 
 #include "libbergamotgateway/routetable.h"
 
-#include <array>
 #include <chrono>
-#include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -18,22 +15,13 @@
 /// load of the group's ranks. The ranks run in lockstep, so each gap is as long
 /// as a pass of the group.
 ///
-/// The popularity of experts shifts every few seconds, which multiplies the
-/// skew for less than half a second. Running streams can't be preempted. A
-/// limit that suits the skew between shifts makes most streams late, and
-/// lowering it during a shift has no effect on the streams already running. The
-/// highest skew of the last shifts doesn't predict that of the next one either:
-/// after some mild shifts, the next strong one makes the streams late. However,
-/// the times of shifts can be predicted. Therefore, the limit is
-/// - the highest one for the present skew in the time after a shift,
-/// - lowered to the fallback, which the engine sustains during a shift, early
-///   enough that the streams above it end before the next shift,
-/// - lower than the fallback while the present skew requires it.
-///
-/// A shift is expected after the shortest of the last intervals between shifts.
-/// Until it is seen, or while the intervals are unknown, the limit remains at
-/// the fallback. Without a shift for a longer time, none is expected, and the
-/// limit is between the fallback and the highest one for the present skew.
+/// This answers demand above what the limit for the worst skew serves. The
+/// popularity of experts shifts every few seconds, which multiplies the skew
+/// until the next expert map, for less than half a second. A limit that always
+/// holds for that skew turns callers away while the experts are used evenly.
+/// The skew counts at once when it rises, because running streams can't be
+/// preempted, and falls slowly, because every stream that is started at a low
+/// skew still runs when the next shift comes.
 class GroupStreamLimit {
 public:
   /// Records the time between two events of one stream of a group.
@@ -54,9 +42,6 @@
   /// Skew above which gaps aren't distinguished; higher than any measured one
   /// (3.7).
   static constexpr double MaxSkew = 4;
-  /// Number of shifts whose starts are remembered.
-  static constexpr std::size_t MaxShifts = 4;
-
   /// The skews that the gaps of one pass show.
   struct PassSkews {
     double Lowest = MaxSkew;
@@ -69,9 +54,6 @@
     double value() const;
   };
   struct State {
-    /// The last shift or the first gap, moved later by times without gaps, in
-    /// which a shift may have remained unnoticed.
-    base::TimePoint EvenSince;
     base::TimePoint LastGapAt;
     /// When the first gap of the latest pass was recorded.
     base::TimePoint LastPassAt;
@@ -79,21 +61,11 @@
     double PreviousPassSkew = MaxSkew;
     /// Follows the skew of the passes; rises at once and falls slowly.
     double PresentSkew = 1;
-    bool IsShifted = false;
-    /// The starts of the last shifts; the one with number i is at index i
-    /// modulo MaxShifts.
-    std::array<base::TimePoint, MaxShifts> ShiftStarts{};
-    std::size_t ShiftCount = 0;
 
     /// Returns the skew of the last two passes without the work that only one
     /// of them contained.
     double steadySkew() const;
     void endPass(base::TimePoint now);
-    void recordShift(base::TimePoint startedAt);
-    base::TimePoint lastShiftAt() const;
-    /// Returns when the next shift may start; std::nullopt if unknown,
-    /// TimePoint::max() if none is expected.
-    std::optional<base::TimePoint> nextShiftAt(base::TimePoint now) const;
   };
 
   std::unordered_map<std::string, State> ByGroup;
