--- a/src/libbergamotgateway/groupstreamlimit.cpp
+++ b/src/libbergamotgateway/groupstreamlimit.cpp
@@ -40,6 +40,10 @@
 /// and shorter than the interval between shifts.
 constexpr std::chrono::seconds GapLifetime{2};
 
+/// Part of the raise above the fallback that is used. With all of it, most
+/// streams that run at the next shift of popularity are late.
+constexpr double RaisedFraction = 0.5;
+
 Duration prefillTime(const EngineProfile &engine, double prompts) {
   if (engine.PrefillTokensPerMs <= 0)
     return {};
@@ -135,7 +139,8 @@
                maxStreamsPerRank(engine, eventGapObjective, skew, {}));
   const double raised = maxStreamsPerRank(engine, eventGapObjective, skew,
                                           prefillTime(engine, ReservedPrompts));
-  const double streams = std::floor(std::max(lowered, raised));
+  const double streams = std::floor(
+      lowered + RaisedFraction * (std::max(lowered, raised) - lowered));
   const double slots = std::max(1U, engine.Slots);
   return static_cast<std::uint32_t>(std::clamp(streams, 1.0, slots));
 }
