--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -116,6 +116,7 @@
       reloadCompleted();
     rejectExpiredHeldRequests(at);
     reviewSuspectedRequests();
+    Scheduler.removeExpiredReports(at);
     for (auto &[serviceName, state] : Services)
       if (!state.Queue.isEmpty())
         processQueue(serviceName);
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -228,8 +228,6 @@
       exchange.failedTargets().empty() || exchange.dispatchesLeft() > 1;
   terms.BusyTargets = exchange.busyTargets();
   terms.FailedTargets = exchange.failedTargets();
-  if (Scheduler.slotSharing().isActive(terms.Service))
-    terms.Waiting = service(terms.Service).Queue.onTimeCounts();
   return terms;
 }
 
--- a/src/libbergamotgateway/slotsharing.cpp
+++ b/src/libbergamotgateway/slotsharing.cpp
@@ -10,17 +10,28 @@
 
 namespace {
 
-/// Slots are contended if the waiting requests exceed this fraction of the free
-/// slots. Until the next reports, about as many requests arrive as wait now,
-/// and entries collide long before the last slot is taken.
-constexpr double ContendedFraction = 0.2;
-/// Weight of an entry at which nothing waits, relative to a waiting request.
-/// Without it, a request that arrives there would find no slot until the others
-/// have heard of it.
-constexpr double IdleEntryWeight = 0.5;
+/// Slots are contended if the expected demand exceeds this fraction of the free
+/// slots: entries with old views collide long before the last slot is taken.
+constexpr double ContendedFraction = 0.5;
+/// Fraction of the requests in flight that are replaced by new ones within
+/// about two report periods, if streams take a second. The period is
+/// proportional to the number of entries, but not below a minimum.
+constexpr double MinReplacedFraction = 0.16;
+constexpr double ReplacedFractionPerEntry = 0.003;
+/// Weight of an entry without requests, relative to a waiting request, if there
+/// are more free slots than waiting requests. Without it, a request that
+/// arrives there would find no slot until the others have heard of it.
+constexpr double IdleEntryWeight = 0.25;
 /// Free slots from which on a slot of another entry may be filled. The last one
 /// is left to its owner.
 constexpr std::uint32_t MinFreeForShared = 2;
+/// Free slots that stay free for each request beyond a limit. With one, the
+/// excess grows further until it has been reported.
+constexpr double FreeSlotsPerExcess = 2;
+/// Targets to withhold for each request beyond the sum of the limits, relative
+/// to the requests per target. A tenth of the streams ends within about 100 ms,
+/// so the sum is kept again within two report periods.
+constexpr double WithheldPerExcess = 10;
 
 /// Returns the point of a slot in [0, 1). Slots of a target are numbered
 /// from 1.
@@ -47,17 +58,20 @@
 
 void SlotSharing::setEntries(const std::string &self,
                              const std::set<std::string> &heard,
-                             const std::set<std::string> &known) {
+                             const std::set<std::string> &known,
+                             bool isStarting) {
   std::set<std::string> others = known;
   others.insert(heard.begin(), heard.end());
   others.erase(self);
   const std::size_t heardCount = heard.size() - heard.count(self);
-  Isolated = 2 * (heardCount + 1) <= others.size() + 1;
+  HearsAll = heardCount == others.size();
+  Isolated = 2 * (heardCount + 1) <= others.size() + 1 ||
+             (isStarting && !others.empty());
   std::set<std::string> names = Isolated ? others : heard;
   names.insert(self);
   Self = self;
   EntryNames.assign(names.begin(), names.end());
-  std::erase_if(WaitingByEntry,
+  std::erase_if(Reports,
                 [&](const auto &it) { return !names.contains(it.first); });
 }
 
@@ -74,66 +88,76 @@
                             const RequestCounts &counts) {
   if (WaitingKeys.empty())
     return;
-  WaitingByService waiting;
+  EntryReport report;
   for (const auto &[key, requests] : counts) {
     const auto it = WaitingKeys.find(key);
-    if (it != WaitingKeys.end())
-      waiting[it->second.Service][it->second.Priority] = requests;
+    if (it == WaitingKeys.end())
+      report.InFlight += requests;
+    else
+      report.WaitingByService[it->second.Service][it->second.Priority] =
+          requests;
   }
-  WaitingByEntry[entry] = std::move(waiting);
+  Reports[entry] = std::move(report);
 }
 
-const WaitingCounts *SlotSharing::waiting(const std::string &entry,
-                                          const std::string &service) const {
-  const auto byEntry = WaitingByEntry.find(entry);
-  if (byEntry == WaitingByEntry.end())
-    return nullptr;
-  const auto it = byEntry->second.find(service);
-  return it == byEntry->second.end() ? nullptr : &it->second;
+const WaitingCounts &
+SlotSharing::EntryReport::waiting(const std::string &service) const {
+  static const WaitingCounts none;
+  const auto it = WaitingByService.find(service);
+  return it == WaitingByService.end() ? none : it->second;
 }
 
 SlotInterval SlotSharing::interval(const std::string &service,
-                                   std::size_t freeSlots,
-                                   const WaitingCounts &own) const {
+                                   const SlotTotals &totals) const {
+  static const EntryReport noReport;
   const std::size_t entries = EntryNames.size();
-  std::vector<const WaitingCounts *> byEntry(entries);
+  std::vector<const EntryReport *> reports(entries, &noReport);
   std::size_t self = 0;
   // The waiting requests of all entries, the most urgent ones first.
   WaitingCounts total;
-  double totalWaiting = 0;
+  const double replacedFraction =
+      std::max(MinReplacedFraction,
+               ReplacedFractionPerEntry * static_cast<double>(entries));
+  double demand = 0;
   for (std::size_t i = 0; i < entries; ++i) {
-    const bool isSelf = EntryNames[i] == Self;
-    self = isSelf ? i : self;
-    byEntry[i] = isSelf ? &own : waiting(EntryNames[i], service);
-    if (!byEntry[i])
-      continue;
-    for (const auto &[priority, requests] : *byEntry[i]) {
+    self = EntryNames[i] == Self ? i : self;
+    const auto it = Reports.find(EntryNames[i]);
+    if (it != Reports.end())
+      reports[i] = &it->second;
+    demand += replacedFraction * reports[i]->InFlight;
+    for (const auto &[priority, requests] : reports[i]->waiting(service)) {
       total[priority] += requests;
-      totalWaiting += requests;
+      demand += requests;
     }
   }
+  const auto freeSlots = static_cast<double>(totals.Free);
+  const auto reserved = std::min(
+      freeSlots, FreeSlotsPerExcess * static_cast<double>(totals.Excess));
   SlotInterval interval;
   interval.Isolated = Isolated;
-  interval.Contended =
-      Isolated ||
-      totalWaiting > ContendedFraction * static_cast<double>(freeSlots);
-  std::vector<double> weights(entries, IdleEntryWeight);
-  if (interval.Contended && !Isolated) {
-    double remaining = static_cast<double>(freeSlots);
+  interval.Contended = Isolated || demand > ContendedFraction * freeSlots;
+  std::vector<double> weights(entries, 0);
+  double remaining = freeSlots;
+  if (!Isolated) {
     for (const auto &[priority, requests] : total) {
       if (requests == 0)
         continue;
       const double served = std::min<double>(requests, remaining);
       for (std::size_t i = 0; i < entries; ++i) {
-        if (!byEntry[i])
-          continue;
-        const auto it = byEntry[i]->find(priority);
-        if (it != byEntry[i]->end())
+        const WaitingCounts &waiting = reports[i]->waiting(service);
+        const auto it = waiting.find(priority);
+        if (it != waiting.end())
           weights[i] += served * it->second / requests;
       }
       remaining -= served;
     }
   }
+  // An idle entry leaves no slot unused for which another has a request.
+  if (Isolated || remaining > 0 || freeSlots == 0)
+    for (std::size_t i = 0; i < entries; ++i)
+      weights[i] +=
+          IdleEntryWeight +
+          (interval.Contended ? 0 : replacedFraction * reports[i]->InFlight);
   double sum = 0;
   double begin = 0;
   for (std::size_t i = 0; i < entries; ++i) {
@@ -141,7 +165,13 @@
     sum += weights[i];
   }
   interval.Begin = begin / sum;
-  interval.End = (begin + weights[self]) / sum;
+  const double usable =
+      Isolated || reserved == 0 ? 1 : 1 - reserved / freeSlots;
+  interval.End = (begin + usable * weights[self]) / sum;
+  if (!Isolated && totals.Excess > totals.Free)
+    interval.Withheld = WithheldPerExcess *
+                        static_cast<double>(totals.Excess - totals.Free) /
+                        static_cast<double>(totals.Taken);
   return interval;
 }
 
@@ -150,8 +180,6 @@
   const std::uint32_t taken = counts.Others + counts.Own;
   if (taken >= counts.Limit)
     return SlotClaim::None;
-  if (counts.Own < counts.OwnReported)
-    return SlotClaim::Own;
   if (interval.Isolated) {
     // The other entries are assumed to use all slots outside the interval.
     std::uint32_t share = 0;
@@ -159,7 +187,18 @@
       share += contains(interval, counts.Target, slot) ? 1 : 0;
     return counts.Own < share ? SlotClaim::Own : SlotClaim::None;
   }
-  if (contains(interval, counts.Target, taken + 1))
+  // No slot has the number 0, so the point is independent of the intervals.
+  if (slotPoint(counts.Target, 0) < interval.Withheld)
+    return SlotClaim::None;
+  if (counts.Own < counts.OwnReported)
+    return SlotClaim::Own;
+  // Other entries may have freed slots since this one took some that it hasn't
+  // reported, so each of these has to be in its interval, too.
+  bool ownsNext = true;
+  for (std::uint32_t slot = counts.Others + counts.OwnReported + 1;
+       slot <= taken + 1; ++slot)
+    ownsNext = ownsNext && contains(interval, counts.Target, slot);
+  if (ownsNext)
     return SlotClaim::Own;
   return !interval.Contended && counts.Limit - taken >= MinFreeForShared
              ? SlotClaim::Shared
--- a/src/libbergamotgateway/slotsharing.h
+++ b/src/libbergamotgateway/slotsharing.h
@@ -20,15 +20,29 @@
 /// takes them for the load of targets that don't exist.
 TargetHash waitingKey(const std::string &service, std::uint32_t priority);
 
+/// The slots of a service's targets by the last reports of all entries.
+struct SlotTotals {
+  /// Free slots at targets that aren't full.
+  std::size_t Free = 0;
+  /// Requests beyond the limits of targets that have too many.
+  std::size_t Excess = 0;
+  /// All requests.
+  std::size_t Taken = 0;
+};
+
 /// The part of the hash space of slots that belongs to this entry, in [0, 1).
 struct SlotInterval {
   double Begin = 0;
   double End = 1;
-  /// Requests wait for more slots than are free, so that an entry may only take
-  /// free slots of its own interval.
+  /// The expected demand is too high for the free slots, so that an entry may
+  /// only take free slots of its own interval.
   bool Contended = false;
-  /// This entry hears too few others to know how many slots are taken.
+  /// This entry hears too few others to know how many slots are taken, and
+  /// keeps to an equal share of all slots.
   bool Isolated = false;
+  /// Fraction of the targets at which no slot is filled, because all entries
+  /// together exceed the sum of the limits.
+  double Withheld = 0;
 };
 
 /// The requests at a target, as an entry sees them.
@@ -68,15 +82,18 @@
 /// entry in whose interval the point lies. Entries that have the same reports
 /// compute the same intervals, so no messages are needed beyond the reports.
 /// The lengths of the intervals follow the requests that wait at each entry,
-/// the most urgent ones first.
+/// the most urgent ones first, or where slots aren't contended, the requests
+/// that each entry has in flight.
 class SlotSharing {
 public:
   /// Sets the entries among which slots are divided. `heard` are the ones with
   /// a current report, `known` all that may be running; both may omit this
   /// entry (`self`). An entry that hears no majority of the others is probably
-  /// partitioned from them, and counts all of them.
+  /// partitioned from them, and counts all of them. So does an entry that
+  /// has just started (`isStarting`): if all start at the same time, they would
+  /// use slots that the others have filled since their last reports.
   void setEntries(const std::string &self, const std::set<std::string> &heard,
-                  const std::set<std::string> &known);
+                  const std::set<std::string> &known, bool isStarting = false);
   /// Sets the services whose slots are divided and the priorities of their
   /// requests.
   void
@@ -87,39 +104,44 @@
   const std::map<std::string, std::set<std::uint32_t>> &services() const {
     return PrioritiesByService;
   }
-  /// Replaces what another entry has last reported of its waiting requests;
-  /// `counts` may contain other keys.
+  /// Replaces the last report of an entry. This entry sets its own as well, so
+  /// that all entries compute the intervals from the same counts.
   void setReport(const std::string &entry, const RequestCounts &counts);
 
-  /// Returns this entry's interval for a service. `freeSlots` is the number of
-  /// free slots of all its targets by the last reports, and `own` what waits at
-  /// this entry now.
-  SlotInterval interval(const std::string &service, std::size_t freeSlots,
-                        const WaitingCounts &own) const;
+  /// Returns this entry's interval for a service.
+  SlotInterval interval(const std::string &service,
+                        const SlotTotals &totals) const;
   /// Returns whether this entry may fill the next free slot of a target.
   static SlotClaim claim(const SlotInterval &interval,
                          const SlotCounts &counts);
   /// Returns how many entries share the slots, including this one.
   std::size_t entryCount() const { return EntryNames.size(); }
   bool isIsolated() const { return Isolated; }
+  /// Returns whether there is a current report of each other entry.
+  bool hearsAll() const { return HearsAll; }
 
 private:
   struct WaitingKey {
     std::string Service;
     std::uint32_t Priority = 0;
   };
-  using WaitingByService = std::map<std::string, WaitingCounts>;
+  /// What an entry has last reported.
+  struct EntryReport {
+    std::map<std::string, WaitingCounts> WaitingByService;
+    /// Requests at all targets.
+    std::uint32_t InFlight = 0;
 
-  const WaitingCounts *waiting(const std::string &entry,
-                               const std::string &service) const;
+    const WaitingCounts &waiting(const std::string &service) const;
+  };
 
   std::string Self;
   /// Sorted, so that all entries compute the intervals in the same order.
   std::vector<std::string> EntryNames{""};
+  bool HearsAll = true;
   bool Isolated = false;
   std::map<std::string, std::set<std::uint32_t>> PrioritiesByService;
   std::map<TargetHash, WaitingKey> WaitingKeys;
-  std::map<std::string, WaitingByService> WaitingByEntry;
+  std::map<std::string, EntryReport> Reports;
 };
 
 } // namespace bergamot::gateway
--- a/src/libbergamotgateway/targetscheduler.cpp
+++ b/src/libbergamotgateway/targetscheduler.cpp
@@ -11,12 +11,14 @@
 /// Stands for a time at which no target takes a request from this entry.
 constexpr std::chrono::hours MaxNextSendDelay{1};
 /// How long reports are used where slots are shared: the slots of an entry that
-/// has crashed must not stay idle for longer than a second.
-constexpr std::chrono::milliseconds SharedReportLifetime{1000};
+/// has crashed must not stay idle for longer than a second, and it takes the
+/// others several report periods to fill those of one target. Longer than the
+/// period in which unchanged reports are repeated.
+constexpr std::chrono::milliseconds SharedReportLifetime{600};
 /// Requests that the owner of a slot is taken to have sent to it since its last
 /// report. With less, entries with the same view fill each other's slots
 /// although they have free ones of their own.
-constexpr double UnreportedRequestsOfOwner = 2;
+constexpr double UnreportedRequestsOfOwner = 3;
 
 /// Returns the priorities that requests of a service may have.
 std::set<std::uint32_t> prioritiesOf(const std::string &service,
@@ -81,14 +83,27 @@
 
 void TargetScheduler::setReport(const std::string &entry, RequestCounts counts,
                                 TimePoint now) {
+  const unsigned entries = Loads.liveEntryCount();
   Sharing.setReport(entry, counts);
   Loads.setReport(entry, std::move(counts), now);
+  if (Loads.liveEntryCount() != entries)
+    updateEntries();
+}
+
+void TargetScheduler::removeExpiredReports(TimePoint now) {
+  const unsigned entries = Loads.liveEntryCount();
+  if (Sharing.services().empty())
+    return;
+  Loads.removeExpired(now);
+  if (Loads.liveEntryCount() != entries)
+    updateEntries();
 }
 
 void TargetScheduler::removeExpired(TimePoint now) {
   Directory.removeExpiredTargets(now);
   Loads.removeExpired(now);
   RateLimits.removeExpired(now);
+  IsStarting = now < Settings.StartedAt + SharedReportLifetime;
   updateEntries();
 }
 
@@ -99,7 +114,7 @@
 void TargetScheduler::updateEntries() {
   const std::set<std::string> heard = Loads.liveEntryNames();
   RateLimits.setEntries(Settings.Name, heard, EntryNames);
-  Sharing.setEntries(Settings.Name, heard, EntryNames);
+  Sharing.setEntries(Settings.Name, heard, EntryNames, IsStarting);
 }
 
 bool TargetScheduler::isUsable(const KnownTarget &target) const {
@@ -256,21 +271,41 @@
   return options;
 }
 
+/// Returns the slots of a service by the last reports of all entries. Doesn't
+/// depend on the request, so that all entries get the same numbers.
+SlotTotals TargetScheduler::slotTotals(const std::string &service,
+                                       TimePoint now) const {
+  SlotTotals totals;
+  for (const auto &[id, target] : Directory.targets()) {
+    if (target.Record.Service != service || !isUsable(target))
+      continue;
+    const std::uint32_t limit = requestLimit(target, now);
+    const std::uint32_t taken =
+        Loads.remote(targetHash(id)) + Loads.reported(id);
+    totals.Free += limit - std::min(limit, taken);
+    totals.Taken += taken;
+    totals.Excess += taken - std::min(limit, taken);
+  }
+  return totals;
+}
+
 /// Removes the options whose next slot is left to other entries.
 SlotView TargetScheduler::applySharing(const DispatchTerms &terms,
-                                       std::vector<Option> &options) const {
+                                       std::vector<Option> &options,
+                                       TimePoint now) const {
   SlotView view;
   view.Shared = Sharing.isActive(terms.Service);
   if (!view.Shared)
     return view;
-  for (const auto &it : options) {
-    const std::uint32_t taken = it.Slots.Others + it.Slots.OwnReported;
-    view.FreeSlots += it.Slots.Limit - std::min(it.Slots.Limit, taken);
-  }
-  view.Interval =
-      Sharing.interval(terms.Service, view.FreeSlots, terms.Waiting);
+  const SlotTotals totals = slotTotals(terms.Service, now);
+  view.FreeSlots = totals.Free;
+  view.Interval = Sharing.interval(terms.Service, totals);
+  // An entry that has just started doesn't know yet which slots are taken.
+  const bool mayClaim = EntryNamesSet && (Sharing.hearsAll() || !IsStarting);
   std::erase_if(options, [&](Option &it) {
-    const SlotClaim claim = SlotSharing::claim(view.Interval, it.Slots);
+    const SlotClaim claim = mayClaim
+                                ? SlotSharing::claim(view.Interval, it.Slots)
+                                : SlotClaim::None;
     if (claim == SlotClaim::Shared)
       it.Target.UnreportedRequests = UnreportedRequestsOfOwner;
     if (claim != SlotClaim::None)
@@ -285,7 +320,7 @@
                                TimePoint now) {
   std::vector<Option> all = options(terms, now);
   Choice choice;
-  choice.Slots = applySharing(terms, all);
+  choice.Slots = applySharing(terms, all, now);
   const bool allFailedBefore = std::all_of(
       all.begin(), all.end(), [](const Option &it) { return it.FailedBefore; });
   std::vector<Candidate> choices;
@@ -311,6 +346,7 @@
       for (const auto &[priority, requests] : waiting)
         if (requests > 0)
           counts.emplace_back(waitingKey(service, priority), requests);
+  Sharing.setReport(Settings.Name, counts);
   return counts;
 }
 
--- a/src/libbergamotgateway/targetscheduler.h
+++ b/src/libbergamotgateway/targetscheduler.h
@@ -58,8 +58,6 @@
   /// Targets at which an attempt of the request has failed. They are chosen
   /// only if no other target is left.
   std::set<std::string> FailedTargets;
-  /// The requests of the service that wait at this entry.
-  WaitingCounts Waiting;
 };
 
 /// Why a target isn't a candidate for a request.
@@ -116,6 +114,10 @@
   void setReport(const std::string &entry, RequestCounts counts, TimePoint now);
   /// Removes expired targets, reports and statements.
   void removeExpired(TimePoint now);
+  /// Removes expired reports where slots are shared. Called more often than
+  /// removeExpired(), since the slots of an entry that has crashed are idle
+  /// until then.
+  void removeExpiredReports(TimePoint now);
   /// Discards what has been saved up while the process was suspended.
   void handleSuspension(TimePoint now);
 
@@ -173,7 +175,8 @@
 
   std::vector<Option> options(const DispatchTerms &terms, TimePoint now);
   SlotView applySharing(const DispatchTerms &terms,
-                        std::vector<Option> &options) const;
+                        std::vector<Option> &options, TimePoint now) const;
+  SlotTotals slotTotals(const std::string &service, TimePoint now) const;
   TimePoint nextSendAt(const KnownTarget &target, TimePoint now);
   bool isWithinColdRate(const std::string &service, const std::string &target,
                         TimePoint now);
@@ -195,6 +198,8 @@
   std::map<std::string, RateWindow> DispatchesByTarget;
   std::set<std::string> EntryNames;
   bool EntryNamesSet = false;
+  /// This entry may not have received a report of each other one yet.
+  bool IsStarting = true;
 };
 
 } // namespace bergamot::gateway
