--- a/src/entrypath/decisionreport.cpp
+++ b/src/entrypath/decisionreport.cpp
@@ -76,11 +76,6 @@
   terms.IsLate =
       gateway::waitLimits(*request.Route, times).OnTimeUntil <= now &&
       !entry.scheduler().isStalled(request.Service, now);
-  if (const gateway::WaitQueue *queue = entry.waitQueue(request.Service))
-    terms.Waiting = queue->onTimeCounts();
-  // A request is in the queue, if only briefly, when its target is chosen.
-  if (!terms.IsLate)
-    ++terms.Waiting[request.Priority];
   return terms;
 }
 
@@ -113,7 +108,7 @@
   if (!slots.Shared)
     return {{"shared", false}};
   return {{"shared", true},
-          {"free", slots.Totals.Free},
+          {"free", slots.FreeSlots},
           {"left_to_others", slots.LeftToOthers},
           {"share", slots.Interval.End - slots.Interval.Begin},
           {"contended", slots.Interval.Contended},
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -226,7 +226,7 @@
                       {{"service", serviceName},
                        {"contended", slots.Interval.Contended},
                        {"isolated", slots.Interval.Isolated},
-                       {"free", slots.Totals.Free},
+                       {"free", slots.FreeSlots},
                        {"left_to_others", slots.LeftToOthers},
                        {"waiting", state.Queue.onTimeCount()},
                        {"share", slots.Interval.End - slots.Interval.Begin},
@@ -254,8 +254,6 @@
       exchange.failedTargets().empty() || exchange.dispatchesLeft() > 1;
   terms.BusyTargets = exchange.busyTargets();
   terms.FailedTargets = exchange.failedTargets();
-  if (Scheduler.slotSharing().isActive(terms.Service))
-    terms.Waiting = service(terms.Service).Queue.onTimeCounts();
   return terms;
 }
 
--- a/src/libbergamotgateway/targetscheduler.cpp
+++ b/src/libbergamotgateway/targetscheduler.cpp
@@ -11,12 +11,14 @@
 /// Stands for a time at which no target takes a request from this entry.
 constexpr std::chrono::hours MaxNextSendDelay{1};
 /// How long reports are used where slots are shared: the slots of an entry that
-/// has crashed must not stay idle for longer than a second.
-constexpr std::chrono::milliseconds SharedReportLifetime{1000};
+/// has crashed must not stay idle for longer than a second, and it takes the
+/// others several report periods to fill those of one target. Longer than the
+/// period in which unchanged reports are repeated.
+constexpr std::chrono::milliseconds SharedReportLifetime{600};
 /// Requests that the owner of a slot is taken to have sent to it since its last
 /// report. With less, entries with the same view fill each other's slots
 /// although they have free ones of their own.
-constexpr double UnreportedRequestsOfOwner = 2;
+constexpr double UnreportedRequestsOfOwner = 3;
 /// How long the load of a group is used before it is computed again. A group
 /// sends an event per stream in each pass, and a pass takes 50 ms or more.
 constexpr std::chrono::milliseconds GroupLoadLifetime{25};
@@ -90,14 +92,27 @@
 
 void TargetScheduler::setReport(const std::string &entry, RequestCounts counts,
                                 TimePoint now) {
+  const unsigned entries = Loads.liveEntryCount();
   Sharing.setReport(entry, counts);
   Loads.setReport(entry, std::move(counts), now);
+  if (Loads.liveEntryCount() != entries)
+    updateEntries();
+}
+
+void TargetScheduler::removeExpiredReports(TimePoint now) {
+  const unsigned entries = Loads.liveEntryCount();
+  if (Sharing.services().empty())
+    return;
+  Loads.removeExpired(now);
+  if (Loads.liveEntryCount() != entries)
+    updateEntries();
 }
 
 void TargetScheduler::removeExpired(TimePoint now) {
   Directory.removeExpiredTargets(now);
   Loads.removeExpired(now);
   RateLimits.removeExpired(now);
+  IsStarting = now < Settings.StartedAt + SharedReportLifetime;
   updateEntries();
 }
 
@@ -108,7 +123,7 @@
 void TargetScheduler::updateEntries() {
   const std::set<std::string> heard = Loads.liveEntryNames();
   RateLimits.setEntries(Settings.Name, heard, EntryNames);
-  Sharing.setEntries(Settings.Name, heard, EntryNames);
+  Sharing.setEntries(Settings.Name, heard, EntryNames, IsStarting);
 }
 
 bool TargetScheduler::isUsable(const KnownTarget &target) const {
@@ -275,22 +290,47 @@
           option.Claim == SlotClaim::Shared ? UnreportedRequestsOfOwner : 0};
 }
 
+/// Returns the slots of a service by the last reports of all entries. Doesn't
+/// depend on the request, so that all entries get the same numbers.
+SlotTotals TargetScheduler::slotTotals(const std::string &service,
+                                       TimePoint now) const {
+  SlotTotals totals;
+  const bool followsGroups = EngineLimits.contains(service);
+  for (const auto &[id, target] : Directory.targets()) {
+    if (target.Record.Service != service || !isUsable(target))
+      continue;
+    const auto &membership = target.Record.Membership;
+    if (membership && !Groups.isReady(membership->Group, now))
+      continue;
+    const std::uint32_t limit = requestLimit(target, now);
+    const std::uint32_t taken =
+        Loads.remote(targetHash(id)) + Loads.reported(id);
+    totals.Free += limit - std::min(limit, taken);
+    totals.Taken += taken;
+    // The limit of a group may fall below what runs there. Other groups don't
+    // have to make up for that.
+    const std::uint32_t bound =
+        followsGroups ? std::max(limit, target.Record.Slots) : limit;
+    totals.Excess += taken - std::min(bound, taken);
+  }
+  return totals;
+}
+
 /// Sets for each option whether this entry may fill its next slot.
 SlotView TargetScheduler::applySharing(const DispatchTerms &terms,
-                                       std::vector<Option> &options) const {
+                                       std::vector<Option> &options,
+                                       TimePoint now) const {
   SlotView view;
   view.Shared = Sharing.isActive(terms.Service);
   if (!view.Shared)
     return view;
-  for (const auto &it : options) {
-    const std::uint32_t taken = it.Slots.Others + it.Slots.OwnReported;
-    view.Totals.Limit += it.Slots.Limit;
-    view.Totals.Free += it.Slots.Limit - std::min(it.Slots.Limit, taken);
-    view.Totals.Own += it.Slots.Own;
-  }
-  view.Interval = Sharing.interval(terms.Service, view.Totals, terms.Waiting);
+  const SlotTotals totals = slotTotals(terms.Service, now);
+  view.FreeSlots = totals.Free;
+  view.Interval = Sharing.interval(terms.Service, totals);
   for (auto &it : options) {
-    it.Claim = SlotSharing::claim(view.Interval, it.Slots);
+    // Before the names of the entries are known, this entry's part isn't.
+    it.Claim = EntryNamesSet ? SlotSharing::claim(view.Interval, it.Slots)
+                             : SlotClaim::None;
     const bool isFull = it.Slots.Others + it.Slots.Own >= it.Slots.Limit;
     view.LeftToOthers += it.Claim == SlotClaim::None && !isFull ? 1 : 0;
   }
@@ -304,7 +344,7 @@
   for (const auto &[id, target] : Directory.targets())
     if (exclusion(target, terms, now) == Exclusion::None)
       options.push_back(option(target, terms, now));
-  decision.Slots = applySharing(terms, options);
+  decision.Slots = applySharing(terms, options, now);
   const bool allFailedBefore =
       std::all_of(options.begin(), options.end(), [](const Option &it) {
         return it.Claim == SlotClaim::None || it.FailedBefore;
@@ -344,6 +384,7 @@
       for (const auto &[priority, requests] : waiting)
         if (requests > 0)
           counts.emplace_back(waitingKey(service, priority), requests);
+  Sharing.setReport(Settings.Name, counts);
   return counts;
 }
 
--- a/src/libbergamotgateway/targetscheduler.h
+++ b/src/libbergamotgateway/targetscheduler.h
@@ -61,8 +61,6 @@
   /// Targets at which an attempt of the request has failed. They are chosen
   /// only if no other target is left.
   std::set<std::string> FailedTargets;
-  /// The requests of the service that wait at this entry.
-  WaitingCounts Waiting;
 };
 
 /// Why a target isn't a candidate for a request.
@@ -87,7 +85,8 @@
 struct SlotView {
   /// Whether the slots are divided among the entries at all.
   bool Shared = false;
-  SlotTotals Totals;
+  /// Free slots by the last reports of all entries.
+  std::size_t FreeSlots = 0;
   /// Targets that aren't full but whose next slot is left to other entries.
   std::size_t LeftToOthers = 0;
   SlotInterval Interval;
@@ -120,6 +119,10 @@
   void setReport(const std::string &entry, RequestCounts counts, TimePoint now);
   /// Removes expired targets, reports and statements.
   void removeExpired(TimePoint now);
+  /// Removes expired reports where slots are shared. Called more often than
+  /// removeExpired(), since the slots of an entry that has crashed are idle
+  /// until then.
+  void removeExpiredReports(TimePoint now);
   /// Discards what has been saved up while the process was suspended.
   void handleSuspension(TimePoint now);
 
@@ -195,7 +198,6 @@
     TimePoint ExpiresAt;
   };
 
-  double requestsPerTarget(const std::string &group, TimePoint now);
   /// All options for a request, and those that are eligible.
   struct Decision {
     std::vector<Option> Options;
@@ -205,11 +207,13 @@
     std::vector<std::size_t> OptionIndices;
   };
 
+  double requestsPerTarget(const std::string &group, TimePoint now);
   Option option(const KnownTarget &target, const DispatchTerms &terms,
                 TimePoint now) const;
   Candidate candidate(const Option &option) const;
   SlotView applySharing(const DispatchTerms &terms,
-                        std::vector<Option> &options) const;
+                        std::vector<Option> &options, TimePoint now) const;
+  SlotTotals slotTotals(const std::string &service, TimePoint now) const;
   Decision decide(const DispatchTerms &terms, TimePoint now);
   ChoiceExplanation explainDecision(const DispatchTerms &terms, TimePoint now);
   TimePoint nextSendAt(const KnownTarget &target, TimePoint now);
@@ -236,6 +240,8 @@
   std::map<std::string, RateWindow> DispatchesByTarget;
   std::set<std::string> EntryNames;
   bool EntryNamesSet = false;
+  /// This entry may not have received a report of each other one yet.
+  bool IsStarting = true;
 };
 
 } // namespace bergamot::gateway
