--- a/src/libbergamotgateway/groupstreamlimit.cpp
+++ b/src/libbergamotgateway/groupstreamlimit.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace bergamot::gateway {
 
@@ -13,8 +14,7 @@
 
 namespace {
 
-using Milliseconds = std::chrono::duration<double, std::milli>;
-using Seconds = std::chrono::duration<double>;
+using FractionalMs = std::chrono::duration<double, std::milli>;
 
 /// Number of streams per rank below which the skew can't be computed: prefill
 /// and jitter are a large part of such short passes.
@@ -37,13 +37,15 @@
 /// the prefill of all streams that start after a shift makes others late.
 constexpr double SkewDecreasePerSecond = 2;
 /// Time after which gaps no longer show the present skew; longer than any pass
-/// and shorter than the interval between shifts.
+/// and shorter than the shortest interval between shifts that was replayed.
 constexpr std::chrono::seconds GapLifetime{2};
+/// Time after which groups without gaps are evicted.
+constexpr std::chrono::minutes IdleGroupLifetime{1};
 
 Duration prefillTime(const EngineProfile &engine, double prompts) {
   if (engine.PrefillTokensPerMs <= 0)
     return {};
-  return std::chrono::duration_cast<Duration>(Milliseconds(
+  return std::chrono::duration_cast<Duration>(FractionalMs(
       prompts * engine.TypicalPromptTokens / engine.PrefillTokensPerMs));
 }
 
@@ -52,13 +54,13 @@
 std::optional<double> skewOf(const EngineProfile &engine, Duration gap,
                              double streamsPerRank) {
   const double stepsPerPass = std::max(1U, engine.StepsPerPass);
-  const Milliseconds sequences(stepsPerPass * streamsPerRank *
+  const FractionalMs sequences(stepsPerPass * streamsPerRank *
                                engine.StepMsPerSequence);
-  const Milliseconds evenPass =
-      Milliseconds(stepsPerPass * engine.StepBaseMs) + sequences;
+  const FractionalMs evenPass =
+      FractionalMs(stepsPerPass * engine.StepBaseMs) + sequences;
   if (gap < MinPassFraction * evenPass)
     return std::nullopt;
-  const Milliseconds excess =
+  const FractionalMs excess =
       gap - prefillTime(engine, PromptsPerPass) - evenPass;
   const double skew = 1 + excess / (sequences * engine.ExpertWorkFraction);
   if (skew > MaxPlausibleSkew)
@@ -89,8 +91,8 @@
 
 void GroupStreamLimit::State::endPass(TimePoint now) {
   const double skew = steadySkew();
-  const double decrease = SkewDecreasePerSecond * Seconds(now - LastPassAt) /
-                          std::chrono::seconds(1);
+  const std::chrono::duration<double> seconds = now - LastPassAt;
+  const double decrease = SkewDecreasePerSecond * seconds.count();
   PresentSkew = std::max(skew, PresentSkew - decrease);
   PreviousPassSkew = LatestPass.value();
   LatestPass = {};
@@ -107,7 +109,7 @@
   const double skew = std::min(*gapSkew, MaxSkew);
   const auto [it, isNew] = ByGroup.try_emplace(group);
   State &state = it->second;
-  if (isNew || now - state.LastGapAt >= GapLifetime) {
+  if (isNew || now >= state.GapsExpireAt) {
     state = {};
     state.LastPassAt = now;
   } else if (now - state.LastPassAt > gap / 2) {
@@ -116,7 +118,16 @@
     state.LastPassAt = now;
   }
   state.LatestPass.add(skew);
-  state.LastGapAt = now;
+  state.GapsExpireAt = now + GapLifetime;
+  // The map only grows here, so nothing has to be checked at other gaps.
+  if (isNew)
+    evictIdleGroups(now);
+}
+
+void GroupStreamLimit::evictIdleGroups(TimePoint now) {
+  std::erase_if(ByGroup, [&](const auto &it) {
+    return now >= it.second.GapsExpireAt + IdleGroupLifetime;
+  });
 }
 
 std::uint32_t GroupStreamLimit::limit(const std::string &group,
@@ -125,7 +136,7 @@
                                       std::uint32_t fallback,
                                       TimePoint now) const {
   const auto it = ByGroup.find(group);
-  if (it == ByGroup.end() || now - it->second.LastGapAt >= GapLifetime ||
+  if (it == ByGroup.end() || now >= it->second.GapsExpireAt ||
       !hasSkew(engine) || eventGapObjective.count() <= 0)
     return fallback;
   const State &state = it->second;
--- a/src/libbergamotgateway/groupstreamlimit.h
+++ b/src/libbergamotgateway/groupstreamlimit.h
@@ -4,6 +4,7 @@
 #include "libbergamotgateway/routetable.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -37,6 +38,9 @@
   std::uint32_t limit(const std::string &group, const EngineProfile &engine,
                       std::chrono::milliseconds eventGapObjective,
                       std::uint32_t fallback, base::TimePoint now) const;
+  /// Returns the number of groups whose gaps are remembered. Groups without
+  /// gaps for a minute are evicted when another group is added.
+  std::size_t groupCount() const { return ByGroup.size(); }
 
 private:
   /// Skew above which gaps aren't distinguished; higher than any measured one
@@ -54,7 +58,8 @@
     double value() const;
   };
   struct State {
-    base::TimePoint LastGapAt;
+    /// When the gaps no longer show the present skew.
+    base::TimePoint GapsExpireAt;
     /// When the first gap of the latest pass was recorded.
     base::TimePoint LastPassAt;
     PassSkews LatestPass;
@@ -68,6 +73,8 @@
     void endPass(base::TimePoint now);
   };
 
+  void evictIdleGroups(base::TimePoint now);
+
   std::unordered_map<std::string, State> ByGroup;
 };
 
