--- a/tests/gateway/test_groupstreamlimit.cpp
+++ b/tests/gateway/test_groupstreamlimit.cpp
@@ -73,6 +73,7 @@
   CHECK(feed.limit() == Fallback);
   feed.Now += 62s; // Groups that disappeared must not use memory.
   feed.passes(1, passLength(EvenSkew), "b");
+  feed.Limits.recordGap("c", {}, 80ms, 6, feed.Now);
   CHECK(feed.Limits.groupCount() == 1);
 }
 
@@ -97,7 +98,7 @@
       if (kind == 4) // A prompt extends the pass.
         feed.passes(isShifted ? 0 : 1, gap + 60ms);
       if (kind == 5) // Hardly any streams
-        feed.record(gap + 60ms, 1);
+        feed.record(gap + 60ms, random() % 2);
       if (pass % 40 >= 37) // The second pass of the shift has ended.
         REQUIRE(feed.limit() < Fallback);
       if (pass % 40 >= 20 && !isShifted)
