--- a/tests/gateway/test_groupstreamlimit.cpp
+++ b/tests/gateway/test_groupstreamlimit.cpp
@@ -29,11 +29,12 @@
   void record(milliseconds gap, double streams = 6, const char *group = "a") {
     Limits.recordGap(group, Engine, gap, streams, Now);
   }
-  void passes(int count, milliseconds gap, const char *group = "a") {
+  void passes(int count, milliseconds gap, const char *group = "a",
+              double streams = 6) {
     for (; count > 0; --count) {
       Now += gap;
       for (int stream = 0; stream < 4; ++stream)
-        record(gap, 6, group);
+        record(gap, streams, group);
     }
   }
   std::uint32_t limit(const char *group = "a", milliseconds objective = 150ms,
@@ -41,7 +42,6 @@
     return Limits.limit(group, Engine, objective, fallback, Now);
   }
 };
-
 } // namespace
 
 TEST_CASE("a longer pass lowers the limit of its group at once, and shorter "
@@ -94,11 +94,11 @@
       for (int i = 0; kind == 2 && i < 3; ++i) // Events that arrive together
         feed.record(milliseconds(random() % 10));
       if (kind == 3) // A stalled rank
-        feed.record(milliseconds(400 + random() % 4000));
+        feed.passes(isShifted ? 0 : 2, milliseconds(400 + random() % 500));
       if (kind == 4) // A prompt extends the pass.
         feed.passes(isShifted ? 0 : 1, gap + 60ms);
       if (kind == 5) // Hardly any streams
-        feed.record(gap + 60ms, random() % 2);
+        feed.passes(isShifted ? 0 : 2, gap, "a", double(random() % 2));
       if (pass % 40 >= 37) // The second pass of the shift has ended.
         REQUIRE(feed.limit() < Fallback);
       if (pass % 40 >= 20 && !isShifted)
