--- a/src/libbergamotgateway/groupstreamlimit.cpp
+++ b/src/libbergamotgateway/groupstreamlimit.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace bergamot::gateway {
 
@@ -13,8 +14,7 @@
 
 namespace {
 
-using Milliseconds = std::chrono::duration<double, std::milli>;
-using Seconds = std::chrono::duration<double>;
+using FractionalMs = std::chrono::duration<double, std::milli>;
 
 /// Number of streams per rank below which the skew can't be computed: prefill
 /// and jitter are a large part of such short passes.
@@ -23,31 +23,30 @@
 /// most passes contain the prefill of a long prompt or of two prompts on the
 /// same rank.
 constexpr double PromptsPerPass = 1.5;
-/// Typical prompts whose prefill a pass between shifts must have time for, in
-/// addition to the margin of maxStreamsPerRank. Raising the limit starts
-/// several streams on the same rank at once.
-constexpr double ReservedPrompts = 2;
+/// Typical prompts whose prefill a pass must have time for, in addition to the
+/// margin of maxStreamsPerRank. The longest prefill of all ranks extends the
+/// pass. At 3, the second deployment would stay below its fallback at a skew of
+/// 1.35, which even use of the experts may show.
+constexpr double ReservedPrompts = 2.5;
 /// Gaps that show a higher skew are ignored. The measured skew is up to 3.7;
 /// the rest is for passes with the prefill of several prompts.
 constexpr double MaxPlausibleSkew = 5.5;
 /// Gaps shorter than this fraction of the shortest possible pass are ignored.
 /// Slightly shorter ones occur if the number of streams is outdated.
 constexpr double MinPassFraction = 0.5;
-/// Decrease of the present skew per second of shorter passes. At higher values,
-/// the prefill of all streams that start after a shift makes others late.
-constexpr double SkewDecreasePerSecond = 2;
-/// Time after which gaps no longer show the present skew; longer than any pass
-/// and shorter than the interval between shifts.
+/// Decrease of the present skew per second of shorter passes. At 2, slots stay
+/// empty for longer after a shift, and slightly fewer streams complete in time.
+constexpr double SkewDecreasePerSecond = 4;
+/// Time after which gaps no longer show the present skew; longer than any pass.
+/// The skew may change within 2 s.
 constexpr std::chrono::seconds GapLifetime{2};
-
-/// Part of the raise above the fallback that is used. With all of it, most
-/// streams that run at the next shift of popularity are late.
-constexpr double RaisedFraction = 0.5;
+/// Time after which groups without gaps are evicted.
+constexpr std::chrono::minutes IdleGroupLifetime{1};
 
 Duration prefillTime(const EngineProfile &engine, double prompts) {
   if (engine.PrefillTokensPerMs <= 0)
     return {};
-  return std::chrono::duration_cast<Duration>(Milliseconds(
+  return std::chrono::duration_cast<Duration>(FractionalMs(
       prompts * engine.TypicalPromptTokens / engine.PrefillTokensPerMs));
 }
 
@@ -56,13 +55,13 @@
 std::optional<double> skewOf(const EngineProfile &engine, Duration gap,
                              double streamsPerRank) {
   const double stepsPerPass = std::max(1U, engine.StepsPerPass);
-  const Milliseconds sequences(stepsPerPass * streamsPerRank *
+  const FractionalMs sequences(stepsPerPass * streamsPerRank *
                                engine.StepMsPerSequence);
-  const Milliseconds evenPass =
-      Milliseconds(stepsPerPass * engine.StepBaseMs) + sequences;
+  const FractionalMs evenPass =
+      FractionalMs(stepsPerPass * engine.StepBaseMs) + sequences;
   if (gap < MinPassFraction * evenPass)
     return std::nullopt;
-  const Milliseconds excess =
+  const FractionalMs excess =
       gap - prefillTime(engine, PromptsPerPass) - evenPass;
   const double skew = 1 + excess / (sequences * engine.ExpertWorkFraction);
   if (skew > MaxPlausibleSkew)
@@ -93,8 +92,8 @@
 
 void GroupStreamLimit::State::endPass(TimePoint now) {
   const double skew = steadySkew();
-  const double decrease = SkewDecreasePerSecond * Seconds(now - LastPassAt) /
-                          std::chrono::seconds(1);
+  const std::chrono::duration<double> seconds = now - LastPassAt;
+  const double decrease = SkewDecreasePerSecond * seconds.count();
   PresentSkew = std::max(skew, PresentSkew - decrease);
   PreviousPassSkew = LatestPass.value();
   LatestPass = {};
@@ -111,7 +110,7 @@
   const double skew = std::min(*gapSkew, MaxSkew);
   const auto [it, isNew] = ByGroup.try_emplace(group);
   State &state = it->second;
-  if (isNew || now - state.LastGapAt >= GapLifetime) {
+  if (isNew || now >= state.GapsExpireAt) {
     state = {};
     state.LastPassAt = now;
   } else if (now - state.LastPassAt > gap / 2) {
@@ -120,7 +119,16 @@
     state.LastPassAt = now;
   }
   state.LatestPass.add(skew);
-  state.LastGapAt = now;
+  state.GapsExpireAt = now + GapLifetime;
+  // The map only grows here, so nothing has to be checked at other gaps.
+  if (isNew)
+    evictIdleGroups(now);
+}
+
+void GroupStreamLimit::evictIdleGroups(TimePoint now) {
+  std::erase_if(ByGroup, [&](const auto &it) {
+    return now >= it.second.GapsExpireAt + IdleGroupLifetime;
+  });
 }
 
 std::uint32_t GroupStreamLimit::limit(const std::string &group,
@@ -129,20 +137,15 @@
                                       std::uint32_t fallback,
                                       TimePoint now) const {
   const auto it = ByGroup.find(group);
-  if (it == ByGroup.end() || now - it->second.LastGapAt >= GapLifetime ||
+  if (it == ByGroup.end() || now >= it->second.GapsExpireAt ||
       !hasSkew(engine) || eventGapObjective.count() <= 0)
     return fallback;
   const State &state = it->second;
   const double skew = std::max(state.PresentSkew, state.steadySkew());
-  const double lowered =
-      std::min(static_cast<double>(fallback),
-               maxStreamsPerRank(engine, eventGapObjective, skew, {}));
-  const double raised = maxStreamsPerRank(engine, eventGapObjective, skew,
-                                          prefillTime(engine, ReservedPrompts));
-  const double streams = std::floor(
-      lowered + RaisedFraction * (std::max(lowered, raised) - lowered));
-  const double slots = std::max(1U, engine.Slots);
-  return static_cast<std::uint32_t>(std::clamp(streams, 1.0, slots));
+  const double streams = std::floor(maxStreamsPerRank(
+      engine, eventGapObjective, skew, prefillTime(engine, ReservedPrompts)));
+  const double highest = std::max(1U, std::min(fallback, engine.Slots));
+  return static_cast<std::uint32_t>(std::clamp(streams, 1.0, highest));
 }
 
 } // namespace bergamot::gateway
