--- a/src/libbergamotgateway/slotsharing.cpp
+++ b/src/libbergamotgateway/slotsharing.cpp
@@ -64,8 +64,9 @@
   others.insert(heard.begin(), heard.end());
   others.erase(self);
   const std::size_t heardCount = heard.size() - heard.count(self);
-  HearsMajority = 2 * (heardCount + 1) > others.size() + 1;
-  Isolated = !HearsMajority || (isStarting && heardCount < others.size());
+  HearsAll = heardCount == others.size();
+  Isolated = 2 * (heardCount + 1) <= others.size() + 1 ||
+             (isStarting && !others.empty());
   std::set<std::string> names = Isolated ? others : heard;
   names.insert(self);
   Self = self;
--- a/src/libbergamotgateway/slotsharing.h
+++ b/src/libbergamotgateway/slotsharing.h
@@ -117,8 +117,8 @@
   /// Returns how many entries share the slots, including this one.
   std::size_t entryCount() const { return EntryNames.size(); }
   bool isIsolated() const { return Isolated; }
-  /// Returns whether there are current reports of a majority of the entries.
-  bool hearsMajority() const { return HearsMajority; }
+  /// Returns whether there is a current report of each other entry.
+  bool hearsAll() const { return HearsAll; }
 
 private:
   struct WaitingKey {
@@ -137,7 +137,7 @@
   std::string Self;
   /// Sorted, so that all entries compute the intervals in the same order.
   std::vector<std::string> EntryNames{""};
-  bool HearsMajority = true;
+  bool HearsAll = true;
   bool Isolated = false;
   std::map<std::string, std::set<std::uint32_t>> PrioritiesByService;
   std::map<TargetHash, WaitingKey> WaitingKeys;
--- a/src/libbergamotgateway/targetscheduler.cpp
+++ b/src/libbergamotgateway/targetscheduler.cpp
@@ -328,8 +328,7 @@
   view.FreeSlots = totals.Free;
   view.Interval = Sharing.interval(terms.Service, totals);
   // An entry that has just started doesn't know yet which slots are taken.
-  const bool mayClaim =
-      EntryNamesSet && (Sharing.hearsMajority() || !IsStarting);
+  const bool mayClaim = EntryNamesSet && (Sharing.hearsAll() || !IsStarting);
   for (auto &it : options) {
     it.Claim = mayClaim ? SlotSharing::claim(view.Interval, it.Slots)
                         : SlotClaim::None;
