--- a/tests/config/test_explaincommand.cpp
+++ b/tests/config/test_explaincommand.cpp
@@ -14,59 +14,31 @@
 
 namespace {
 
-json targetReport(const std::string &id, const std::string &outcome) {
-  return {{"target", id},
-          {"outcome", outcome},
-          {"requests", 3},
-          {"own", 2},
-          {"own_reported", 1},
-          {"others_reported", 1},
-          {"limit", 6},
-          {"next_slot", "own"},
-          {"penalty", 0.25},
-          {"score", 0.5},
-          {"failure_domain", "east"},
-          {"same_failure_domain", true}};
-}
-
-json decisionReport() {
-  json excluded = targetReport("t-2", "excluded");
-  excluded["reason"] = "rate_limited";
-  return {
-      {"entry", "e-1"},
-      {"config_version", 34},
-      {"route", "chat"},
-      {"service", "s"},
-      {"services",
-       {{{"service", "s"}, {"weight", 3}}, {{"service", "u"}, {"weight", 1}}}},
-      {"account", nullptr},
-      {"priority", 1},
-      {"shutting_down", false},
-      {"state_current", true},
-      {"stalled", false},
-      {"queue",
-       {{"on_time", 4},
-        {"late", 1},
-        {"sent_before", 3},
-        {"on_time_by_priority", {{"0", 3}, {"2", 1}}}}},
-      {"slots",
-       {{"shared", true},
-        {"free", 12},
-        {"left_to_others", 1},
-        {"share", 0.0625},
-        {"contended", true},
-        {"isolated", false},
-        {"entries", 18}}},
-      {"reports", {{"entries", 17}, {"oldest_ms", 79}, {"newest_ms", 2}}},
-      {"chosen", "t-1"},
-      {"equally_good", 2},
-      {"targets", {targetReport("t-1", "chosen"), excluded}}};
-}
+constexpr const char *Report = R"({
+  "entry": "e-1", "config_version": 34, "route": "chat", "service": "s",
+  "services": [{"service": "s", "weight": 3}, {"service": "u", "weight": 1}],
+  "account": null, "priority": 1, "shutting_down": false,
+  "state_current": true, "stalled": false,
+  "queue": {"on_time": 4, "late": 1, "sent_before": 3,
+            "on_time_by_priority": {"0": 3, "2": 1}},
+  "slots": {"shared": true, "free": 12, "left_to_others": 1, "share": 0.0625,
+            "contended": true, "isolated": false, "entries": 18},
+  "reports": {"entries": 17, "oldest_ms": 79, "newest_ms": 2},
+  "chosen": "t-1", "equally_good": 2,
+  "targets": [
+    {"target": "t-1", "outcome": "chosen", "requests": 3, "own": 2,
+     "own_reported": 1, "others_reported": 1, "limit": 6, "next_slot": "own",
+     "penalty": 0.25, "score": 0.5, "failure_domain": "east",
+     "same_failure_domain": true},
+    {"target": "t-2", "outcome": "excluded", "requests": 3, "own": 2,
+     "own_reported": 1, "others_reported": 1, "limit": 6, "next_slot": "own",
+     "penalty": 0.25, "score": 0.5, "failure_domain": "east",
+     "same_failure_domain": true, "reason": "rate_limited"}]})";
 
 /// An entry that gives a fixed response, and an operator who asks it.
 struct FakeEntry {
   int Status = 200;
-  std::string Body = decisionReport().dump();
+  std::string Body = Report;
   std::string Path;
   std::string Query;
   adapterhttp::HttpServer Server{
@@ -89,11 +61,8 @@
     Flags.Path = "/chat/x?a=b&c d";
     Flags.Timeout = std::chrono::milliseconds(3000);
   }
-
   int run() {
-    std::istringstream in;
-    std::ostringstream out;
-    std::ostringstream err;
+    std::stringstream in, out, err;
     const int code = runCommand({Flags, {"explain"}, in, out, err, {}, {}});
     Out = out.str();
     Err = err.str();
@@ -119,7 +88,7 @@
   entry.Flags.Json = true;
   REQUIRE(entry.run() == Success);
   CHECK_THAT(entry.Query, Catch::EndsWith("&account=a%26b&service=s"));
-  CHECK(json::parse(entry.Out) == decisionReport());
+  CHECK(json::parse(entry.Out) == json::parse(Report));
 }
 
 // Guards against an error that an operator takes for a decision.
@@ -129,10 +98,10 @@
   entry.Status = 404;
   CHECK(entry.run() == HasProblems);
   CHECK_THAT(entry.Err, Catch::Contains("no route matches"));
-  entry.Status = 503;
-  CHECK(entry.run() == NotDecided);
-  entry.Status = 200;
-  CHECK(entry.run() == NotDecided);
+  for (const int status : {503, 200}) {
+    entry.Status = status;
+    CHECK(entry.run() == NotDecided);
+  }
   CHECK_THAT(entry.Err, Catch::Contains("unreadable answer"));
   CHECK(entry.Out.empty());
   entry.Server.stop();
--- a/tests/gateway/test_explanation.cpp
+++ b/tests/gateway/test_explanation.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <random>
 
 using namespace bergamot;
@@ -14,53 +15,45 @@
 
 constexpr unsigned Targets = 12;
 
-SchedulerSettings schedulerSettings() {
+/// An entry with targets of a service "s" for whose slots two routes compete.
+/// They take few requests while cold.
+TargetScheduler scheduler(TimePoint now) {
   SchedulerSettings settings;
   settings.Name = "e0";
   settings.FailureDomain = "d0";
   settings.StartedAt = TimePoint(1h);
   settings.ReportLifetime = 1500ms;
-  return settings;
-}
-
-/// A configuration with a service "s" for whose slots two routes compete, and
-/// whose targets take few requests while cold.
-std::shared_ptr<const RouteTable> routeTable() {
+  TargetScheduler it(settings);
   std::vector<Route> routes(2);
-  for (std::uint32_t i = 0; i < routes.size(); ++i) {
-    routes[i].Name = "r" + std::to_string(i);
-    routes[i].PathPrefix = "/" + routes[i].Name + "/";
-    routes[i].Services = {{"s", 1}};
-    routes[i].Streaming = true;
-    routes[i].Priority = i;
+  for (auto &route : routes) {
+    route.Services = {{"s", 1}};
+    route.Streaming = true;
+  }
+  routes[1].PathPrefix = "/1/";
+  routes[1].Priority = 1;
+  it.setRouteTable(std::make_shared<const RouteTable>(
+      1, routes, std::vector<Service>{{"s", 0, 20, {}}},
+      std::vector<ClientAccount>{}, CallerLimits{}));
+  it.setEntryNames({"e0", "e1", "e2"});
+  for (unsigned i = 0; i <= Targets; ++i) {
+    TargetRecord record;
+    record.Service = i < Targets ? "s" : "other";
+    record.Id = record.Service + std::to_string(i % Targets);
+    record.FailureDomain = "d" + std::to_string(i % 3);
+    record.Slots = 4;
+    if (i % 4 == 0)
+      record.Membership = GroupMembership{"g" + std::to_string(i), 0, 1, true};
+    it.directory().setTarget(record, now);
   }
-  Service service;
-  service.Name = "s";
-  service.ColdRequestsPerSecond = 20;
-  return std::make_shared<const RouteTable>(
-      1, routes, std::vector<Service>{service}, std::vector<ClientAccount>{},
-      CallerLimits{});
-}
-
-TargetRecord record(unsigned i, const std::string &service = "s") {
-  TargetRecord it;
-  it.Id = service + std::to_string(i);
-  it.Service = service;
-  it.FailureDomain = "d" + std::to_string(i % 3);
-  it.Slots = 4;
-  if (i % 4 == 0)
-    it.Membership = GroupMembership{"g" + std::to_string(i), 0, 1, true};
   return it;
 }
 
-TargetScheduler scheduler(TimePoint now) {
-  TargetScheduler it(schedulerSettings());
-  it.setRouteTable(routeTable());
-  it.setEntryNames({"e0", "e1", "e2"});
-  for (unsigned i = 0; i < Targets; ++i)
-    it.directory().setTarget(record(i), now);
-  it.directory().setTarget(record(0, "other"), now);
-  return it;
+DispatchTerms makeTerms(std::uint32_t priority, std::uint32_t waiting) {
+  DispatchTerms terms;
+  terms.Service = "s";
+  terms.Priority = priority;
+  terms.Waiting = {{priority, waiting}};
+  return terms;
 }
 
 /// Applies one random event to a scheduler and returns the target that a
@@ -70,36 +63,26 @@
     return static_cast<unsigned>(random() % n);
   };
   const std::string target = "s" + std::to_string(below(Targets));
-  switch (below(8)) {
-  case 0:
+  const unsigned event = below(8);
+  if (event == 0)
     it.setReport(
         "e" + std::to_string(1 + below(2)),
         {{targetHash(target), below(4)}, {waitingKey("s", below(2)), below(6)}},
         now);
-    break;
-  case 1:
+  else if (event == 1)
     it.removeExpired(now);
-    break;
-  case 2:
+  else if (event == 2)
     it.takeReport({{"s", {{0, below(3)}}}});
-    break;
-  case 3:
+  else if (event == 3)
     it.health().addResult(target, below(2) == 0, now);
-    break;
-  case 4:
+  else if (event == 4)
     it.rateLimits().recordResponse({targetHash(target), 0, 1.0 + below(9), now},
                                    now);
-    break;
-  default:
-    if (it.loads().local(target) > 0)
-      it.loads().removeLocalRequest(target);
-  }
-  DispatchTerms terms;
-  terms.Service = "s";
-  terms.Priority = below(2);
-  terms.Waiting = {{terms.Priority, 1 + below(4)}};
-  const double draw = static_cast<double>(below(1000)) / 1000;
-  const Choice choice = it.choose(terms, draw, now);
+  else if (it.loads().local(target) > 0)
+    it.loads().removeLocalRequest(target);
+  const std::uint32_t priority = below(2);
+  const DispatchTerms terms = makeTerms(priority, 1 + below(4));
+  const Choice choice = it.choose(terms, 0.001 * below(1000), now);
   if (!choice.Target)
     return "";
   it.recordDispatch(*choice.Target, now);
@@ -107,15 +90,6 @@
   return choice.Target->Record.Id;
 }
 
-const TargetExplanation &find(const ChoiceExplanation &explanation,
-                              const std::string &id) {
-  const auto it =
-      std::find_if(explanation.Targets.begin(), explanation.Targets.end(),
-                   [&](const auto &target) { return target.Id == id; });
-  REQUIRE(it != explanation.Targets.end());
-  return *it;
-}
-
 } // namespace
 
 // Guards against an explanation that takes a slot, a part of a request rate or
@@ -130,14 +104,10 @@
   std::mt19937_64 random(seed);
   std::mt19937_64 sameRandom(seed);
   std::mt19937_64 otherRandom(seed + 100);
-  unsigned sent = 0;
-  unsigned notSent = 0;
+  std::array<unsigned, 2> sent{};
   for (int i = 0; i < 2000; ++i) {
     now += std::chrono::milliseconds(otherRandom() % 20);
-    DispatchTerms terms;
-    terms.Service = "s";
-    terms.Priority = static_cast<std::uint32_t>(otherRandom() % 2);
-    terms.Waiting = {{terms.Priority, 1}};
+    const auto terms = makeTerms(otherRandom() % 2, 1);
     const ChoiceExplanation explanation = asked.explain(terms, now);
     REQUIRE(explanation.Targets.size() == Targets);
     TargetScheduler copy(asked);
@@ -152,11 +122,11 @@
     }
     const std::string target = step(asked, random, now);
     REQUIRE(target == step(unasked, sameRandom, now));
-    ++(target.empty() ? notSent : sent);
+    ++sent.at(target.empty() ? 0 : 1);
   }
   // Otherwise, the load wouldn't show a slot or rate that was taken.
-  CHECK(sent > 100);
-  CHECK(notSent > 100);
+  CHECK(sent[0] > 100);
+  CHECK(sent[1] > 100);
 }
 
 // Guards against an explanation that states the wrong reason or inputs.
@@ -165,8 +135,7 @@
   const TimePoint now(1h);
   TargetScheduler it = scheduler(now + 10s);
   it.setEntryNames({});
-  DispatchTerms terms;
-  terms.Service = "s";
+  DispatchTerms terms = makeTerms(0, 0);
   terms.FailedTargets = {"s5"};
   terms.BusyTargets = {"s6"};
   it.setReport("e1", {{targetHash("s1"), 3}}, now - 200ms);
@@ -182,21 +151,27 @@
   CHECK(explanation.Reports.Oldest == now - 200ms);
   CHECK(explanation.Reports.Newest == now - 30ms);
   CHECK(explanation.Slots.Shared);
-  CHECK(find(explanation, "s1").Outcome == TargetOutcome::Full);
-  CHECK(find(explanation, "s1").Claim == SlotClaim::None);
-  const TargetExplanation &s2 = find(explanation, "s2");
+  const auto find = [&](const std::string &id) {
+    const auto target =
+        std::find_if(explanation.Targets.begin(), explanation.Targets.end(),
+                     [&](const auto &each) { return each.Id == id; });
+    REQUIRE(target != explanation.Targets.end());
+    return *target;
+  };
+  CHECK(find("s1").Outcome == TargetOutcome::Full);
+  CHECK(find("s1").Claim == SlotClaim::None);
+  const TargetExplanation s2 = find("s2");
   CHECK(s2.Slots.Others == 2);
   CHECK(s2.Slots.Own == 1);
   CHECK(s2.Slots.OwnReported == 0);
   CHECK(s2.Slots.Limit == 4);
   CHECK_FALSE(s2.SameFailureDomain);
-  CHECK(find(explanation, "s3").Excluded == Exclusion::Unresponsive);
-  CHECK(find(explanation, "s5").Outcome == TargetOutcome::FailedBefore);
-  CHECK(find(explanation, "s6").Excluded == Exclusion::AttemptInProgress);
-  CHECK(find(explanation, "s7").Excluded == Exclusion::RateLimited);
-  CHECK(find(explanation, "s9").Excluded == Exclusion::NotUsable);
-  const bool isOrdered = std::is_sorted(
+  CHECK(find("s3").Excluded == Exclusion::Unresponsive);
+  CHECK(find("s5").Outcome == TargetOutcome::FailedBefore);
+  CHECK(find("s6").Excluded == Exclusion::AttemptInProgress);
+  CHECK(find("s7").Excluded == Exclusion::RateLimited);
+  CHECK(find("s9").Excluded == Exclusion::NotUsable);
+  CHECK(std::is_sorted(
       explanation.Targets.begin(), explanation.Targets.end(),
-      [](const auto &a, const auto &b) { return a.Outcome < b.Outcome; });
-  CHECK(isOrdered);
+      [](const auto &a, const auto &b) { return a.Outcome < b.Outcome; }));
 }
--- a/tests/worstload/loadreplay.h
+++ b/tests/worstload/loadreplay.h
@@ -11,6 +11,9 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <string>
+#include <type_traits>
+#include <utility>
 #include <vector>
 
 namespace bergamot::worstload {
@@ -18,10 +21,24 @@
 using base::TimePoint;
 using std::chrono::milliseconds;
 
-/// The load on one entry and its share of the targets' slots.
+/// What a caller does when a request is rejected.
+enum class Retry {
+  Never,
+  /// Honors Retry-After up to a third of the remaining time and retries once.
+  AfterDelay,
+  /// Retries until the caller gives up.
+  AtOnce,
+};
+
+/// The load on one entry from callers with the same terms, and the entry's
+/// share of the targets' slots.
 struct Load {
+  std::uint32_t Priority = 1;
+  milliseconds LatencyObjective{500};
   /// Requests per second in each phase, by the start of the phase.
   std::map<milliseconds, double> Rates;
+  std::string Account{};
+  Retry OnRejection = Retry::Never;
   milliseconds Length{10000};
   /// All targets are stalled before this time.
   milliseconds StalledUntil{0};
@@ -35,6 +52,7 @@
 
 /// Number of requests by outcome.
 struct Result {
+  unsigned Arrived = 0;
   unsigned OnTime = 0;
   unsigned Late = 0;
   unsigned Rejected = 0;
@@ -45,6 +63,18 @@
 
   /// A late response counts half as much as one on time, as on the deployments.
   double score() const { return OnTime + 0.5 * Late; }
+  double onTimeShare() const { return static_cast<double>(OnTime) / Arrived; }
+  double servedShare() const {
+    return static_cast<double>(OnTime + Late + Wasted) / Arrived;
+  }
+  void add(const Result &it) {
+    Arrived += it.Arrived;
+    OnTime += it.OnTime;
+    Late += it.Late;
+    Rejected += it.Rejected;
+    Wasted += it.Wasted;
+    LongestWait = std::max(LongestWait, it.LongestWait);
+  }
 };
 
 /// How an entry queues requests. `admit` returns whether a request is queued,
@@ -149,58 +179,103 @@
   return times;
 }
 
-/// Replays a load in virtual time.
-template <QueuePolicy Policy> Result replay(const Load &load, Policy policy) {
-  gateway::Route route;
-  route.Streaming = true;
-  route.LatencyObjective = milliseconds(500);
-  route.EventGapObjective = milliseconds(120);
+/// Replays loads that compete for the slots of the first one in virtual time.
+/// The seed determines the draws for Retry-After.
+template <QueuePolicy Policy>
+std::vector<Result> replay(const std::vector<Load> &loads, Policy policy,
+                           std::uint64_t seed) {
   constexpr milliseconds RequestTimeout{8000};
   constexpr milliseconds CallerTimeout{2000};
   constexpr milliseconds Tick{5};
-  Result result;
-  std::vector<TimePoint> busyUntil;
-  const auto times = arrivals(load);
-  std::size_t arrived = 0;
-  const auto reject = [&](TimePoint arrivedAt, TimePoint now) {
-    ++result.Rejected;
-    result.LongestWait =
-        std::max(result.LongestWait,
-                 std::chrono::duration_cast<milliseconds>(now - arrivedAt));
+  constexpr milliseconds RetryDelay{20};
+  struct Attempt {
+    std::size_t Load = 0;
+    TimePoint FirstArrivedAt;
+    bool IsRetry = false;
   };
-  for (milliseconds t{0}; t < load.Length + CallerTimeout; t += Tick) {
+  const Load &shared = loads[0];
+  std::vector<Result> results(loads.size());
+  std::multimap<TimePoint, Attempt> due;
+  for (std::size_t i = 0; i < loads.size(); ++i)
+    for (const milliseconds t : arrivals(loads[i])) {
+      due.emplace(at(t), Attempt{i, at(t)});
+      ++results[i].Arrived;
+    }
+  std::mt19937_64 random(seed);
+  std::vector<Attempt> attempts;
+  std::vector<TimePoint> busyUntil;
+  for (milliseconds t{0}; t < shared.Length + CallerTimeout; t += Tick) {
     const TimePoint now = at(t);
-    const bool stalled = t < load.StalledUntil;
-    for (; arrived < times.size() && times[arrived] <= t; ++arrived) {
-      const TimePoint arrival = at(times[arrived]);
+    const bool stalled = t < shared.StalledUntil;
+    const auto reject = [&](const gateway::WaitingRequest &request) {
+      const Attempt &attempt = attempts[request.SequenceNumber];
+      Result &result = results[attempt.Load];
+      ++result.Rejected;
+      result.LongestWait = std::max(
+          result.LongestWait,
+          std::chrono::duration_cast<milliseconds>(now - request.ArrivedAt));
+      const Retry retry = loads[attempt.Load].OnRejection;
+      if (retry == Retry::AtOnce &&
+          now < attempt.FirstArrivedAt + CallerTimeout)
+        due.emplace(now + RetryDelay, attempt);
+      if constexpr (std::is_same_v<Policy, CurrentPolicy>) {
+        if (retry != Retry::AfterDelay)
+          return;
+        const auto left = attempt.FirstArrivedAt + RequestTimeout - now;
+        const auto delay = policy.retryAfter(
+            request, left, std::uniform_real_distribution<double>(0, 1)(random),
+            now, shared.Slots);
+        if (!attempt.IsRetry && delay <= left / 3)
+          due.emplace(std::max(now + delay, now + Tick),
+                      Attempt{attempt.Load, attempt.FirstArrivedAt, true});
+      }
+    };
+    const auto rejectDropped = [&] {
+      for (const auto &it : policy.drop(now, stalled, shared.Slots))
+        reject(it);
+    };
+    while (!due.empty() && due.begin()->first <= now) {
+      const auto [arrivedAt, attempt] = *due.begin();
+      due.erase(due.begin());
+      const Load &load = loads[attempt.Load];
+      gateway::Route route;
+      route.Streaming = true;
+      route.LatencyObjective = load.LatencyObjective;
       const auto limits = gateway::waitLimits(
-          route, {arrival, arrival + RequestTimeout, false});
+          route, {arrivedAt, attempt.FirstArrivedAt + RequestTimeout, false});
       const gateway::WaitingRequest request{
-          arrived, 1, arrival, limits.OnTimeUntil, limits.ExpiresAt};
-      if (!policy.admit(request, now, stalled, load.Slots))
-        reject(arrival, now);
+          attempts.size(),  load.Priority, arrivedAt,   limits.OnTimeUntil,
+          limits.ExpiresAt, false,         load.Account};
+      attempts.push_back(attempt);
+      if (!policy.admit(request, now, stalled, shared.Slots))
+        reject(request);
+      else if (loads.size() > 1) // Others may be pushed back.
+        rejectDropped();
     }
     std::erase_if(busyUntil, [&](TimePoint it) { return it <= now; });
     const auto next = [&]() -> std::optional<gateway::WaitingRequest> {
       if (stalled)
         return std::nullopt;
       return policy.next(now, static_cast<std::uint32_t>(busyUntil.size()),
-                         load.Slots);
+                         shared.Slots);
     };
     for (auto it = next(); it; it = next()) {
-      busyUntil.push_back(now + load.ServiceTime);
-      const auto firstEventDelay = now + load.FirstEventDelay - it->ArrivedAt;
-      if (firstEventDelay <= route.LatencyObjective)
-        ++result.OnTime;
-      else if (firstEventDelay <= CallerTimeout)
-        ++result.Late;
-      else
-        ++result.Wasted;
+      busyUntil.push_back(now + shared.ServiceTime);
+      const Attempt &attempt = attempts[it->SequenceNumber];
+      Result &result = results[attempt.Load];
+      const auto delay = now + shared.FirstEventDelay - attempt.FirstArrivedAt;
+      ++(delay <= loads[attempt.Load].LatencyObjective ? result.OnTime
+         : delay <= CallerTimeout                      ? result.Late
+                                                       : result.Wasted);
     }
-    for (const auto &it : policy.drop(now, stalled, load.Slots))
-      reject(it.ArrivedAt, now);
+    rejectDropped();
   }
-  return result;
+  return results;
+}
+
+/// Replays a single load in virtual time.
+template <QueuePolicy Policy> Result replay(const Load &load, Policy policy) {
+  return replay(std::vector<Load>{load}, std::move(policy), load.Seed)[0];
 }
 
 } // namespace bergamot::worstload
--- a/tests/worstload/test_worstload.cpp
+++ b/tests/worstload/test_worstload.cpp
@@ -52,19 +52,11 @@
   Result Current;
 };
 
-void add(Result &total, const Result &it) {
-  total.OnTime += it.OnTime;
-  total.Late += it.Late;
-  total.Rejected += it.Rejected;
-  total.Wasted += it.Wasted;
-  total.LongestWait = std::max(total.LongestWait, it.LongestWait);
-}
-
 Comparison replaySeeds(Load load) {
   Comparison results;
   for (load.Seed = 1; load.Seed <= 20; ++load.Seed) {
-    add(results.Fifo, replay(load, FifoPolicy()));
-    add(results.Current, replay(load, CurrentPolicy()));
+    results.Fifo.add(replay(load, FifoPolicy()));
+    results.Current.add(replay(load, CurrentPolicy()));
   }
   CAPTURE(results.Fifo.OnTime, results.Fifo.Late, results.Fifo.Rejected,
           results.Current.OnTime, results.Current.Late,
@@ -104,8 +96,8 @@
   Result fifo;
   Result current;
   for (load.Seed = 1; load.Seed <= 20; ++load.Seed) {
-    add(fifo, replay(load, FifoPolicy()));
-    add(current, replay(load, CurrentPolicy()));
+    fifo.add(replay(load, FifoPolicy()));
+    current.add(replay(load, CurrentPolicy()));
   }
   CAPTURE(fifo.OnTime, current.OnTime, fifo.Rejected, current.Rejected);
   CHECK(current.score() >= fifo.score());
