--- a/src/libbergamotgateway/groupstreamlimit.cpp
+++ b/src/libbergamotgateway/groupstreamlimit.cpp
@@ -25,18 +25,18 @@
 constexpr double PromptsPerPass = 1.5;
 /// Typical prompts whose prefill a pass must have time for, in addition to the
 /// margin of maxStreamsPerRank. The longest prefill of all ranks extends the
-/// pass. At 3, engines of 24 ranks would stay below their fallback at a skew of
-/// 1.35, which even use of the experts may show.
-constexpr double ReservedPrompts = 2.5;
+/// pass. At 2.5, a deployment with 64 ranks rejected requests in a burst in
+/// which no stream was late by a pause.
+constexpr double ReservedPrompts = 2;
 /// Gaps that show a higher skew are ignored. The measured skew is up to 3.7;
 /// the rest is for passes with the prefill of several prompts.
 constexpr double MaxPlausibleSkew = 5.5;
 /// Gaps shorter than this fraction of the shortest possible pass are ignored.
 /// Slightly shorter ones occur if the number of streams is outdated.
 constexpr double MinPassFraction = 0.5;
-/// Decrease of the present skew per second of shorter passes. At 2, slots stay
-/// empty for longer after a shift, and slightly fewer streams complete in time.
-constexpr double SkewDecreasePerSecond = 4;
+/// Decrease of the present skew per second of shorter passes, so that few
+/// streams start right after a shift, whose prompts would make others late.
+constexpr double SkewDecreasePerSecond = 2;
 /// Time after which gaps no longer show the present skew; longer than any pass.
 /// The skew may change within 2 s.
 constexpr std::chrono::seconds GapLifetime{2};
