--- a/src/libbergamotgateway/slotsharing.cpp
+++ b/src/libbergamotgateway/slotsharing.cpp
@@ -64,9 +64,8 @@
   others.insert(heard.begin(), heard.end());
   others.erase(self);
   const std::size_t heardCount = heard.size() - heard.count(self);
-  HearsAll = heardCount == others.size();
   Isolated = 2 * (heardCount + 1) <= others.size() + 1 ||
-             (isStarting && !others.empty());
+             (isStarting && heardCount < others.size());
   std::set<std::string> names = Isolated ? others : heard;
   names.insert(self);
   Self = self;
--- a/src/libbergamotgateway/slotsharing.h
+++ b/src/libbergamotgateway/slotsharing.h
@@ -90,8 +90,9 @@
   /// a current report, `known` all that may be running; both may omit this
   /// entry (`self`). An entry that hears no majority of the others is probably
   /// partitioned from them, and counts all of them. So does an entry that
-  /// has just started (`isStarting`): if all start at the same time, they would
-  /// use slots that the others have filled since their last reports.
+  /// has just started (`isStarting`), until it hears all others: if all start
+  /// at the same time, they would use slots that the others have filled since
+  /// their last reports.
   void setEntries(const std::string &self, const std::set<std::string> &heard,
                   const std::set<std::string> &known, bool isStarting = false);
   /// Sets the services whose slots are divided and the priorities of their
@@ -117,8 +118,6 @@
   /// Returns how many entries share the slots, including this one.
   std::size_t entryCount() const { return EntryNames.size(); }
   bool isIsolated() const { return Isolated; }
-  /// Returns whether there is a current report of each other entry.
-  bool hearsAll() const { return HearsAll; }
 
 private:
   struct WaitingKey {
@@ -137,7 +136,6 @@
   std::string Self;
   /// Sorted, so that all entries compute the intervals in the same order.
   std::vector<std::string> EntryNames{""};
-  bool HearsAll = true;
   bool Isolated = false;
   std::map<std::string, std::set<std::uint32_t>> PrioritiesByService;
   std::map<TargetHash, WaitingKey> WaitingKeys;
--- a/src/libbergamotgateway/targetscheduler.cpp
+++ b/src/libbergamotgateway/targetscheduler.cpp
@@ -324,11 +324,10 @@
   const SlotTotals totals = slotTotals(terms.Service, now);
   view.FreeSlots = totals.Free;
   view.Interval = Sharing.interval(terms.Service, totals);
-  // An entry that has just started doesn't know yet which slots are taken.
-  const bool mayClaim = EntryNamesSet && (Sharing.hearsAll() || !IsStarting);
   for (auto &it : options) {
-    it.Claim = mayClaim ? SlotSharing::claim(view.Interval, it.Slots)
-                        : SlotClaim::None;
+    // Before the names of the entries are known, this entry's part isn't.
+    it.Claim = EntryNamesSet ? SlotSharing::claim(view.Interval, it.Slots)
+                             : SlotClaim::None;
     const bool isFull = it.Slots.Others + it.Slots.Own >= it.Slots.Limit;
     view.LeftToOthers += it.Claim == SlotClaim::None && !isFull ? 1 : 0;
   }
