--- a/src/libbergamotgateway/targetschedulergroups.cpp
+++ b/src/libbergamotgateway/targetschedulergroups.cpp
@@ -61,6 +61,7 @@
                     fallback, requestsPerTarget(group, now)};
   }
   std::vector<GroupLimitView> result;
+  result.reserve(views.size());
   for (auto &[group, view] : views)
     result.push_back(std::move(view));
   return result;
