--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -3,6 +3,7 @@
 #include "entrypath/entry.h"
 #include "entrypath/exchange.h"
 #include "libbergamotbase/jsonlog.h"
+#include "libbergamotgateway/targetexplanation.h"
 
 #include <nlohmann/json.hpp>
 
@@ -87,10 +88,12 @@
       exchange->hasResponseStarted() ||
       (!exchange->failedTargets().empty() && isStalled(serviceName));
   const gateway::WaitingRequest request = waitingRequest(*exchange);
-  gateway::QueueState queue = queueState(serviceName, state);
-  queue.OnTimeAhead = state.Queue.onTimeAhead(request, at);
-  if (!isExempt && mustQueue &&
-      !gateway::shouldEnqueue(limits, exchange->times(), queue, at)) {
+  const auto fits = [&] {
+    gateway::QueueState queue = queueState(serviceName, state);
+    queue.OnTimeAhead = state.Queue.onTimeAhead(request, at);
+    return gateway::shouldEnqueue(limits, exchange->times(), queue, at);
+  };
+  if (!isExempt && mustQueue && !fits()) {
     exchange->rejectQueued(isStalled(serviceName) ? "standstill"
                            : permitted.MaxRate    ? "rate_limited"
                                                   : "overload");
@@ -157,6 +160,8 @@
     if (!gateway::shouldStayQueued({it.OnTimeUntil, it.ExpiresAt},
                                    queueState(serviceName, state), at))
       rejectQueued(state, it.SequenceNumber);
+  if (state.Queue.settings() == gateway::WaitSettings{})
+    return;
   for (const auto &it :
        gateway::takeUnservable(state.Queue, queueState(serviceName, state), at))
     rejectQueued(state, it.SequenceNumber, "pushed_back");
@@ -214,11 +219,9 @@
   const gateway::SlotView &slots = choice.Slots;
   if (!slots.Shared)
     return;
-  const char *claim = choice.Claim == gateway::SlotClaim::Own      ? "own"
-                      : choice.Claim == gateway::SlotClaim::Shared ? "shared"
-                                                                   : "none";
   Metrics.addCount("bergamot_slot_claims_total",
-                   std::string("claim=\"") + claim + "\"");
+                   std::string("claim=\"") + gateway::claimName(choice.Claim) +
+                       "\"");
   if (std::exchange(state.SlotsContended, slots.Interval.Contended) ==
       slots.Interval.Contended)
     return;
