--- a/src/libbergamotgateway/targetscheduler.cpp
+++ b/src/libbergamotgateway/targetscheduler.cpp
@@ -91,8 +91,7 @@
   const unsigned entries = Loads.liveEntryCount();
   Sharing.setReport(entry, counts);
   Loads.setReport(entry, std::move(counts), now);
-  if (Loads.liveEntryCount() != entries)
-    updateEntries();
+  EntriesChanged = EntriesChanged || Loads.liveEntryCount() != entries;
 }
 
 void TargetScheduler::removeExpiredReports(TimePoint now) {
@@ -100,8 +99,7 @@
   if (Sharing.services().empty())
     return;
   Loads.removeExpired(now);
-  if (Loads.liveEntryCount() != entries)
-    updateEntries();
+  EntriesChanged = EntriesChanged || Loads.liveEntryCount() != entries;
 }
 
 void TargetScheduler::removeExpired(TimePoint now) {
@@ -118,6 +116,7 @@
 }
 
 void TargetScheduler::updateEntries() {
+  EntriesChanged = false;
   const std::set<std::string> heard = Loads.liveEntryNames();
   RateLimits.setEntries(Settings.Name, heard, EntryNames);
   Sharing.setEntries(Settings.Name, heard, EntryNames, IsStarting);
@@ -336,6 +335,8 @@
 
 TargetScheduler::Decision TargetScheduler::decide(const DispatchTerms &terms,
                                                   TimePoint now) {
+  if (EntriesChanged)
+    updateEntries();
   Decision decision;
   auto &options = decision.Options;
   for (const auto &[id, target] : Directory.targets())
--- a/src/libbergamotgateway/targetscheduler.h
+++ b/src/libbergamotgateway/targetscheduler.h
@@ -254,6 +254,9 @@
   std::map<std::string, RateWindow> DispatchesByTarget;
   std::set<std::string> EntryNames;
   bool EntryNamesSet = false;
+  /// Other entries are heard than when updateEntries() was last called. It
+  /// takes time with many entries, so it is called when a request needs it.
+  bool EntriesChanged = false;
   /// This entry may not have received a report of each other one yet.
   bool IsStarting = true;
 };
