--- a/src/libbergamotgateway/slotsharing.cpp
+++ b/src/libbergamotgateway/slotsharing.cpp
@@ -25,13 +25,18 @@
 /// Free slots from which on a slot of another entry may be filled. The last one
 /// is left to its owner.
 constexpr std::uint32_t MinFreeForShared = 2;
-/// Free slots that stay free for each request beyond a limit. With one, the
-/// excess grows further until it has been reported.
-constexpr double FreeSlotsPerExcess = 2;
+/// Free slots that stay free for each request beyond a limit, so that the sum
+/// of the limits is kept. With two, slots stayed idle for 1.7 s after entries
+/// had been killed.
+constexpr double FreeSlotsPerExcess = 1;
 /// Targets to withhold for each request beyond the sum of the limits, relative
-/// to the requests per target. A tenth of the streams ends within about 100 ms,
-/// so the sum is kept again within two report periods.
-constexpr double WithheldPerExcess = 10;
+/// to the requests per target. With ten, too few streams ended without being
+/// replaced, and the sum was exceeded for 0.5 s.
+constexpr double WithheldPerExcess = 30;
+/// Part of its equal share that an entry uses until it hears the others, if it
+/// has just started. The others have taken its slots, and with all of the share
+/// the sum of the limits was exceeded for 0.35 s.
+constexpr double StartingShareFraction = 0.5;
 
 /// Returns the point of a slot in [0, 1). Slots of a target are numbered
 /// from 1.
@@ -64,8 +69,8 @@
   others.insert(heard.begin(), heard.end());
   others.erase(self);
   const std::size_t heardCount = heard.size() - heard.count(self);
-  Isolated = 2 * (heardCount + 1) <= others.size() + 1 ||
-             (isStarting && heardCount < others.size());
+  IsStarting = isStarting && heardCount < others.size();
+  Isolated = 2 * (heardCount + 1) <= others.size() + 1 || IsStarting;
   std::set<std::string> names = Isolated ? others : heard;
   names.insert(self);
   Self = self;
@@ -134,6 +139,7 @@
       freeSlots, FreeSlotsPerExcess * static_cast<double>(totals.Excess));
   SlotInterval interval;
   interval.Isolated = Isolated;
+  interval.ShareFraction = IsStarting ? StartingShareFraction : 1;
   interval.Contended = Isolated || demand > ContendedFraction * freeSlots;
   std::vector<double> weights(entries, 0);
   double remaining = freeSlots;
@@ -184,7 +190,8 @@
     std::uint32_t share = 0;
     for (std::uint32_t slot = 1; slot <= counts.Limit; ++slot)
       share += contains(interval, counts.Target, slot) ? 1 : 0;
-    return counts.Own < share ? SlotClaim::Own : SlotClaim::None;
+    return counts.Own < interval.ShareFraction * share ? SlotClaim::Own
+                                                       : SlotClaim::None;
   }
   // No slot has the number 0, so the point is independent of the intervals.
   if (slotPoint(counts.Target, 0) < interval.Withheld)
--- a/src/libbergamotgateway/slotsharing.h
+++ b/src/libbergamotgateway/slotsharing.h
@@ -40,6 +40,8 @@
   /// This entry hears too few others to know how many slots are taken, and
   /// keeps to an equal share of all slots.
   bool Isolated = false;
+  /// The part of its share that an isolated entry uses.
+  double ShareFraction = 1;
   /// Fraction of the targets at which no slot is filled, because all entries
   /// together exceed the sum of the limits.
   double Withheld = 0;
@@ -137,6 +139,7 @@
   /// Sorted, so that all entries compute the intervals in the same order.
   std::vector<std::string> EntryNames{""};
   bool Isolated = false;
+  bool IsStarting = false;
   std::map<std::string, std::set<std::uint32_t>> PrioritiesByService;
   std::map<TargetHash, WaitingKey> WaitingKeys;
   std::map<std::string, EntryReport> Reports;
