--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -52,6 +52,7 @@
   settings.ReportLifetime = PeerReportLifetime;
   settings.ShareSlots = it.ShareSlots;
   settings.LimitByGroup = it.LimitByGroup;
+  settings.UseGroupRecords = it.UseGroupRecords;
   return settings;
 }
 
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -66,6 +66,7 @@
   /// See gateway::SchedulerSettings.
   gateway::Activation ShareSlots = gateway::Activation::Auto;
   gateway::Activation LimitByGroup = gateway::Activation::Auto;
+  gateway::Activation UseGroupRecords = gateway::Activation::Auto;
   /// For which services only more urgent requests count as ahead of a new one.
   gateway::Activation CountByPriority = gateway::Activation::Auto;
   /// For which services client accounts are served in turn.
@@ -135,6 +136,14 @@
   /// Tries again to dispatch queued requests after a change of the directory or
   /// of the state of targets.
   void onTargetsChanged();
+  /// Returns the priority by which a request for a service is queued. `account`
+  /// may be null.
+  std::uint32_t requestPriority(const std::string &serviceName,
+                                const gateway::Route &route,
+                                const gateway::ClientAccount *account) const;
+  /// Adds or replaces a target, and tries again to dispatch queued requests.
+  void setTarget(const gateway::TargetRecord &record,
+                 gateway::TargetDirectory::RecordAge age);
   void setPeerRequestCounts(const std::string &entry,
                             gateway::RequestCounts counts);
   /// Sets the names of the entries that may be running. This entry's own name
--- a/src/entrypath/entrytargets.cpp
+++ b/src/entrypath/entrytargets.cpp
@@ -31,6 +31,18 @@
 
 } // namespace
 
+void Entry::setTarget(const gateway::TargetRecord &record,
+                      gateway::TargetDirectory::RecordAge age) {
+  const auto change = Scheduler.setTarget(record, now(), age);
+  if (change)
+    base::logDecision("group.state", {{"group", change->Group},
+                                      {"open", change->Open},
+                                      {"ranks", change->Ranks},
+                                      {"open_ranks", change->OpenRanks},
+                                      {"closed_ranks", change->ClosedRanks}});
+  onTargetsChanged();
+}
+
 void Entry::recordResponse(const std::string &target, std::int64_t startedAtMs,
                            TimePoint sentAt, const TargetResponse &response) {
   const TimePoint at = now();
@@ -137,7 +149,7 @@
 void Entry::recordFailure(const std::string &target, AttemptFailure failure) {
   if (failure == AttemptFailure::Misdirected) {
     base::logDecision("target.replaced", {{"target", target}});
-    Scheduler.directory().removeReplacedTarget(target);
+    Scheduler.recordReplaced(target, now());
     return;
   }
   if (failure != AttemptFailure::Refused)
--- a/src/libbergamotgateway/groupprogress.cpp
+++ b/src/libbergamotgateway/groupprogress.cpp
@@ -3,23 +3,24 @@
 namespace bergamot::gateway {
 
 using base::TimePoint;
+using std::chrono::milliseconds;
 
 namespace {
 
 /// Time without progress after which a group counts as stalled. On the
 /// deployments, passes take up to 200 ms and a first event up to 400 ms.
-constexpr std::chrono::milliseconds StallTimeout{500};
+constexpr milliseconds StallTimeout{500};
 /// A refusal after at least this time comes from a stalled group; a full target
 /// refuses within a few milliseconds.
-constexpr std::chrono::milliseconds MinStallRefusalTime{250};
+constexpr milliseconds MinStallRefusalTime{250};
 /// Interval between requests that probe whether a stalled group has recovered.
-constexpr std::chrono::milliseconds ProbeInterval{300};
+constexpr milliseconds ProbeInterval{300};
 /// Probe interval while the group is re-forming. Each probe may be refused, and
 /// its retry counts against the retry budget.
-constexpr std::chrono::milliseconds ReFormingProbeInterval{250};
+constexpr milliseconds ReFormingProbeInterval{250};
 /// A request that hasn't been refused within this time was accepted: a group
 /// that is re-forming refuses within a few milliseconds.
-constexpr std::chrono::milliseconds AcceptanceDelay{30};
+constexpr milliseconds AcceptanceDelay{30};
 
 } // namespace
 
@@ -74,4 +75,25 @@
   state.AwaitingProgressSince.reset();
 }
 
+void GroupProgress::recordClosed(const std::string &group) {
+  State &state = ByGroup[group];
+  state.Stalled = false;
+  state.ReForming = true;
+  state.AwaitingProgressSince.reset();
+}
+
+void GroupProgress::recordReplacedRank(const std::string &group,
+                                       TimePoint now) {
+  // The record of the replaced rank may be older than the last progress.
+  const auto it = ByGroup.find(group);
+  if (it == ByGroup.end() || !it->second.HasProgressed ||
+      now >= it->second.LastProgressAt + StallTimeout)
+    recordClosed(group);
+}
+
+void GroupProgress::recordOpened(const std::string &group, TimePoint now) {
+  // As many requests as wait may be sent, not only a probe.
+  recordProgress(group, now);
+}
+
 } // namespace bergamot::gateway
--- a/src/libbergamotgateway/groupprogress.h
+++ b/src/libbergamotgateway/groupprogress.h
@@ -19,6 +19,11 @@
 /// A group whose ranks are running but which hasn't re-formed yet refuses
 /// requests immediately. The first request that it doesn't refuse shows that it
 /// accepts requests, well before the first event of the response.
+///
+/// Where the records of the ranks are used (recordClosed, recordOpened), a
+/// group that they call closed counts as re-forming. It still gets probes, as
+/// an entry reads the records up to a second late, and gets all requests as
+/// soon as they call it open.
 class GroupProgress {
 public:
   /// Returns whether the group is expected to process requests without a stall.
@@ -33,6 +38,15 @@
   /// Records the refusal of a request that was sent at `sentAt`.
   void recordRefusal(const std::string &group, base::TimePoint sentAt,
                      base::TimePoint now);
+  /// Records that, by its ranks' records, the group stopped accepting requests.
+  void recordClosed(const std::string &group);
+  /// Records that a request reached another instance than that of the rank's
+  /// record. The rank has restarted, so the group has to re-form, unless it has
+  /// just made progress. Such a response doesn't show that the group accepts
+  /// requests.
+  void recordReplacedRank(const std::string &group, base::TimePoint now);
+  /// Records that, by its ranks' records, the group accepts requests again.
+  void recordOpened(const std::string &group, base::TimePoint now);
 
 private:
   struct State {
--- a/src/libbergamotgateway/targetscheduler.cpp
+++ b/src/libbergamotgateway/targetscheduler.cpp
@@ -75,6 +75,7 @@
     if (service && service->Engine)
       EngineLimits[it] = {*service->Engine, minEventGapObjective(*Table, it)};
   }
+  ServicesWithGroupRecords = activeServices(Settings.UseGroupRecords, *Table);
   Loads.setReportLifetime(priorities.empty() ? Settings.ReportLifetime
                                              : SharedReportLifetime);
 }
--- a/src/libbergamotgateway/targetscheduler.h
+++ b/src/libbergamotgateway/targetscheduler.h
@@ -45,6 +45,9 @@
   Activation ShareSlots = Activation::Auto;
   /// For which services the limit on streams follows the passes of the groups.
   Activation LimitByGroup = Activation::Auto;
+  /// For which services the records of the ranks decide whether a group accepts
+  /// requests.
+  Activation UseGroupRecords = Activation::Auto;
 };
 
 /// What the choice of a target depends on in a request.
@@ -113,6 +116,15 @@
   double RequestsPerTarget = 0;
 };
 
+/// A change of whether a group accepts requests, by the records of its ranks.
+struct GroupStateChange {
+  std::string Group;
+  bool Open = false;
+  std::size_t Ranks = 0;
+  std::size_t OpenRanks = 0;
+  std::size_t ClosedRanks = 0;
+};
+
 /// What an entry knows of the targets, and what it decides from that: which
 /// targets a request may be sent to, how many requests each may have, and which
 /// one is chosen. Knows nothing of connections and clocks; every time is passed
@@ -126,6 +138,13 @@
   /// Sets the names of the entries that may be running. This entry's own name
   /// may be omitted.
   void setEntryNames(const std::set<std::string> &names);
+  /// Adds or replaces a target, see TargetDirectory::setTarget(). Returns the
+  /// change of its group's state if the record causes one.
+  std::optional<GroupStateChange> setTarget(const TargetRecord &record,
+                                            TimePoint now,
+                                            TargetDirectory::RecordAge age);
+  /// Records that a request was answered by another instance than a target's.
+  void recordReplaced(const std::string &target, TimePoint now);
   /// Replaces the last report of another entry.
   void setReport(const std::string &entry, RequestCounts counts, TimePoint now);
   /// Removes expired targets, reports and statements.
@@ -234,6 +253,8 @@
   bool isWithinColdRate(const std::string &service, const std::string &target,
                         TimePoint now);
   void updateEntries();
+  std::optional<GroupStateChange> updateGroupState(const std::string &group,
+                                                   TimePoint now);
 
   SchedulerSettings Settings;
   std::shared_ptr<const RouteTable> Table;
@@ -251,6 +272,9 @@
   SlotSharing Sharing;
   GroupStreamLimit GroupLimits;
   std::map<std::string, GroupLoad> LoadByGroup;
+  std::set<std::string> ServicesWithGroupRecords;
+  /// The groups that don't accept requests by the records of their ranks.
+  std::set<std::string> ClosedGroups;
   std::map<std::string, RateWindow> DispatchesByTarget;
   std::set<std::string> EntryNames;
   bool EntryNamesSet = false;
--- a/src/libbergamotgateway/targetschedulergroups.cpp
+++ b/src/libbergamotgateway/targetschedulergroups.cpp
@@ -10,6 +10,11 @@
 constexpr std::chrono::milliseconds GroupLoadLifetime{25};
 /// How long the load of a group without events is kept.
 constexpr std::chrono::seconds GroupLoadMemory{60};
+/// Fraction of a group's ranks above which closed records close it.
+constexpr double ClosedFraction = 0.5;
+/// Fraction of a group's ranks from which on open records open it again. Higher
+/// than the rest, as the records of many ranks arrive one after another.
+constexpr double OpenFraction = 0.75;
 
 } // namespace
 
@@ -31,6 +36,56 @@
   return load.RequestsPerTarget;
 }
 
+std::optional<GroupStateChange>
+TargetScheduler::setTarget(const TargetRecord &record, TimePoint now,
+                           TargetDirectory::RecordAge age) {
+  const KnownTarget *known = Directory.target(record.Id);
+  const bool hasChanged =
+      record.Membership &&
+      (!known || known->Record.Membership != record.Membership);
+  Directory.setTarget(record, now, age);
+  if (!hasChanged || !ServicesWithGroupRecords.contains(record.Service))
+    return std::nullopt;
+  return updateGroupState(record.Membership->Group, now);
+}
+
+void TargetScheduler::recordReplaced(const std::string &target, TimePoint now) {
+  const KnownTarget *known = Directory.target(target);
+  if (known && known->Record.Membership &&
+      ServicesWithGroupRecords.contains(known->Record.Service))
+    Groups.recordReplacedRank(known->Record.Membership->Group, now);
+  Directory.removeReplacedTarget(target);
+}
+
+/// Records that a group accepts requests or not if the records of most of its
+/// ranks agree on it. After a power loss, records from before it remain until
+/// each rank has registered again.
+std::optional<GroupStateChange>
+TargetScheduler::updateGroupState(const std::string &group, TimePoint now) {
+  GroupStateChange change;
+  change.Group = group;
+  for (const auto &[id, target] : Directory.targets()) {
+    const auto &membership = target.Record.Membership;
+    if (!membership || membership->Group != group)
+      continue;
+    change.Ranks = membership->GroupSize;
+    ++(membership->Open ? change.OpenRanks : change.ClosedRanks);
+  }
+  const auto ranks = static_cast<double>(change.Ranks);
+  if (static_cast<double>(change.ClosedRanks) > ClosedFraction * ranks) {
+    if (!ClosedGroups.insert(group).second)
+      return std::nullopt;
+    Groups.recordClosed(group);
+    return change;
+  }
+  if (static_cast<double>(change.OpenRanks) < OpenFraction * ranks ||
+      ClosedGroups.erase(group) == 0)
+    return std::nullopt;
+  Groups.recordOpened(group, now);
+  change.Open = true;
+  return change;
+}
+
 void TargetScheduler::recordEventGap(const std::string &target,
                                      base::Duration gap, TimePoint now) {
   const KnownTarget *known = Directory.target(target);
