--- a/tests/worstload/test_staleload.cpp
+++ b/tests/worstload/test_staleload.cpp
@@ -180,18 +180,20 @@
   }
 
   void admit(std::uint64_t number, SimulatedEntry &entry, milliseconds t) {
-    const std::uint32_t priority = number % 5 < 3 ? 0 : 1;
+    const std::size_t kind = number % 5 < 3 ? 0 : 1;
+    const gateway::Route &route = Routes[kind];
     const gateway::RequestTimes times{at(t), at(t + 8s), false};
-    const auto limits = gateway::waitLimits(Routes[priority], times);
+    const auto limits = gateway::waitLimits(route, times);
     entry.OnTimeArrived.add(at(t));
-    ++Total.Arrived[priority];
+    ++Total.Arrived[kind];
     if (!entry.Queue.isEmpty() &&
         !gateway::shouldEnqueue(limits, times, queueState(entry, t), at(t))) {
       ++Total.Rejected;
       return;
     }
-    entry.Queue.add(
-        {number, priority, at(t), limits.OnTimeUntil, limits.ExpiresAt}, at(t));
+    entry.Queue.add({number, gateway::competingPriority(route, nullptr), at(t),
+                     limits.OnTimeUntil, limits.ExpiresAt},
+                    at(t));
     entry.NeedsProcessing = true;
   }
 
@@ -233,8 +235,9 @@
       return false;
     const auto waited =
         std::chrono::duration_cast<milliseconds>(at(t) - request.ArrivedAt);
-    ++Total.Served[request.Priority];
-    Total.Waited[request.Priority] += waited;
+    const std::size_t kind = request.Priority == 0 ? 0 : 1;
+    ++Total.Served[kind];
+    Total.Waited[kind] += waited;
     Total.MaxWait = std::max(Total.MaxWait, waited);
     entry.Queue.remove(request.SequenceNumber);
     entry.Dispatched.add(at(t));
