--- a/src/libbergamotgateway/competingterms.cpp
+++ b/src/libbergamotgateway/competingterms.cpp
@@ -28,15 +28,18 @@
 
 std::set<std::uint32_t> competingPriorities(const RouteTable &table,
                                             const std::string &service) {
-  std::set<std::uint32_t> priorities;
+  // There may be thousands of routes, but they have few priorities.
+  std::map<std::uint32_t, const Route *> routeByPriority;
   for (const auto &route : table.routes())
-    for (const auto &it : route.Services) {
-      if (it.Service != service)
-        continue;
-      priorities.insert(competingPriority(route, nullptr));
-      for (const auto &account : table.accounts())
-        priorities.insert(competingPriority(route, &account));
-    }
+    for (const auto &it : route.Services)
+      if (it.Service == service)
+        routeByPriority.emplace(route.Priority, &route);
+  std::set<std::uint32_t> priorities;
+  for (const auto &[priority, route] : routeByPriority) {
+    priorities.insert(competingPriority(*route, nullptr));
+    for (const auto &account : table.accounts())
+      priorities.insert(competingPriority(*route, &account));
+  }
   return priorities;
 }
 
