--- a/src/libbergamotgateway/enginelimit.cpp
+++ b/src/libbergamotgateway/enginelimit.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+using FractionalMs = std::chrono::duration<double, std::milli>;
+
 /// Ratio of the highest to the mean load of the ranks right after a shift in
 /// expert popularity. Measured on the deployments' traffic: 2.8 to 3.7.
 constexpr double PopularityShiftSkew = 3.2;
@@ -39,22 +41,24 @@
   const double stepsPerPass = std::max(1U, engine.StepsPerPass);
   const double sequenceBudgetMs =
       MaxPassFraction * static_cast<double>(eventGapObjective.count()) -
-      std::chrono::duration<double, std::milli>(reserved).count() -
-      stepsPerPass * engine.StepBaseMs;
+      FractionalMs(reserved).count() - stepsPerPass * engine.StepBaseMs;
   return sequenceBudgetMs /
          (stepsPerPass * engine.StepMsPerSequence * sequenceFactor);
 }
 
+base::Duration prefillTime(const EngineProfile &engine, double prompts) {
+  if (engine.PrefillTokensPerMs <= 0)
+    return {};
+  return std::chrono::duration_cast<base::Duration>(FractionalMs(
+      prompts * engine.TypicalPromptTokens / engine.PrefillTokensPerMs));
+}
+
 base::Duration typicalStreamTime(const EngineProfile &engine,
                                  std::uint32_t streams) {
   const double stepMs = engine.StepBaseMs + engine.StepMsPerSequence * streams;
-  const double prefillMs =
-      engine.PrefillTokensPerMs > 0
-          ? engine.TypicalPromptTokens / engine.PrefillTokensPerMs
-          : 0;
-  return std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double, std::milli>(
-          prefillMs + stepMs * engine.TypicalOutputTokens));
+  return prefillTime(engine, 1) +
+         std::chrono::duration_cast<base::Duration>(
+             FractionalMs(stepMs * engine.TypicalOutputTokens));
 }
 
 milliseconds minEventGapObjective(const RouteTable &table,
--- a/src/libbergamotgateway/enginelimit.h
+++ b/src/libbergamotgateway/enginelimit.h
@@ -26,6 +26,10 @@
                          std::chrono::milliseconds eventGapObjective,
                          double skew, base::Duration reserved);
 
+/// Returns how long the prefill of a number of typical prompts takes; 0 if the
+/// profile doesn't say.
+base::Duration prefillTime(const EngineProfile &engine, double prompts);
+
 /// Returns how long a typical stream takes at an engine that runs a number of
 /// streams, while experts are used evenly; 0 if the profile doesn't say.
 base::Duration typicalStreamTime(const EngineProfile &engine,
--- a/src/libbergamotgateway/groupstreamlimit.cpp
+++ b/src/libbergamotgateway/groupstreamlimit.cpp
@@ -49,13 +49,6 @@
 /// raise nine on engines whose passes keep the objective with eight.
 constexpr double RaisedFraction = 0.25;
 
-Duration prefillTime(const EngineProfile &engine, double prompts) {
-  if (engine.PrefillTokensPerMs <= 0)
-    return {};
-  return std::chrono::duration_cast<Duration>(FractionalMs(
-      prompts * engine.TypicalPromptTokens / engine.PrefillTokensPerMs));
-}
-
 /// Returns the skew that a gap shows, or std::nullopt if no pass of the engine
 /// explains the gap.
 std::optional<double> skewOf(const EngineProfile &engine, Duration gap,
--- a/src/libbergamotgateway/groupstreamlimit.h
+++ b/src/libbergamotgateway/groupstreamlimit.h
@@ -19,12 +19,12 @@
 /// This answers demand above what the limit for the worst skew serves. The
 /// popularity of experts shifts every few seconds, which multiplies the skew
 /// until the next expert map, for less than half a second. Prompts that are
-/// prefilled in these passes make all running streams of the group late, so
-/// fewer streams are started until the skew is low again.
+/// prefilled in these passes make all running streams of the group late, so the
+/// limit falls to that for the worst skew until the skew is low again.
 ///
-/// While passes are short, half of the raise above the limit for the worst skew
-/// is used: shifts can't be foreseen, and the streams that are started before
-/// one still run in it.
+/// While passes are short, a quarter of the raise above the limit for the worst
+/// skew is used: shifts can't be foreseen, and the streams that are started
+/// before one still run in it.
 class GroupStreamLimit {
 public:
   /// Records the time between two events of one stream of a group.
