--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -54,7 +54,7 @@
     return;
   }
   PromptParts = gateway::promptParts(Service, RequestInfo.SharedPromptParts);
-  Owner.codec().prepareForwarding(Head.Headers, Account);
+  Owner.codec().prepareForwarding(Head.Headers, account());
   startDeadlineTimer();
   Queued = true;
   Owner.enqueue(shared_from_this());
@@ -62,11 +62,14 @@
 
 bool Exchange::authenticate() {
   Client = RequestInfo.ApiKey ? Table->account(*RequestInfo.ApiKey) : nullptr;
-  if (Client)
-    Account = Client->Name;
   return Client || Route->Public || !Table->hasAccounts();
 }
 
+const std::string &Exchange::account() const {
+  static const std::string none;
+  return Client ? Client->Name : none;
+}
+
 void Exchange::startDeadlineTimer() {
   DeadlineTimer.expires_at(Deadline);
   DeadlineTimer.async_wait(
@@ -180,9 +183,9 @@
 
 /// Records that the target has begun to run the request in this attempt.
 void Exchange::recordExecution(TimePoint begunAt) {
-  if (std::exchange(Current->ExecutionRecorded, true) || Account.empty())
+  if (std::exchange(Current->ExecutionRecorded, true) || account().empty())
     return;
-  Owner.recordExecution(Account, begunAt);
+  Owner.recordExecution(account(), begunAt);
 }
 
 /// Returns whether the target may have run the request in this attempt, as far
@@ -255,8 +258,8 @@
     fields["waiting"] = Owner.queuedCount(Service);
     fields["entries"] = Owner.entryCount();
     fields["priority"] = Priority;
-    if (!Account.empty())
-      fields["account"] = Account;
+    if (!account().empty())
+      fields["account"] = account();
   }
   if (cause)
     addFailureFields(fields, cause);
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -81,7 +81,7 @@
   bool hasResponseStarted() const { return ResponseStarted; }
   std::uint32_t priority() const { return Priority; }
   /// The name of the client account; empty if the request has none.
-  const std::string &account() const { return Account; }
+  const std::string &account() const;
   const CallerRequest &request() const { return RequestInfo; }
   /// Returns how many more times the request may be dispatched. A dispatch is
   /// an attempt in which the request has been sent to its target: it doesn't
@@ -167,7 +167,6 @@
   CallerRequest RequestInfo;
   std::shared_ptr<const gateway::RouteTable> Table;
   const gateway::Route *Route = nullptr;
-  std::string Account;
   std::string Service;
   std::uint64_t ExchangeId;
   /// The client account; null if the request needs none.
