--- a/src/entrypath/decisionreport.cpp
+++ b/src/entrypath/decisionreport.cpp
@@ -71,16 +71,13 @@
                                      TimePoint now) {
   gateway::DispatchTerms terms;
   terms.Service = request.Service;
-  terms.Priority = request.Priority;
   const gateway::RequestTimes times{now, TimePoint::max(), false};
   terms.IsLate =
       gateway::waitLimits(*request.Route, times).OnTimeUntil <= now &&
       !entry.scheduler().isStalled(request.Service, now);
-  gateway::WaitingRequest waiting;
-  waiting.Priority = request.Priority;
   if (const gateway::WaitQueue *queue = entry.waitQueue(request.Service))
     terms.MoreUrgentPerSecond =
-        static_cast<double>(queue->moreUrgentArrivals(waiting));
+        static_cast<double>(queue->moreUrgentArrivals(request.Priority, false));
   return terms;
 }
 
--- a/src/entrypath/entrydispatch.cpp
+++ b/src/entrypath/entrydispatch.cpp
@@ -21,6 +21,10 @@
 /// disconnect after a gap of two seconds.
 constexpr milliseconds MaxResumeWait{1500};
 
+bool wasSentBefore(const Exchange &exchange) {
+  return exchange.hasResponseStarted() || !exchange.failedTargets().empty();
+}
+
 } // namespace
 
 ServiceState &Entry::service(const std::string &serviceName) {
@@ -127,8 +131,7 @@
   request.ArrivedAt = exchange.arrivedAt();
   request.OnTimeUntil = limits.OnTimeUntil;
   request.ExpiresAt = limits.ExpiresAt;
-  request.WasSentBefore =
-      exchange.hasResponseStarted() || !exchange.failedTargets().empty();
+  request.WasSentBefore = wasSentBefore(exchange);
   request.Account = exchange.account();
   return request;
 }
@@ -235,10 +238,14 @@
 /// Returns whether another late request may be sent, where requests count by
 /// priority.
 bool Entry::maySendLate(const std::string &serviceName, ServiceState &state) {
-  return !state.Queue.settings().CountsByPriority ||
-         static_cast<double>(state.LateDispatched.count(now())) <
-             gateway::lateRequestRate(queueState(serviceName, state),
-                                      Scheduler.streamTime(serviceName));
+  if (!state.Queue.settings().CountsByPriority)
+    return true;
+  const TimePoint at = now();
+  gateway::QueueState queue;
+  queue.OnTimeArrived = state.OnTimeArrivals.count(at);
+  queue.SlotsOfThisEntry = Scheduler.slotShare(serviceName, at);
+  return static_cast<double>(state.LateDispatched.count(at)) <
+         gateway::lateRequestRate(queue, Scheduler.streamTime(serviceName));
 }
 
 /// Counts and logs which of the shared slots a request may use.
@@ -277,7 +284,6 @@
 gateway::DispatchTerms Entry::dispatchTerms(const Exchange &exchange) {
   gateway::DispatchTerms terms;
   terms.Service = exchange.service();
-  terms.Priority = exchange.priority();
   terms.IsLate = !exchange.hasResponseStarted() &&
                  waitLimits(exchange).OnTimeUntil <= now() &&
                  !isStalled(terms.Service);
@@ -287,7 +293,8 @@
       exchange.failedTargets().empty() || exchange.dispatchesLeft() > 1;
   terms.MoreUrgentPerSecond = static_cast<double>(
       service(terms.Service)
-          .Queue.moreUrgentArrivals(waitingRequest(exchange)));
+          .Queue.moreUrgentArrivals(exchange.priority(),
+                                    wasSentBefore(exchange)));
   terms.BusyTargets = exchange.busyTargets();
   terms.FailedTargets = exchange.failedTargets();
   return terms;
--- a/src/libbergamotgateway/targetscheduler.h
+++ b/src/libbergamotgateway/targetscheduler.h
@@ -53,7 +53,6 @@
 /// What the choice of a target depends on in a request.
 struct DispatchTerms {
   std::string Service;
-  std::uint32_t Priority = 0;
   /// The request can't meet its latency objective any more.
   bool IsLate = false;
   /// The request may be sent to a group of which it isn't known whether it
--- a/src/libbergamotgateway/waitqueue.cpp
+++ b/src/libbergamotgateway/waitqueue.cpp
@@ -114,14 +114,15 @@
   return ahead;
 }
 
-std::size_t WaitQueue::moreUrgentArrivals(const WaitingRequest &request) const {
-  if (!Settings.CountsByPriority || request.WasSentBefore)
+std::size_t WaitQueue::moreUrgentArrivals(std::uint32_t priority,
+                                          bool wasSentBefore) const {
+  if (!Settings.CountsByPriority || wasSentBefore)
     return 0;
   std::size_t arrivals = 0;
-  for (const auto &[priority, level] : Levels) {
-    if (priority == request.Priority && dueSends(level) > 0)
+  for (const auto &[levelPriority, level] : Levels) {
+    if (levelPriority == priority && dueSends(level) > 0)
       return 0;
-    if (priority < request.Priority)
+    if (levelPriority < priority)
       arrivals += level.Arrived.storedCount();
   }
   return arrivals;
--- a/src/libbergamotgateway/waitqueue.h
+++ b/src/libbergamotgateway/waitqueue.h
@@ -93,10 +93,11 @@
   /// settings, or because the request is late or was sent before.
   std::optional<std::size_t> onTimeAhead(const WaitingRequest &request,
                                          TimePoint now) const;
-  /// Returns how many requests more urgent than a waiting one have arrived in
-  /// the last second. 0 if requests don't count by priority, if the request was
-  /// sent before, or if its priority is short of its minimum share.
-  std::size_t moreUrgentArrivals(const WaitingRequest &request) const;
+  /// Returns how many requests more urgent than one of a priority have arrived
+  /// in the last second. 0 if requests don't count by priority, if the request
+  /// was sent before, or if its priority is short of its minimum share.
+  std::size_t moreUrgentArrivals(std::uint32_t priority,
+                                 bool wasSentBefore) const;
   /// Returns the on-time requests in the order in which they will be sent, as
   /// far as the requests that are waiting and the current counts of sends
   /// determine it. The pointers are valid until the queue changes.
--- a/tests/gateway/test_competingterms.cpp
+++ b/tests/gateway/test_competingterms.cpp
@@ -39,27 +39,22 @@
   WaitQueue queue;
   queue.setSettings({true, false});
   const TimePoint now(1h);
-  const auto request = [&](std::uint32_t priority, bool wasSent = false) {
-    WaitingRequest it;
-    it.Priority = priority;
-    it.WasSentBefore = wasSent;
-    return it;
-  };
   // Each priority has had its minimum share of the sends.
   for (std::uint32_t i = 0; i < 12; ++i) {
     queue.recordArrival(i % 3, now);
-    WaitingRequest sent = request(i % 3);
+    WaitingRequest sent;
+    sent.Priority = i % 3;
     sent.SequenceNumber = i;
     sent.OnTimeUntil = sent.ExpiresAt = now + 1s;
     queue.add(sent, now);
     queue.removeSent(i, now);
   }
-  CHECK(queue.moreUrgentArrivals(request(0)) == 0);
-  CHECK(queue.moreUrgentArrivals(request(2)) == 8);
-  CHECK(queue.moreUrgentArrivals(request(2, true)) == 0);
+  CHECK(queue.moreUrgentArrivals(0, false) == 0);
+  CHECK(queue.moreUrgentArrivals(2, false) == 8);
+  CHECK(queue.moreUrgentArrivals(2, true) == 0);
   // A priority that arrives but isn't sent is short of its minimum share.
   queue.recordArrival(3, now);
-  CHECK(queue.moreUrgentArrivals(request(3)) == 0);
+  CHECK(queue.moreUrgentArrivals(3, false) == 0);
 }
 
 // Guards against late requests that occupy all slots after a power loss, so
--- a/tests/gateway/test_explanation.cpp
+++ b/tests/gateway/test_explanation.cpp
@@ -51,7 +51,8 @@
 DispatchTerms makeTerms(std::uint32_t priority) {
   DispatchTerms terms;
   terms.Service = "s";
-  terms.Priority = priority;
+  // Slots are kept free for requests that are more urgent.
+  terms.MoreUrgentPerSecond = 20.0 * priority;
   return terms;
 }
 
--- a/tests/worstload/test_staleload.cpp
+++ b/tests/worstload/test_staleload.cpp
@@ -227,7 +227,6 @@
     SimulatedEntry &entry = *Entries[index];
     gateway::DispatchTerms terms;
     terms.Service = "chat";
-    terms.Priority = request.Priority;
     terms.IsLate = request.OnTimeUntil <= at(t);
     const gateway::KnownTarget *target =
         entry.Scheduler.choose(terms, Uniform(Random), at(t)).Target;
