--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,6 +1,8 @@
 // Two of three entries are turned away by the store for nine seconds. A key is
 // revoked meanwhile. The third entry has the new configuration; the other two
-// must have it seven seconds after its acknowledgement.
+// must have it seven seconds after its acknowledgement. Which entries ask which
+// others depends on the moment at which the disruption begins, so it comes up
+// to four times, each time at another moment and with another key.
 #include "../support-2/entry.h"
 #include "../support-2/record.h"
 #include "../support-2/worker.h"
@@ -22,16 +24,25 @@
 
 constexpr auto Service = "ledger";
 constexpr auto KeptKey = "keptkey0000000000001";
-constexpr auto RevokedKey = "revokedkey0000000002";
+constexpr int Rounds = 4;
 /// `configuration-ms` and `outer-bound-ms`.
 constexpr auto Bound = 2000ms + 5000ms;
 /// How long the store turns the two machines away.
 constexpr auto OutageTime = 9000ms;
+/// Time from one disruption to the next; longer than `stable-window-ms`.
+constexpr auto PauseTime = 4370ms;
 
-std::string configuration(int version, bool withRevokedKey) {
+std::string roundKey(int round) {
+  return "revokedkey000000000" + std::to_string(round);
+}
+
+/// The configuration of a version, from which the keys of the rounds up to
+/// `revoked` have been removed.
+std::string configuration(int version, int revoked) {
   json tenants = {{{"name", "kept"}, {"api-keys", {KeptKey}}}};
-  if (withRevokedKey)
-    tenants.push_back({{"name", "revoked"}, {"api-keys", {RevokedKey}}});
+  for (int i = revoked + 1; i <= Rounds; ++i)
+    tenants.push_back(
+        {{"name", "tenant" + std::to_string(i)}, {"api-keys", {roundKey(i)}}});
   const json route = {{"name", "pay"},          {"host", review::HostName},
                       {"path-prefix", "/pay/"}, {"kind", "unsafe"},
                       {"timeout-ms", 4000},     {"target-latency-ms", 300},
@@ -77,30 +88,20 @@
   }
 
   int run() {
-    (void)Store.put("keyed.op", "config", configuration(1, true));
+    (void)Store.put("keyed.op", "config", configuration(1, 0));
     for (const auto &it : Entries)
       it->start();
     if (!review::waitUntil([this] { return areReady(); }, Clock::now() + 15s))
       return cannotRun("the entries aren't ready");
     std::this_thread::sleep_for(3s);
-    if (!servesBothKeys())
-      return cannotRun("a key isn't served before the disruption");
-    if (Trouble)
-      setAccess(review::Store::Access::Reset);
-    const TimePoint turnedAwayAt = Clock::now();
-    std::this_thread::sleep_for(500ms);
-    const TimePoint acknowledgedAt =
-        Store.put("keyed.op", "config", configuration(2, false));
-    Log.line("configuration 2 without the key is acknowledged");
-    std::this_thread::sleep_until(acknowledgedAt + Bound + 200ms);
     int broken = 0;
-    while (Clock::now() < turnedAwayAt + OutageTime - 200ms) {
-      for (const auto &it : Entries)
-        broken += runsRevokedKey(*it, acknowledgedAt) ? 1 : 0;
-      std::this_thread::sleep_for(100ms);
+    for (int round = 1; round <= Rounds && broken == 0; ++round) {
+      if (!servesKey(KeptKey) || !servesKey(roundKey(round)))
+        return cannotRun("a key isn't served before the disruption");
+      broken = revokedRuns(round);
+      std::this_thread::sleep_for(PauseTime);
     }
-    setAccess(review::Store::Access::Serve);
-    Log.line("requests run with the revoked key: " + std::to_string(broken));
+    Log.line("requests run with a revoked key: " + std::to_string(broken));
     return broken > 0 ? 1 : 0;
   }
 
@@ -140,19 +141,42 @@
     return status;
   }
 
-  bool servesBothKeys() {
+  bool servesKey(const std::string &key) {
     for (const auto &it : Entries)
-      for (const std::string key : {KeptKey, RevokedKey})
-        if (status(*it, key, nextId()) != 200)
-          return false;
+      if (status(*it, key, nextId()) != 200)
+        return false;
     return true;
   }
 
-  bool runsRevokedKey(const review::Entry &entry, TimePoint acknowledgedAt) {
+  /// Turns two entries away and revokes a key. Returns how many requests with
+  /// it have run after the bound.
+  int revokedRuns(int round) {
+    if (Trouble)
+      setAccess(review::Store::Access::Busy);
+    const TimePoint turnedAwayAt = Clock::now();
+    std::this_thread::sleep_for(500ms);
+    const int version = round + 1;
+    const TimePoint acknowledgedAt =
+        Store.put("keyed.op", "config", configuration(version, round));
+    Log.line("configuration " + std::to_string(version) + " without the key " +
+             roundKey(round) + " is acknowledged");
+    std::this_thread::sleep_until(acknowledgedAt + Bound + 200ms);
+    int broken = 0;
+    while (Clock::now() < turnedAwayAt + OutageTime - 200ms) {
+      for (const auto &it : Entries)
+        broken += runsKey(*it, roundKey(round), acknowledgedAt) ? 1 : 0;
+      std::this_thread::sleep_for(100ms);
+    }
+    setAccess(review::Store::Access::Serve);
+    return broken;
+  }
+
+  bool runsKey(const review::Entry &entry, const std::string &key,
+               TimePoint acknowledgedAt) {
     const std::string id = nextId();
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
         Clock::now() - acknowledgedAt);
-    (void)status(entry, RevokedKey, id);
+    (void)status(entry, key, id);
     if (Runs.of(id).empty())
       return false;
     Log.line("BROKEN: " + id + " was sent " + std::to_string(age.count()) +
