--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 out=../target/review-2
 mkdir -p "$out"
 shopt -s nullglob
-cases=([6-9]/case.cpp [1]0/case.cpp)
+cases=([6-9]/scenario.cpp [1]0/scenario.cpp)
 for source in support-2/*.cpp "${cases[@]}"; do
   name=${source%.cpp}
   g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -c "$source" \
@@ -16,6 +16,6 @@
   wait "$job"
 done
 for source in "${cases[@]}"; do
-  number=${source%/case.cpp}
-  g++ -o "$out/case-$number" "$out/$number-case.o" "$out"/support-2-*.o -pthread
+  number=${source%/scenario.cpp}
+  g++ -o "$out/case-$number" "$out/$number-scenario.o" "$out"/support-2-*.o -pthread
 done
--- a/review/support-2/entry.cpp
+++ b/review/support-2/entry.cpp
@@ -102,9 +102,9 @@
   return 0;
 }
 
-Channel::Channel(const Entry &entry)
+Channel::Channel(const Entry &entry, int receiveBytes)
     : Connection(Socket::connect(entry.settings().Address,
-                                 entry.settings().CallerPort)) {}
+                                 entry.settings().CallerPort, receiveBytes)) {}
 
 Channel::Ending Channel::exchange(const Request &it, int &status) {
   status = 0;
@@ -124,8 +124,10 @@
         .append("\r\n");
   bytes.append("\r\n").append(it.Body);
   Message answer;
-  const bool isComplete = Connection->send(bytes) &&
-                          readMessage(*Connection, Input, deadline, answer);
+  const bool isSent = Connection->send(bytes);
+  std::this_thread::sleep_for(it.ReadPause);
+  const bool isComplete =
+      isSent && readMessage(*Connection, Input, deadline, answer);
   status = answer.status();
   if (isComplete)
     return Ending::Complete;
--- a/review/support-2/entry.h
+++ b/review/support-2/entry.h
@@ -66,6 +66,8 @@
   std::string Key;
   std::string Body;
   std::chrono::milliseconds Budget{4000};
+  /// The client doesn't read for this long after it has sent the request.
+  std::chrono::milliseconds ReadPause{0};
 };
 
 /// A client's channel to an entry, kept for several requests.
@@ -74,7 +76,7 @@
   /// How an answer ended.
   enum class Ending { Complete, Cut, NoAnswer };
 
-  explicit Channel(const Entry &entry);
+  explicit Channel(const Entry &entry, int receiveBytes = 0);
   bool isOpen() const { return Connection != nullptr; }
   /// Sends a request and reads its answer. `status` is 0 if none came. The
   /// ending is NoAnswer if not one byte of an answer came.
--- a/review/support-2/socket.cpp
+++ b/review/support-2/socket.cpp
@@ -97,11 +97,18 @@
 Socket::~Socket() { ::close(Fd); }
 
 std::unique_ptr<Socket> Socket::connect(const std::string &address,
-                                        unsigned short port) {
+                                        unsigned short port, int receiveBytes) {
   const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (fd < 0)
     return nullptr;
   auto socket = std::make_unique<Socket>(fd);
+  if (receiveBytes > 0) {
+    // The segment size of Ethernet, as that of loopback exceeds the buffer.
+    const int segmentBytes = 1460;
+    ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
+    ::setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segmentBytes,
+                 sizeof segmentBytes);
+  }
   const sockaddr_in it = socketAddress(address, port);
   if (::connect(fd, reinterpret_cast<const sockaddr *>(&it), sizeof it) != 0)
     return nullptr;
--- a/review/support-2/socket.h
+++ b/review/support-2/socket.h
@@ -22,9 +22,12 @@
   Socket(const Socket &) = delete;
   Socket &operator=(const Socket &) = delete;
 
-  /// Connects to an address on the loopback network. Returns null on failure.
+  /// Connects to an address on the loopback network. `receiveBytes` is the
+  /// size of the receive buffer; 0 for the system's default. Returns null on
+  /// failure.
   static std::unique_ptr<Socket> connect(const std::string &address,
-                                         unsigned short port);
+                                         unsigned short port,
+                                         int receiveBytes = 0);
 
   bool send(const std::string &bytes);
   /// Appends what has arrived to `buf`. Returns false at the end of the
--- a/review/support-2/worker.cpp
+++ b/review/support-2/worker.cpp
@@ -101,7 +101,7 @@
     return socket.send(head + "Content-Type: text/event-stream\r\n"
                               "Transfer-Encoding: chunked\r\n\r\n") &&
            streamEvents(socket);
-  const std::string body = "done by " + Config.Id;
+  const std::string body(Config.AnswerBytes, 'x');
   return socket.send(head + "Content-Length: " + std::to_string(body.size()) +
                      "\r\n\r\n" + body);
 }
--- a/review/support-2/worker.h
+++ b/review/support-2/worker.h
@@ -47,6 +47,8 @@
     /// Number of events of a stream; 0 for a plain answer.
     unsigned Events = 0;
     std::chrono::milliseconds EventGap{100};
+    /// Bytes of a plain answer.
+    std::size_t AnswerBytes = 800;
   };
 
   Worker(Settings settings, Store &store, Runs &runs, Record &record);
