adaptertcp: Find second responses whose heads HTTP doesn't allow

Callers got, as one body, the beginning of a target's answer and after it the head and the body of another: a target in trouble that answers twice may send the second head with a blank or a control character in the name of a field.

Cause: the search for a second response within a body looked for heads that HTTP allows. findTargetHead took a line whose name isn't a token for the end of the head, and findResponseHead asked http_parser, which refuses control characters. Both now accept any status and, in names, blanks and control characters, since the target in trouble is what they look for. Other characters that no name has still end a head, so that a body may quote the protocol before JSON or text ("text that only resembles a head ..."). findResponseHead uses the same search of lines, whose work grows with the number of bytes alone.

The reference of the differential test used the parser.

--- a/src/adaptertcp/httpmessage.cpp
+++ b/src/adaptertcp/httpmessage.cpp
@@ -1,5 +1,7 @@
 #include "adaptertcp/httpmessage.h"
 
+#include "libbergamotbase/httpheadsyntax.h"
+
 #include <http_parser.h>
 
 #include <algorithm>
@@ -44,13 +46,8 @@
 }
 
 bool isToken(std::string_view text) {
-  constexpr std::string_view TokenPunctuation = "!#$%&'*+-.^_`|~";
-  const auto isTokenChar = [&](char c) {
-    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') ||
-           (c >= 'A' && c <= 'Z') ||
-           TokenPunctuation.find(c) != std::string_view::npos;
-  };
-  return !text.empty() && std::all_of(text.begin(), text.end(), isTokenChar);
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), base::isTokenChar);
 }
 
 std::optional<std::int64_t> parseNumber(std::string_view text) {
--- a/src/adaptertcp/httpmessage.h
+++ b/src/adaptertcp/httpmessage.h
@@ -48,8 +48,7 @@
 /// to HEAD.
 bool mayHaveBody(int status);
 
-/// Returns whether a text is a token (RFC 9110, 5.6.2). http_parser accepts
-/// spaces in field names, which other implementations may read as a different
+/// Returns whether a text is a token (RFC 9110, 5.6.2), such as the name of a
 /// field.
 bool isToken(std::string_view text);
 
--- a/src/adaptertcp/responsesearch.cpp
+++ b/src/adaptertcp/responsesearch.cpp
@@ -1,6 +1,6 @@
 #include "adaptertcp/responsesearch.h"
 
-#include "adaptertcp/messageparser.h"
+#include "libbergamotbase/httpheadsyntax.h"
 
 #include <algorithm>
 
@@ -16,35 +16,12 @@
 /// for a body with many status lines, and the bytes that aren't decided yet.
 constexpr std::size_t MaxHeadBytes = 16384;
 
-bool startsWithHead(std::string_view bytes, HeadExtent extent) {
-  const std::string_view start =
-      bytes.substr(0, std::min(bytes.size(), MaxHeadBytes));
-  MessageParser parser(MessageParser::Kind::Response);
-  (void)parser.push(start);
-  if (parser.isHeadComplete())
-    return true;
-  return extent == HeadExtent::MaybeCut && !parser.hasFailed() &&
-         start.size() == bytes.size() && start.size() >= MinCutHeadBytes;
-}
-
-/// Returns whether bytes are the beginning of a status line: the version, a
-/// space, three digits, and a space or the end of the line.
-bool matchesStatusLine(std::string_view bytes) {
-  constexpr std::string_view Pattern = "HTTP/1.d ddd";
-  const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
-  for (std::size_t i = 0; i < std::min(bytes.size(), Pattern.size()); ++i)
-    if (Pattern[i] == 'd' ? !isDigit(bytes[i]) : bytes[i] != Pattern[i])
-      return false;
-  return bytes.size() <= Pattern.size() || bytes[Pattern.size()] == ' ' ||
-         bytes[Pattern.size()] == '\r';
-}
-
 /// Returns where the first status line after an offset begins, which may be cut
 /// by the end of the bytes.
 std::size_t findStatusLine(std::string_view bytes, std::size_t from) {
   for (std::size_t at = bytes.find(VersionPrefix, from);
        at != std::string_view::npos; at = bytes.find(VersionPrefix, at + 1))
-    if (matchesStatusLine(bytes.substr(at)))
+    if (base::matchesStatusLine(bytes.substr(at)))
       return at;
   const std::size_t n = std::min(bytes.size(), VersionPrefix.size() - 1);
   for (std::size_t at = std::max(from, bytes.size() - n); at < bytes.size();
@@ -62,12 +39,25 @@
   std::size_t End = 0;
 };
 
-/// Returns whether a line is a field.
+/// Returns whether a character may be part of a field's name as a target in
+/// trouble sends it: no name has blanks or control characters.
+bool isNameChar(char c) {
+  return base::isTokenChar(c) || c == ' ' || c == '\t' || !base::isTextChar(c);
+}
+
+/// Returns whether a line may begin the name of a field.
+bool mayBeginField(std::string_view line) {
+  const std::string_view name = line.substr(0, line.find(':'));
+  return std::all_of(name.begin(), name.end(), isNameChar) &&
+         !line.starts_with(':');
+}
+
 bool isFieldLine(std::string_view line) {
-  const std::size_t colon = line.find(':');
-  return colon != std::string_view::npos && isToken(line.substr(0, colon));
+  return mayBeginField(line) && line.find(':') != std::string_view::npos;
 }
 
+/// Reads the lines of what may be the head of a response. The head needn't be
+/// one that HTTP allows.
 LineRun readLines(std::string_view bytes, std::size_t statusLineAt) {
   std::size_t lf = bytes.find('\n', statusLineAt);
   if (lf == std::string_view::npos)
@@ -75,19 +65,23 @@
   if (bytes[lf - 1] != '\r')
     return {LineRun::Ending::OtherLine, lf + 1};
   bool hasField = false;
+  const auto continuesField = [&hasField](std::string_view line) {
+    return hasField && (line.starts_with(' ') || line.starts_with('\t'));
+  };
   std::size_t at = lf + 1;
   for (lf = bytes.find('\n', at); lf != std::string_view::npos;
        lf = bytes.find('\n', at)) {
     const std::string_view line = bytes.substr(at, lf - at);
     if (line == "\r")
       return {LineRun::Ending::EmptyLine, lf + 1};
-    const bool continuesField =
-        hasField && (line.starts_with(' ') || line.starts_with('\t'));
-    if (!line.ends_with('\r') || !(continuesField || isFieldLine(line)))
+    if (!line.ends_with('\r') || !(continuesField(line) || isFieldLine(line)))
       return {LineRun::Ending::OtherLine, at};
     hasField = true;
     at = lf + 1;
   }
+  const std::string_view cutLine = bytes.substr(at);
+  if (!continuesField(cutLine) && !mayBeginField(cutLine))
+    return {LineRun::Ending::OtherLine, at};
   return {LineRun::Ending::EndOfBytes, bytes.size()};
 }
 
@@ -119,11 +113,11 @@
 
 std::optional<std::size_t> findResponseHead(std::string_view bytes,
                                             HeadExtent extent) {
-  for (std::size_t at = bytes.find(VersionPrefix); at != std::string_view::npos;
-       at = bytes.find(VersionPrefix, at + 1))
-    if (startsWithHead(bytes.substr(at), extent))
-      return at;
-  return std::nullopt;
+  const TargetHeadSearch search =
+      findTargetHead(bytes, extent, [](const ResponseHead &) { return true; });
+  if (!search.HeadAt || bytes.size() - *search.HeadAt < MinCutHeadBytes)
+    return std::nullopt;
+  return search.HeadAt;
 }
 
 TargetHeadSearch findTargetHead(std::string_view bytes, HeadExtent extent,
@@ -150,7 +144,7 @@
 }
 
 bool startsWithStatusLine(std::string_view bytes) {
-  return !bytes.empty() && matchesStatusLine(bytes);
+  return !bytes.empty() && base::matchesStatusLine(bytes);
 }
 
 } // namespace bergamot::adaptertcp
--- a/src/adaptertcp/responsesearch.h
+++ b/src/adaptertcp/responsesearch.h
@@ -15,7 +15,9 @@
 
 /// Returns where the head of a response begins within the bytes of a body, if
 /// there is one. A body that ends with its connection may be followed by a
-/// further response, which nothing but its head tells from the body.
+/// further response, which nothing but its head tells from the body. The head
+/// of a target in trouble needn't be one that HTTP allows: any status and, in
+/// names, blanks and control characters count.
 std::optional<std::size_t> findResponseHead(std::string_view bytes,
                                             HeadExtent extent);
 
@@ -32,9 +34,9 @@
 
 /// Searches the bytes of a framed body for the head of a target's response. A
 /// body may quote the heads of others, so `isOfTarget` is asked, with the
-/// status and the fields of the head. With HeadExtent::MaybeCut, the fields up
-/// to the end of the bytes are enough. The work grows with the number of bytes
-/// alone.
+/// status and the fields of the head whose names HTTP allows. With
+/// HeadExtent::MaybeCut, the fields up to the end of the bytes are enough. The
+/// work grows with the number of bytes alone.
 TargetHeadSearch findTargetHead(std::string_view bytes, HeadExtent extent,
                                 const HeadCheck &isOfTarget);
 
--- a/tests/tcp/test_responsesearch.cpp
+++ b/tests/tcp/test_responsesearch.cpp
@@ -1,11 +1,11 @@
 // The search for the head of a target's response within a body.
-#include "adaptertcp/messageparser.h"
 #include "adaptertcp/responsesearch.h"
 
 #include <catch2/catch.hpp>
 
 #include <array>
 #include <random>
+#include <regex>
 #include <vector>
 
 using namespace bergamot::adaptertcp;
@@ -16,27 +16,37 @@
   return head.Headers.value("X-Id") && head.Headers.value("X-Signed");
 }
 
-/// Searches with a parser from every byte; the parser skips empty lines before
-/// a head. Returns where the first head of a target begins.
-std::optional<std::size_t> findNaively(std::string_view bytes) {
-  for (std::size_t at = 0; at < bytes.size(); ++at) {
-    MessageParser parser(MessageParser::Kind::Response);
-    if (!bytes.substr(at).starts_with("HTTP/1."))
-      continue;
-    (void)parser.push(bytes.substr(at));
-    if (parser.isHeadComplete() && !parser.hasFailed() &&
-        isOfTarget(parser.responseHead()))
+/// Searches with a regular expression from every byte. It states what counts as
+/// a head, also one of a target in trouble. Returns where the first head of a
+/// target begins.
+std::optional<std::size_t> findNaively(const std::string &bytes) {
+  static const std::string line = "[^\\n]*\\r\\n";
+  static const std::string field =
+      "[\\x00-\\x09\\x0b-\\x20\\x7f!#$%&'*+.^_`|~0-9A-Za-z-]+:" + line;
+  static const std::regex head("HTTP/1\\.[0-9] [0-9]{3}(\\r\\n|[ \\r]" + line +
+                               ")(" + field + "(" + field + "|[ \\t]" + line +
+                               ")*)?\\r\\n");
+  for (std::size_t at = bytes.find("HTTP/1."); at != std::string::npos;
+       at = bytes.find("HTTP/1.", at + 1)) {
+    std::smatch match;
+    const auto begin = bytes.begin() + static_cast<std::ptrdiff_t>(at);
+    if (std::regex_search(begin, bytes.end(), match, head,
+                          std::regex_constants::match_continuous) &&
+        match.str().find("\nX-Id:") != std::string::npos &&
+        match.str().find("\nX-Signed:") != std::string::npos)
       return at;
   }
   return std::nullopt;
 }
 
 std::string drawBody(std::mt19937 &random) {
-  constexpr std::array<std::string_view, 19> Parts{
+  constexpr std::array<std::string_view, 26> Parts{
       "HTTP/1.1 200 OK",
       "HTTP/1.0 404 ",
       "HTTP/1.1 200",
       "HTTP/1.",
+      "HTTP/1.1 000 X",
+      "HTTP/1.1 600 X",
       "HTTP/2.0 200 OK",
       "HTT",
       "X-Id: 1",
@@ -44,6 +54,11 @@
       "X-Signed: 1",
       "X-Signed:",
       "X-Other: 2",
+      "X Other: 2",
+      "X\x01Other: 2",
+      "X(Other: 2",
+      " X-Id: 1",
+      "\tX",
       ": 3",
       "text",
       " ",
