adaptertcp, adapterhttp: Refuse responses whose heads HTTP doesn't allow

Statuses of 600 and above, a status of four digits, an empty line before the status line and control bytes in the reason phrase got through as well. A target that answered 101 held its caller until the deadline. bergamotd passed on such statuses and joined lines of its back ends, too. Calls to the store, to peers and to engines took some of these for answers, and waited until their deadline behind a head alone with a status of 000, 099 or 101.

Cause: both parsers believed the library below them. http_parser skips empty lines, reads any number of digits as a status, joins folded lines and, as Debian builds it, skips the byte after a carriage return unseen. Beast takes any three digits and joins folded lines. MessageParser checked only that names are tokens, which folded lines evade, and bare line feeds.

HttpHeadSyntax checks every byte of a head before the library sees it, for both parsers: the form of the status line, a status that HTTP defines and that isn't 101 (isAllowedStatus), names, values and line endings. What it refuses counts as lost, like any malformed response: the request is sent to another target if it may run twice, and otherwise its caller learns with 502 that it may have run. No field of a refused head is read, so none can prove that unsafe work hasn't run. Requests of callers get the same checks, except for the request line.

Names with a blank or a control byte within them, or before the first of them, were refused before by both parsers; the tests keep that.

--- a/src/adapterhttp/responseparser.cpp
+++ b/src/adapterhttp/responseparser.cpp
@@ -1,5 +1,7 @@
 #include "adapterhttp/responseparser.h"
 
+#include "libbergamotbase/httpheadsyntax.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -21,12 +23,18 @@
 
 class ResponseParser::Impl : public http::basic_parser<false> {
 public:
+  explicit Impl(bool isHead) {
+    eager(true);
+    skip(isHead);
+    header_limit(MaxHeadBytes);
+    // Callers bound what they read. boost::none refuses every body here.
+    body_limit(std::numeric_limits<std::uint64_t>::max());
+  }
+
   int Status = 0;
   std::vector<HttpHeader> Headers;
   std::string Body;
   std::size_t Taken = 0;
-  /// Bytes that the parser has not consumed yet, e.g. half of a header line.
-  std::string Unparsed;
 
 protected:
   void on_request_impl(http::verb, string_view, string_view, int,
@@ -55,38 +63,46 @@
   void on_finish_impl(error_code &) override {}
 };
 
-ResponseParser::ResponseParser(bool isHead) : Parser(std::make_unique<Impl>()) {
-  Parser->eager(true);
-  Parser->skip(isHead);
-  Parser->header_limit(MaxHeadBytes);
-  // Callers bound what they read. boost::none refuses every body here.
-  Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-}
+ResponseParser::ResponseParser(bool isHead)
+    : Parser(std::make_unique<Impl>(isHead)),
+      HeadSyntax(base::HttpHeadSyntax::Beginning::Response) {}
 
 ResponseParser::~ResponseParser() = default;
 
 std::string ResponseParser::add(std::string_view bytes) {
-  Parser->Unparsed.append(bytes);
-  std::size_t used = 0;
   std::string problem;
-  while (used < Parser->Unparsed.size() && !Parser->is_done()) {
+  while (problem.empty() && !bytes.empty() && !isComplete()) {
+    const std::size_t n =
+        HeadSyntax.isComplete() ? bytes.size() : HeadSyntax.push(bytes);
+    if (HeadSyntax.hasFailed())
+      return "malformed response: HTTP doesn't allow such a head";
+    problem = parse(bytes.substr(0, n));
+    bytes.remove_prefix(n);
+  }
+  Unparsed.append(bytes);
+  return problem;
+}
+
+/// Passes bytes to Beast, which keeps none of them. Returns an empty string or
+/// what is wrong with them.
+std::string ResponseParser::parse(std::string_view bytes) {
+  Unparsed.append(bytes);
+  std::size_t used = 0;
+  while (used < Unparsed.size() && !Parser->is_done()) {
     error_code ec;
-    used += Parser->put(boost::asio::buffer(Parser->Unparsed.data() + used,
-                                            Parser->Unparsed.size() - used),
-                        ec);
+    used += Parser->put(
+        boost::asio::buffer(Unparsed.data() + used, Unparsed.size() - used),
+        ec);
     if (ec == http::error::need_more)
       break;
-    if (ec) {
-      problem = "malformed response: " + ec.message();
-      break;
-    }
+    if (ec)
+      return "malformed response: " + ec.message();
   }
-  Parser->Unparsed.erase(0, used);
+  Unparsed.erase(0, used);
   // Beast limits the head, but neither chunk extensions nor trailers.
-  if (problem.empty() && !Parser->is_done() &&
-      Parser->Unparsed.size() > MaxHeadBytes)
-    problem = "malformed response: a chunk's line or a trailer is too long";
-  return problem;
+  if (!Parser->is_done() && Unparsed.size() > MaxHeadBytes)
+    return "malformed response: a chunk's line or a trailer is too long";
+  return "";
 }
 
 std::string ResponseParser::addEnd() {
@@ -105,7 +121,7 @@
 bool ResponseParser::isComplete() const { return Parser->is_done(); }
 
 bool ResponseParser::keepsAlive() const {
-  return Parser->is_done() && Parser->Unparsed.empty() && Parser->keep_alive();
+  return Parser->is_done() && Unparsed.empty() && Parser->keep_alive();
 }
 
 int ResponseParser::status() const { return Parser->Status; }
--- a/src/adapterhttp/responseparser.h
+++ b/src/adapterhttp/responseparser.h
@@ -2,6 +2,7 @@
 #define BERGAMOT_ADAPTERHTTP_RESPONSEPARSER_H
 
 #include "adapterhttp/httpmessage.h"
+#include "libbergamotbase/httpheadsyntax.h"
 
 #include <cstddef>
 #include <memory>
@@ -11,7 +12,8 @@
 
 namespace bergamot::adapterhttp {
 
-/// Parses one HTTP response from bytes that arrive in pieces.
+/// Parses one HTTP response from bytes that arrive in pieces. It refuses
+/// responses that HTTP doesn't allow.
 class ResponseParser {
 public:
   /// A response to HEAD has no body whatever its headers say.
@@ -43,7 +45,14 @@
 
 private:
   class Impl;
+
+  std::string parse(std::string_view bytes);
+
   std::unique_ptr<Impl> Parser;
+  base::HttpHeadSyntax HeadSyntax;
+  /// Bytes that the parser has not consumed yet, e.g. half of a header line, or
+  /// that follow the response.
+  std::string Unparsed;
 };
 
 } // namespace bergamot::adapterhttp
--- a/src/adaptertcp/messageparser.cpp
+++ b/src/adaptertcp/messageparser.cpp
@@ -10,9 +10,19 @@
 /// Bytes of a field besides its name and value: colon, space and CRLF.
 constexpr std::size_t FieldOverhead = 4;
 
+base::HttpHeadSyntax makeHeadSyntax(MessageParser::Kind kind) {
+  using Beginning = base::HttpHeadSyntax::Beginning;
+  return base::HttpHeadSyntax(kind == MessageParser::Kind::Request
+                                  ? Beginning::Request
+                                  : Beginning::Response);
+}
+
 } // namespace
 
-MessageParser::MessageParser(Kind kind) : MessageKind(kind) { restart(); }
+MessageParser::MessageParser(Kind kind)
+    : MessageKind(kind), HeadSyntax(makeHeadSyntax(kind)) {
+  restart();
+}
 
 void MessageParser::restart(bool bodiless) {
   http_parser_init(&Parser,
@@ -23,8 +33,7 @@
   Body.clear();
   ContentLength.reset();
   HeadBytes = 0;
-  PreviousHeadByte = 0;
-  InEmptyLine = false;
+  HeadSyntax = makeHeadSyntax(MessageKind);
   InFieldValue = false;
   Bodiless = bodiless;
   EndsWithConnection = false;
@@ -57,16 +66,42 @@
 }
 
 std::size_t MessageParser::push(std::string_view bytes) {
-  if (Failed || Complete || bytes.empty())
+  std::size_t n = 0;
+  if (!HeadComplete)
+    n = pushHead(bytes);
+  if (HeadComplete)
+    n += pushBody(bytes.substr(n));
+  return n;
+}
+
+/// Parses bytes up to the end of the head. Returns the number consumed.
+std::size_t MessageParser::pushHead(std::string_view bytes) {
+  if (Failed || bytes.empty())
     return 0;
-  if (!HeadComplete && !checkLineEndings(bytes)) {
+  const std::size_t headBytes = HeadSyntax.push(bytes);
+  if (HeadSyntax.hasFailed()) {
     Failed = true;
     return 0;
   }
-  const std::size_t n =
-      http_parser_execute(&Parser, &callbacks(), bytes.data(), bytes.size());
+  const std::size_t n = execute(bytes.substr(0, headBytes));
   if (!HeadComplete)
     HeadBytes += n;
+  return n;
+}
+
+/// Parses bytes up to the end of the body. Returns the number consumed.
+std::size_t MessageParser::pushBody(std::string_view bytes) {
+  if (Failed || Complete || bytes.empty())
+    return 0;
+  return execute(bytes);
+}
+
+std::size_t MessageParser::execute(std::string_view bytes) {
+  // http_parser takes no bytes for the end of the connection.
+  if (bytes.empty())
+    return 0;
+  const std::size_t n =
+      http_parser_execute(&Parser, &callbacks(), bytes.data(), bytes.size());
   const http_errno error = HTTP_PARSER_ERRNO(&Parser);
   if (error != HPE_OK && error != HPE_PAUSED)
     Failed = true;
@@ -76,25 +111,6 @@
   return n;
 }
 
-bool MessageParser::checkLineEndings(std::string_view bytes) {
-  // The bytes after the empty line's line feed may be the body.
-  if (InEmptyLine)
-    return bytes.front() == '\n';
-  char previous = PreviousHeadByte;
-  for (const char c : bytes) {
-    if (c == '\n' && previous != '\r')
-      return false;
-    // An empty line ends the head; the bytes after it may be the body.
-    if (c == '\r' && previous == '\n') {
-      InEmptyLine = true;
-      return true;
-    }
-    previous = c;
-  }
-  PreviousHeadByte = previous;
-  return true;
-}
-
 void MessageParser::finish() {
   if (Failed || Complete)
     return;
@@ -135,9 +151,6 @@
 bool MessageParser::isFramingValid() const {
   const HeaderFields &fields =
       MessageKind == Kind::Request ? Request.Headers : Response.Headers;
-  for (const auto &it : fields.fields())
-    if (!isToken(it.Name))
-      return false;
   const std::size_t lengths = fields.count("Content-Length");
   const std::size_t codings = fields.count("Transfer-Encoding");
   if (lengths + codings > 1)
--- a/src/adaptertcp/messageparser.h
+++ b/src/adaptertcp/messageparser.h
@@ -2,6 +2,7 @@
 #define BERGAMOT_ADAPTERTCP_MESSAGEPARSER_H
 
 #include "adaptertcp/httpmessage.h"
+#include "libbergamotbase/httpheadsyntax.h"
 
 #include <http_parser.h>
 
@@ -13,10 +14,10 @@
 
 /// Incremental parser for the HTTP/1.1 messages of a connection, one message at
 /// a time. The owner pushes bytes and then queries the state; the parser stops
-/// after a complete message. To prevent request smuggling, it rejects messages
-/// whose framing other implementations could interpret differently: multiple or
-/// conflicting lengths, an unknown transfer coding, bare line feeds in the
-/// head, and folded fields.
+/// after a complete message. It rejects messages that HTTP doesn't allow and
+/// those whose framing other implementations could interpret differently, which
+/// prevents request smuggling: heads with the wrong syntax, multiple or
+/// conflicting lengths, and an unknown transfer coding.
 class MessageParser {
 public:
   enum class Kind { Request, Response };
@@ -67,7 +68,9 @@
 
   HeaderFields &headers();
   bool isFramingValid() const;
-  bool checkLineEndings(std::string_view bytes);
+  std::size_t pushHead(std::string_view bytes);
+  std::size_t pushBody(std::string_view bytes);
+  std::size_t execute(std::string_view bytes);
 
   Kind MessageKind;
   http_parser Parser{};
@@ -76,9 +79,7 @@
   std::string Body;
   std::optional<std::uint64_t> ContentLength;
   std::size_t HeadBytes = 0;
-  char PreviousHeadByte = 0;
-  /// The carriage return of the empty line that ends the head has been read.
-  bool InEmptyLine = false;
+  base::HttpHeadSyntax HeadSyntax;
   bool InFieldValue = false;
   bool Bodiless = false;
   bool EndsWithConnection = false;
--- a/tests/entrypath/test_faultyheads.cpp
+++ b/tests/entrypath/test_faultyheads.cpp
@@ -1,5 +1,6 @@
 // Responses whose heads HTTP doesn't allow.
 #include "entryfixture.h"
+#include "support/faultyresponses.h"
 
 #include <catch2/catch.hpp>
 
@@ -7,6 +8,7 @@
 using namespace bergamot::entrypath;
 using namespace std::chrono_literals;
 using adaptertcp::RequestHead;
+using testsupport::FaultyHead;
 using Connection = TestTarget::Connection;
 
 namespace {
@@ -24,6 +26,12 @@
          "\r\nX-Signed: 1\r\n";
 }
 
+/// Returns a response with a faulty head, which is otherwise the target's own.
+std::string faultyResponse(const FaultyHead &faulty, const RequestHead &head) {
+  return faulty.text() + targetFields(head) +
+         lengthField(std::string(FaultyBody).size()) + "\r\n" + FaultyBody;
+}
+
 void respondSoundly(const RequestHead &head, const std::string &,
                     const Connection &connection) {
   connection->send(signedResponse(head, SoundBody));
@@ -58,6 +66,83 @@
 
 } // namespace
 
+// Callers got answers with a status of 000, and held lines of a head that were
+// joined with others.
+TEST_CASE("an answer with a faulty head reaches no caller") {
+  const std::string route = GENERATE("safe", "once", "stream", "stream-once");
+  for (const FaultyHead &faulty : testsupport::faultyHeads()) {
+    CAPTURE(faulty.Flaw, route);
+    EntryFixture fixture;
+    const auto received = exchange(
+        fixture, route, [&](const auto &head, const auto &, const auto &it) {
+          it->send(faultyResponse(faulty, head));
+        });
+    CAPTURE(received->Bytes);
+    checkOutcome(*received, route);
+  }
+}
+
+// Guards against a promise, within a head that can't be trusted, that lets
+// unsafe work run a second time.
+TEST_CASE("a faulty head proves nothing about the work") {
+  const int status = GENERATE(0, 421, 503);
+  const std::string route = GENERATE("once", "stream-once");
+  CAPTURE(status, route);
+  EntryFixture fixture;
+  const auto received = exchange(
+      fixture, route, [&](const auto &head, const auto &, const auto &it) {
+        const std::string line =
+            status == 0
+                ? "HTTP/1.1 000 X\r\n"
+                : "HTTP/1.1 " + std::to_string(status) + " X\r\nX Y: z\r\n";
+        it->send(line + targetFields(head) + "X-Not-Executed: 1\r\n" +
+                 lengthField(0) + "\r\n");
+      });
+  CAPTURE(received->Bytes);
+  checkOutcome(*received, route);
+}
+
+// The entry waited for the response until the request's deadline.
+TEST_CASE("a switch of protocols holds no caller") {
+  const std::string route = GENERATE("safe", "once", "stream", "stream-once");
+  CAPTURE(route);
+  EntryFixture fixture;
+  const auto received =
+      exchange(fixture, route, [](const auto &, const auto &, const auto &it) {
+        it->send("HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n");
+      });
+  CAPTURE(received->Bytes);
+  checkOutcome(*received, route);
+}
+
+TEST_CASE("an interim response with a faulty head spoils what follows it") {
+  const std::string interim =
+      GENERATE("HTTP/1.1 100 X\r\nX Y: z\r\n\r\n", "HTTP/1.1 101 X\r\n\r\n");
+  const std::string route = GENERATE("safe", "once");
+  CAPTURE(interim, route);
+  EntryFixture fixture;
+  const auto received = exchange(
+      fixture, route, [&](const auto &head, const auto &, const auto &it) {
+        it->send(interim + signedResponse(head, FaultyBody));
+      });
+  CAPTURE(received->Bytes);
+  checkOutcome(*received, route);
+}
+
+TEST_CASE("a sound interim response precedes the answer") {
+  const std::string route = GENERATE("safe", "once", "stream", "stream-once");
+  CAPTURE(route);
+  EntryFixture fixture;
+  fixture.addTarget("t1", [](const auto &head, const auto &, const auto &it) {
+    it->send("HTTP/1.1 103 X\r\nX-A: b\r\n\r\n" +
+             signedResponse(head, SoundBody));
+  });
+  const auto received = fixture.send(requestText(route, "r1"));
+  REQUIRE(fixture.runUntil([&] { return hasEnded(*received); }));
+  CAPTURE(received->Bytes);
+  CHECK(completeBody(*received) == SoundBody);
+}
+
 // The body ended with the head and the body of another response.
 TEST_CASE("a second response with a faulty head is no part of a body") {
   const std::string route = GENERATE("safe", "once");
--- a/tests/path/testdeployment.cpp
+++ b/tests/path/testdeployment.cpp
@@ -158,6 +158,12 @@
       Secrets);
 }
 
+void TestDeployment::setBackEnd(int target, const std::string &endpoint) {
+  BackEndEndpoints.at(target) = endpoint;
+  Targets.at(target)->kill();
+  startTarget(target);
+}
+
 std::uint64_t TestDeployment::append(const config::Configuration &whole,
                                      std::uint64_t base) {
   config::Change record;
--- a/tests/path/testdeployment.h
+++ b/tests/path/testdeployment.h
@@ -43,6 +43,9 @@
   void startEntry(int i);
   void startTarget(int i);
 
+  /// Replaces a target's daemon by one with another back end.
+  void setBackEnd(int target, const std::string &endpoint);
+
   /// Publishes a change of the configuration and returns its version.
   std::uint64_t
   publish(const std::function<void(config::Configuration &)> &change);
