adaptertcp, adapterhttp: Refuse bodies that aren't in chunks

Both parsers took some bodies that aren't in the chunked coding for whole ones. If a target in trouble stated a chunk as two bytes shorter than it was, the entry's parser dropped the two bytes unseen and gave out the rest as the body. bergamotd's took a trailer whose last line ends wrongly for a body of which more comes, and so went on waiting.

Cause: http_parser, as Debian builds it, skips the two bytes after a chunk's data and the one after a carriage return without looking at them, and accepts any text after a chunk's size. Beast searches for the end of a trailer and checks its lines only then.

HttpChunkSyntax checks the framing of a chunked body (RFC 9112, 7.1) before either library sees it; a trailer's lines are checked like those of a head. Bodies of callers in chunks are checked in the same way.

--- a/src/adapterhttp/responseparser.cpp
+++ b/src/adapterhttp/responseparser.cpp
@@ -72,10 +72,15 @@
 std::string ResponseParser::add(std::string_view bytes) {
   std::string problem;
   while (problem.empty() && !bytes.empty() && !isComplete()) {
-    const std::size_t n =
-        HeadSyntax.isComplete() ? bytes.size() : HeadSyntax.push(bytes);
+    std::size_t n = bytes.size();
+    if (!HeadSyntax.isComplete())
+      n = HeadSyntax.push(bytes);
+    else if (Parser->chunked())
+      n = ChunkSyntax.push(bytes);
     if (HeadSyntax.hasFailed())
       return "malformed response: HTTP doesn't allow such a head";
+    if (ChunkSyntax.hasFailed())
+      return "malformed response: the body isn't in chunks";
     problem = parse(bytes.substr(0, n));
     bytes.remove_prefix(n);
   }
--- a/src/adapterhttp/responseparser.h
+++ b/src/adapterhttp/responseparser.h
@@ -2,6 +2,7 @@
 #define BERGAMOT_ADAPTERHTTP_RESPONSEPARSER_H
 
 #include "adapterhttp/httpmessage.h"
+#include "libbergamotbase/httpchunksyntax.h"
 #include "libbergamotbase/httpheadsyntax.h"
 
 #include <cstddef>
@@ -50,6 +51,8 @@
 
   std::unique_ptr<Impl> Parser;
   base::HttpHeadSyntax HeadSyntax;
+  /// Used if the body is chunked.
+  base::HttpChunkSyntax ChunkSyntax;
   /// Bytes that the parser has not consumed yet, e.g. half of a header line, or
   /// that follow the response.
   std::string Unparsed;
--- a/src/adaptertcp/messageparser.cpp
+++ b/src/adaptertcp/messageparser.cpp
@@ -34,6 +34,7 @@
   ContentLength.reset();
   HeadBytes = 0;
   HeadSyntax = makeHeadSyntax(MessageKind);
+  Chunks.reset();
   InFieldValue = false;
   Bodiless = bodiless;
   EndsWithConnection = false;
@@ -93,7 +94,11 @@
 std::size_t MessageParser::pushBody(std::string_view bytes) {
   if (Failed || Complete || bytes.empty())
     return 0;
-  return execute(bytes);
+  if (!Chunks)
+    return execute(bytes);
+  const std::size_t n = execute(bytes.substr(0, Chunks->push(bytes)));
+  Failed = Failed || Chunks->hasFailed();
+  return n;
 }
 
 std::size_t MessageParser::execute(std::string_view bytes) {
@@ -173,6 +178,8 @@
       (parser->flags & F_CHUNKED) == 0;
   if (hasLength)
     it.ContentLength = parser->content_length;
+  if ((parser->flags & F_CHUNKED) != 0)
+    it.Chunks.emplace();
   const bool keepAlive = http_should_keep_alive(parser) != 0;
   if (it.MessageKind == Kind::Request) {
     it.Request.Method =
--- a/src/adaptertcp/messageparser.h
+++ b/src/adaptertcp/messageparser.h
@@ -2,6 +2,7 @@
 #define BERGAMOT_ADAPTERTCP_MESSAGEPARSER_H
 
 #include "adaptertcp/httpmessage.h"
+#include "libbergamotbase/httpchunksyntax.h"
 #include "libbergamotbase/httpheadsyntax.h"
 
 #include <http_parser.h>
@@ -16,8 +17,8 @@
 /// a time. The owner pushes bytes and then queries the state; the parser stops
 /// after a complete message. It rejects messages that HTTP doesn't allow and
 /// those whose framing other implementations could interpret differently, which
-/// prevents request smuggling: heads with the wrong syntax, multiple or
-/// conflicting lengths, and an unknown transfer coding.
+/// prevents request smuggling: heads and chunks with the wrong syntax, multiple
+/// or conflicting lengths, and an unknown transfer coding.
 class MessageParser {
 public:
   enum class Kind { Request, Response };
@@ -80,6 +81,8 @@
   std::optional<std::uint64_t> ContentLength;
   std::size_t HeadBytes = 0;
   base::HttpHeadSyntax HeadSyntax;
+  /// Set if the body is chunked.
+  std::optional<base::HttpChunkSyntax> Chunks;
   bool InFieldValue = false;
   bool Bodiless = false;
   bool EndsWithConnection = false;
--- a/tests/http/test_faultyresponses.cpp
+++ b/tests/http/test_faultyresponses.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr auto End = "Content-Length: 4\r\n\r\nbody";
+constexpr auto ChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// Adds bytes in pieces of the given size. Returns what is wrong with them.
 std::string addInPieces(ResponseParser &parser, std::string_view bytes,
                         std::size_t piece) {
@@ -44,3 +47,23 @@
     }
   }
 }
+
+TEST_CASE("a body that isn't in chunks is refused", "[http]") {
+  for (const std::string &body : testsupport::faultyChunkedBodies()) {
+    for (const std::size_t piece : {1UL, 7UL, 4096UL}) {
+      CAPTURE(body, piece);
+      ResponseParser parser(false);
+      CHECK_FALSE(addInPieces(parser, ChunkedHead + body, piece).empty());
+      CHECK_FALSE(parser.isComplete());
+    }
+  }
+  for (const std::string &body : testsupport::soundChunkedBodies()) {
+    for (const std::size_t piece : {1UL, 7UL, 4096UL}) {
+      CAPTURE(body, piece);
+      ResponseParser parser(false);
+      CHECK(addInPieces(parser, ChunkedHead + body, piece).empty());
+      CHECK(parser.isComplete());
+      CHECK(parser.takeBody(9) == "body");
+    }
+  }
+}
--- a/tests/support/faultyresponses.cpp
+++ b/tests/support/faultyresponses.cpp
@@ -81,4 +81,29 @@
           {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: b\r\n", 200}};
 }
 
+std::vector<std::string> faultyChunkedBodies() {
+  return {"4\r\nbodyXX0\r\n\r\n",
+          "4\r\nbody\r\r0\r\n\r\n",
+          "4\rXbody\r\n0\r\n\r\n",
+          "4\nbody\r\n0\r\n\r\n",
+          "4 \r\nbody\r\n0\r\n\r\n",
+          "4 x\r\nbody\r\n0\r\n\r\n",
+          " 4\r\nbody\r\n0\r\n\r\n",
+          "4;a=\x01\r\nbody\r\n0\r\n\r\n",
+          "\r\n4\r\nbody\r\n0\r\n\r\n",
+          ";a\r\nbody\r\n0\r\n\r\n",
+          "10000000000000004\r\nbody\r\n0\r\n\r\n",
+          "4\r\nbody\r\n0\rX\r\n",
+          "4\r\nbody\r\n0\r\n\rX",
+          "4\r\nbody\r\n0\r\nA: c\n\r\n",
+          "4\r\nbody\r\n0\r\nA b: c\r\n\r\n",
+          "4\r\nbody\r\n0\r\n A: c\r\n\r\n"};
+}
+
+std::vector<std::string> soundChunkedBodies() {
+  return {"4\r\nbody\r\n0\r\n\r\n", "0004\r\nbody\r\n000\r\n\r\n",
+          "4;a=b;c\r\nbody\r\n0;d\r\n\r\n", "4 ;a\r\nbody\r\n0\r\nA: c\r\n\r\n",
+          "1\r\nb\r\n3\r\nody\r\n0\r\nA: c\r\nB:\r\n\r\n"};
+}
+
 } // namespace bergamot::testsupport
--- a/tests/support/faultyresponses.h
+++ b/tests/support/faultyresponses.h
@@ -30,6 +30,12 @@
 
 std::vector<SoundHead> soundHeads();
 
+/// Returns bodies in the chunked coding, with a flaw each.
+std::vector<std::string> faultyChunkedBodies();
+
+/// Returns bodies in the chunked coding whose content is "body".
+std::vector<std::string> soundChunkedBodies();
+
 } // namespace bergamot::testsupport
 
 #endif
--- a/tests/tcp/test_faultyresponses.cpp
+++ b/tests/tcp/test_faultyresponses.cpp
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr auto End = "Content-Length: 4\r\n\r\nbody";
+constexpr auto ChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 /// Pushes bytes in pieces of the given size until the response is complete or
 /// has failed.
 void pushInPieces(MessageParser &parser, std::string_view bytes,
@@ -83,12 +86,41 @@
   }
 }
 
+// The bytes in the place of a chunk's line ending were skipped.
+TEST_CASE("a body that isn't in chunks fails however it is split") {
+  for (const std::string &body : testsupport::faultyChunkedBodies()) {
+    for (const std::size_t piece : {1UL, 7UL, 4096UL}) {
+      CAPTURE(body, piece);
+      MessageParser parser(MessageParser::Kind::Response);
+      pushInPieces(parser, ChunkedHead + body, piece);
+      CHECK(parser.hasFailed());
+      CHECK_FALSE(parser.isComplete());
+    }
+  }
+  for (const std::string &body : testsupport::soundChunkedBodies()) {
+    for (const std::size_t piece : {1UL, 7UL, 4096UL}) {
+      CAPTURE(body, piece);
+      MessageParser parser(MessageParser::Kind::Response);
+      pushInPieces(parser, ChunkedHead + body, piece);
+      CHECK(parser.isComplete());
+      CHECK(parser.body() == "body");
+    }
+  }
+}
+
 TEST_CASE("a call with a faulty answer fails at once") {
   for (const auto &faulty : testsupport::faultyHeads()) {
     CAPTURE(faulty.Flaw);
     CHECK(callServer(faulty.text() + End).Result ==
           CallResult::Outcome::Unknown);
   }
+  for (const std::string &body : testsupport::faultyChunkedBodies()) {
+    CAPTURE(body);
+    CHECK(callServer(ChunkedHead + body).Result ==
+          CallResult::Outcome::Unknown);
+  }
+  CHECK(callServer(ChunkedHead + testsupport::soundChunkedBodies().front())
+            .isStatus(200));
 }
 
 // They were skipped like interim responses, and the caller held until its
