adapterhttp: Skip interim responses to bergamotd's calls

A caller of bergamotd got status 100 and no body if the back end sent an interim response before its answer, although the work had run.

Cause: ResponseParser took the first head for the final response.

ResponseParser now starts over behind an interim response, up to 256 KB of them. An entry also refuses a head from a sidecar whose status isn't a final one, since sidecars of older versions pass on what their back ends send.

--- a/src/adapterhttp/responseparser.cpp
+++ b/src/adapterhttp/responseparser.cpp
@@ -1,6 +1,7 @@
 #include "adapterhttp/responseparser.h"
 
 #include "libbergamotbase/httpheadsyntax.h"
+#include "libbergamotbase/responsestatus.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -18,9 +19,13 @@
 namespace {
 
 constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
+/// Limit on the bytes of interim responses, since a faulty peer may send them
+/// without end.
+constexpr std::size_t MaxInterimBytes = 256 * 1024;
 
 } // namespace
 
+/// Parses one response, interim or final.
 class ResponseParser::Impl : public http::basic_parser<false> {
 public:
   explicit Impl(bool isHead) {
@@ -31,6 +36,8 @@
     body_limit(std::numeric_limits<std::uint64_t>::max());
   }
 
+  bool isInterim() const { return base::isInterimStatus(Status); }
+
   int Status = 0;
   std::vector<HttpHeader> Headers;
   std::string Body;
@@ -64,7 +71,7 @@
 };
 
 ResponseParser::ResponseParser(bool isHead)
-    : Parser(std::make_unique<Impl>(isHead)),
+    : IsHead(isHead), Parser(std::make_unique<Impl>(isHead)),
       HeadSyntax(base::HttpHeadSyntax::Beginning::Response) {}
 
 ResponseParser::~ResponseParser() = default;
@@ -83,6 +90,8 @@
       return "malformed response: the body isn't in chunks";
     problem = parse(bytes.substr(0, n));
     bytes.remove_prefix(n);
+    if (problem.empty() && Parser->is_done() && Parser->isInterim())
+      problem = skipInterim();
   }
   Unparsed.append(bytes);
   return problem;
@@ -104,12 +113,23 @@
       return "malformed response: " + ec.message();
   }
   Unparsed.erase(0, used);
+  InterimBytes += Parser->isInterim() ? used : 0;
   // Beast limits the head, but neither chunk extensions nor trailers.
   if (!Parser->is_done() && Unparsed.size() > MaxHeadBytes)
     return "malformed response: a chunk's line or a trailer is too long";
   return "";
 }
 
+/// Prepares for the response that follows an interim one. Returns an empty
+/// string, or that there were too many.
+std::string ResponseParser::skipInterim() {
+  if (InterimBytes > MaxInterimBytes)
+    return "malformed response: interim responses without end";
+  Parser = std::make_unique<Impl>(IsHead);
+  HeadSyntax = base::HttpHeadSyntax(base::HttpHeadSyntax::Beginning::Response);
+  return "";
+}
+
 std::string ResponseParser::addEnd() {
   error_code ec;
   if (!Parser->is_done()) {
--- a/src/adapterhttp/responseparser.h
+++ b/src/adapterhttp/responseparser.h
@@ -13,8 +13,9 @@
 
 namespace bergamot::adapterhttp {
 
-/// Parses one HTTP response from bytes that arrive in pieces. It refuses
-/// responses that HTTP doesn't allow.
+/// Parses the final HTTP response to a request from bytes that arrive in
+/// pieces, and skips interim responses before it. It refuses responses that
+/// HTTP doesn't allow.
 class ResponseParser {
 public:
   /// A response to HEAD has no body whatever its headers say.
@@ -48,7 +49,9 @@
   class Impl;
 
   std::string parse(std::string_view bytes);
+  std::string skipInterim();
 
+  const bool IsHead;
   std::unique_ptr<Impl> Parser;
   base::HttpHeadSyntax HeadSyntax;
   /// Used if the body is chunked.
@@ -56,6 +59,8 @@
   /// Bytes that the parser has not consumed yet, e.g. half of a header line, or
   /// that follow the response.
   std::string Unparsed;
+  /// Bytes of the interim responses so far.
+  std::size_t InterimBytes = 0;
 };
 
 } // namespace bergamot::adapterhttp
--- a/src/bergamotd/answerstream.cpp
+++ b/src/bergamotd/answerstream.cpp
@@ -1,5 +1,7 @@
 #include "bergamotd/answerstream.h"
 
+#include "libbergamotbase/responsestatus.h"
+
 #include <cstdlib>
 
 namespace bergamot::bergamotd {
@@ -106,6 +108,9 @@
 void AnswerStream::addHead(const fb::HeadT &head) {
   if (std::exchange(HasHead, true))
     return setCorrupted("a second head");
+  // A sidecar of an older version passes on whatever its back end sends.
+  if (!base::isFinalStatus(head.status))
+    return setCorrupted("a status that HTTP doesn't allow for a response");
   AnswerHead result{head.status, {}};
   for (const auto &it : head.headers)
     result.Headers.push_back({it->name, it->value});
--- a/src/libbergamotbase/responsestatus.h
+++ b/src/libbergamotbase/responsestatus.h
@@ -11,6 +11,18 @@
   return status >= 100 && status <= 599 && status != SwitchingProtocols;
 }
 
+/// Returns whether a status is that of an interim response (1xx), which comes
+/// before the response to the request.
+constexpr bool isInterimStatus(int status) {
+  return isAllowedStatus(status) && status < 200;
+}
+
+/// Returns whether the response with this status can be the response to the
+/// request.
+constexpr bool isFinalStatus(int status) {
+  return isAllowedStatus(status) && !isInterimStatus(status);
+}
+
 } // namespace bergamot::base
 
 #endif
--- a/tests/answers/test_answerstream.cpp
+++ b/tests/answers/test_answerstream.cpp
@@ -14,9 +14,9 @@
 constexpr std::size_t MemoryBytes = std::size_t{1} << 20;
 const base::RequestId Request{"request"};
 
-wire::Envelope headMessage() {
+wire::Envelope headMessage(std::uint16_t status = 200) {
   fb::HeadT head;
-  head.status = 200;
+  head.status = status;
   return wire::makeEnvelope(std::move(head));
 }
 
@@ -66,3 +66,19 @@
   CHECK(std::holds_alternative<AnswerParked>(eventAfterPark(stream)));
   CHECK(stream.startAttempt() == std::string_view("begun").size());
 }
+
+// A sidecar of an older version passes on what its back end sends.
+TEST_CASE("a head from a sidecar needs a final status") {
+  const std::uint16_t status = GENERATE(0, 99, 100, 101, 199, 600, 999);
+  CAPTURE(status);
+  AnswerMemory memory(MemoryBytes, 1s);
+  AnswerStream stream(memory, Request, false);
+  stream.startAttempt();
+  stream.addMessage(headMessage(status));
+  const auto event =
+      stream.nextEvent(false, std::chrono::steady_clock::now() + 1s);
+  REQUIRE(event);
+  const auto *failed = std::get_if<AttemptFailed>(&*event);
+  REQUIRE(failed != nullptr);
+  CHECK(failed->ExecutedState == Executed::Unknown);
+}
--- a/tests/entrypath/test_faultyheads.cpp
+++ b/tests/entrypath/test_faultyheads.cpp
@@ -102,6 +102,19 @@
   checkOutcome(*received, route);
 }
 
+// The entry waited for the response until the request's deadline.
+TEST_CASE("a switch of protocols holds no caller") {
+  const std::string route = GENERATE("safe", "once", "stream", "stream-once");
+  CAPTURE(route);
+  EntryFixture fixture;
+  const auto received =
+      exchange(fixture, route, [](const auto &, const auto &, const auto &it) {
+        it->send("HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n");
+      });
+  CAPTURE(received->Bytes);
+  checkOutcome(*received, route);
+}
+
 TEST_CASE("an interim response with a faulty head spoils what follows it") {
   const std::string interim =
       GENERATE("HTTP/1.1 100 X\r\nX Y: z\r\n\r\n", "HTTP/1.1 101 X\r\n\r\n");
--- a/tests/http/test_faultyresponses.cpp
+++ b/tests/http/test_faultyresponses.cpp
@@ -1,4 +1,4 @@
-// Responses that HTTP doesn't allow.
+// Responses that HTTP doesn't allow, or not as the final ones.
 #include "adapterhttp/responseparser.h"
 #include "support/faultyresponses.h"
 
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr auto End = "Content-Length: 4\r\n\r\nbody";
+constexpr auto SoundResponse =
+    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
 constexpr auto ChunkedHead =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
@@ -67,3 +69,41 @@
     }
   }
 }
+
+// They were taken for the response.
+TEST_CASE("interim responses are skipped", "[http]") {
+  const std::size_t piece = GENERATE(1, 7, 4096);
+  const bool isHead = GENERATE(false, true);
+  CAPTURE(piece, isHead);
+  ResponseParser parser(isHead);
+  CHECK(addInPieces(parser,
+                    std::string("HTTP/1.1 100 Continue\r\n\r\n"
+                                "HTTP/1.1 103 X\r\nX-A: b\r\n\r\n") +
+                        SoundResponse,
+                    piece)
+            .empty());
+  REQUIRE(parser.isComplete());
+  CHECK(parser.status() == 200);
+  REQUIRE(parser.headers().size() == 1);
+  CHECK(parser.headers().front().Name == "Content-Length");
+  CHECK(parser.takeBody(9) == (isHead ? "" : "body"));
+}
+
+TEST_CASE("an interim response alone is no response", "[http]") {
+  ResponseParser parser(false);
+  CHECK(parser.add("HTTP/1.1 100 Continue\r\n\r\n").empty());
+  CHECK_FALSE(parser.isHeadComplete());
+  CHECK_FALSE(parser.addEnd().empty());
+}
+
+TEST_CASE("interim responses without end are refused", "[http]") {
+  constexpr std::size_t MaxBytes = 512 * 1024;
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  ResponseParser parser(false);
+  std::string problem;
+  std::size_t sent = 0;
+  for (; problem.empty() && sent < 2 * MaxBytes; sent += interim.size())
+    problem = parser.add(interim);
+  CHECK_FALSE(problem.empty());
+  CHECK(sent <= MaxBytes);
+}
--- a/tests/path/test_faultyresponses.cpp
+++ b/tests/path/test_faultyresponses.cpp
@@ -1,4 +1,4 @@
-// Answers of back ends that HTTP doesn't allow.
+// Answers of back ends that HTTP doesn't allow, or not as the final ones.
 #include "rawbackend.h"
 #include "support/faultyresponses.h"
 #include "testdeployment.h"
@@ -74,3 +74,14 @@
     CHECK(deployment.BackEnd.requestCount() == before + 1);
   }
 }
+
+// Callers got the interim response in place of the answer.
+TEST_CASE("interim answers of a back end aren't its answer", "[path]") {
+  RawDeployment deployment;
+  deployment.BackEnd.setAnswer("HTTP/1.1 100 Continue\r\n\r\n"
+                               "HTTP/1.1 103 X\r\nX-A: b\r\n\r\n" +
+                               std::string(SoundAnswer));
+  const auto response = deployment.call("POST", Reserve);
+  CHECK(response.Status == 200);
+  CHECK(response.Body == "sound");
+}
