adapterhttp: Refuse transfer codings other than chunked

bergamotd took the bytes of a coding for the body if the back end named another coding than chunked, such as gzip, which no call asks for; of "chunked, chunked" it took the chunks' lines.

Cause: Beast passes on a body in such a coding as it comes, up to the end of the connection, and the field that names the coding isn't passed on. Readers that use MessageParser refused such responses before.

ResponseParser refuses them when it has the head.

--- a/src/adapterhttp/responseparser.cpp
+++ b/src/adapterhttp/responseparser.cpp
@@ -4,6 +4,7 @@
 #include "libbergamotbase/responsestatus.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -53,7 +54,12 @@
                      error_code &) override {
     Headers.push_back({std::string(name), std::string(value)});
   }
-  void on_header_impl(error_code &) override {}
+  void on_header_impl(error_code &ec) override {
+    // Beast passes on a body in any other coding as it comes.
+    const auto *coding = findHeader(Headers, "Transfer-Encoding");
+    if (coding && !boost::beast::iequals(*coding, "chunked"))
+      ec = http::error::bad_transfer_encoding;
+  }
   void on_body_init_impl(const boost::optional<std::uint64_t> &,
                          error_code &) override {}
   std::size_t on_body_impl(string_view body, error_code &) override {
--- a/tests/http/test_faultyresponses.cpp
+++ b/tests/http/test_faultyresponses.cpp
@@ -70,6 +70,18 @@
   }
 }
 
+// Its bytes were passed on without the name of the coding.
+TEST_CASE("a transfer coding other than chunked is refused", "[http]") {
+  const std::string coding =
+      GENERATE("gzip", "identity", "gzip, chunked", "chunked, chunked");
+  CAPTURE(coding);
+  ResponseParser parser(false);
+  CHECK_FALSE(parser
+                  .add("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                       "\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+                  .empty());
+}
+
 // They were taken for the response.
 TEST_CASE("interim responses are skipped", "[http]") {
   const std::size_t piece = GENERATE(1, 7, 4096);
