--- a/src/libbergamotbase/httpheadsyntax.h
+++ b/src/libbergamotbase/httpheadsyntax.h
@@ -57,6 +57,7 @@
     Failed,
   };
 
+  std::size_t countUnchanging(std::string_view bytes) const;
   State next(char c);
   State nextInStatusLine(char c);
 
