--- a/src/libbergamotbase/httpchunksyntax.cpp
+++ b/src/libbergamotbase/httpchunksyntax.cpp
@@ -1,6 +1,7 @@
 #include "libbergamotbase/httpchunksyntax.h"
 
 #include <algorithm>
+#include <charconv>
 #include <limits>
 #include <optional>
 
@@ -8,14 +9,13 @@
 
 namespace {
 
+/// The base of the numbers that state chunk sizes.
+constexpr int SizeBase = 16;
+
 std::optional<std::uint64_t> hexDigit(char c) {
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  if (c >= 'a' && c <= 'f')
-    return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F')
-    return c - 'A' + 10;
-  return std::nullopt;
+  std::uint64_t value = 0;
+  const auto [end, ec] = std::from_chars(&c, &c + 1, value, SizeBase);
+  return ec == std::errc() ? std::optional(value) : std::nullopt;
 }
 
 } // namespace
@@ -72,11 +72,10 @@
 }
 
 HttpChunkSyntax::State HttpChunkSyntax::nextInSize(char c) {
-  constexpr std::uint64_t Base = 16;
   if (const auto digit = hexDigit(c)) {
-    if (BytesLeft > std::numeric_limits<std::uint64_t>::max() / Base)
+    if (BytesLeft > std::numeric_limits<std::uint64_t>::max() / SizeBase)
       return State::Failed;
-    BytesLeft = BytesLeft * Base + *digit;
+    BytesLeft = BytesLeft * SizeBase + *digit;
     return State::Size;
   }
   if (At == State::SizeStart)
--- a/tests/entrypath/test_faultyheads.cpp
+++ b/tests/entrypath/test_faultyheads.cpp
@@ -66,8 +66,8 @@
 
 } // namespace
 
-// Callers got answers with a status of 000, and held lines of a head that were
-// joined with others.
+// Callers got answers with a status of 000, and lines of a head joined with
+// those before them.
 TEST_CASE("an answer with a faulty head reaches no caller") {
   const std::string route = GENERATE("safe", "once", "stream", "stream-once");
   for (const FaultyHead &faulty : testsupport::faultyHeads()) {
