adaptertcp: Let peers that answer read until their deadlines

Targets that read a request late never got it; their callers got 502.

Cause: TCP_USER_TIMEOUT of 5 s on all connections. It guards against peers behind a partition, but the kernel also applies it to data that it may not send because the peer's window is closed, however many probes are answered, and goes on after the process has ended. Ruled out: the stop (all are lost without one), deadlines (8 s), idle timeouts (15 s).

UnreadDataPolicy now decides for all connections, in both directions. What isn't acknowledged is given up after 5 s as before. A peer that answers and doesn't read has until the deadline of its request, and is given up then unless it goes on reading. ConnectionMonitor asks the kernel once a second for connections with unread data. Above 32 MB of unread data, the 5 s hold for all. connection.given_up in the log and the cause timed_out tell these ends from resets.

--- a/src/adaptertcp/asynchttpclient.cpp
+++ b/src/adaptertcp/asynchttpclient.cpp
@@ -72,6 +72,7 @@
     return;
   }
   RequestSent = true;
+  Connection->setReadDeadline(Timer.expiry());
   Connection->send(RequestBytes);
 }
 
--- a/src/adaptertcp/asynchttpserver.cpp
+++ b/src/adaptertcp/asynchttpserver.cpp
@@ -14,6 +14,9 @@
 /// While more bytes than this wait for the peer to read, its further requests
 /// aren't processed.
 constexpr std::size_t MaxUnsentBytes = 65536;
+/// Time for the peer to read a response. No call to these servers has a later
+/// deadline.
+constexpr std::chrono::seconds ResponseReadTime{5};
 
 /// One connection of an AsyncHttpServer.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
@@ -90,6 +93,8 @@
     const bool keepAlive = Parser.requestHead().KeepAlive;
     std::string text =
         responseText(head, Framing::Length, response.Body.size(), keepAlive);
+    Connection->setReadDeadline(std::chrono::steady_clock::now() +
+                                ResponseReadTime);
     Connection->send(text.append(response.Body));
     if (!keepAlive) {
       Closing = true;
--- a/src/adaptertcp/tcpconnection.cpp
+++ b/src/adaptertcp/tcpconnection.cpp
@@ -1,9 +1,14 @@
 #include "adaptertcp/tcpconnection.h"
 
+#include "adaptertcp/connectionmonitor.h"
+#include "libbergamotbase/jsonlog.h"
+
 #include <netinet/tcp.h>
+#include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
 #include <array>
+#include <utility>
 
 namespace bergamot::adaptertcp {
 
@@ -15,16 +20,18 @@
 /// takes one system call.
 constexpr std::size_t ReadBufferBytes = 32768;
 
-/// TCP_USER_TIMEOUT: a connection is closed if sent data stays unacknowledged
-/// for this time, which detects a peer behind a network partition. It exceeds
-/// the longest retransmission delay caused by 3% packet loss on these links.
-constexpr unsigned UserTimeoutMs = 5000;
-
 std::array<char, ReadBufferBytes> &sharedReadBuffer() {
   thread_local std::array<char, ReadBufferBytes> buf;
   return buf;
 }
 
+CloseReason closeReason(const error_code &ec) {
+  if (ec == boost::asio::error::eof)
+    return CloseReason::EndOfStream;
+  return ec == boost::asio::error::timed_out ? CloseReason::TimedOut
+                                             : CloseReason::Reset;
+}
+
 } // namespace
 
 TcpConnection::TcpConnection(Socket socket) : Sock(std::move(socket)) {}
@@ -34,13 +41,22 @@
   error_code ec;
   Sock.non_blocking(true, ec);
   Sock.set_option(boost::asio::ip::tcp::no_delay(true), ec);
-  unsigned timeout = UserTimeoutMs;
+  setKernelTimeout(UnansweredTimeout);
+  Reading = true;
+  waitForReadable();
+}
+
+/// Sets TCP_USER_TIMEOUT, after which the kernel ends the connection if data
+/// remains unacknowledged. The kernel counts a closed receive window as a lack
+/// of acknowledgement, and also does so after the end of this process.
+void TcpConnection::setKernelTimeout(std::chrono::milliseconds timeout) {
+  if (std::exchange(KernelTimeout, timeout) == timeout)
+    return;
+  const auto value = static_cast<unsigned>(timeout.count());
   // A failure is ignored: request deadlines also end calls on a dead
   // connection.
   (void)::setsockopt(Sock.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                     &timeout, sizeof timeout);
-  Reading = true;
-  waitForReadable();
+                     &value, sizeof value);
 }
 
 void TcpConnection::setHandlers(Handlers handlers) {
@@ -77,8 +93,7 @@
     return;
   }
   if (ec) {
-    closeAndNotify(ec == boost::asio::error::eof ? CloseReason::EndOfStream
-                                                 : CloseReason::Reset);
+    closeAndNotify(closeReason(ec));
     return;
   }
   const auto current = CurrentHandlers;
@@ -90,6 +105,7 @@
 void TcpConnection::send(std::string_view bytes) {
   if (!Sock.is_open() || ClosingAfterSend)
     return;
+  monitorUnreadData();
   if (!Unsent.empty()) {
     Unsent.append(bytes);
     return;
@@ -123,7 +139,7 @@
   const std::size_t n = Sock.write_some(boost::asio::buffer(Unsent), ec);
   if (ec && ec != boost::asio::error::would_block &&
       ec != boost::asio::error::try_again) {
-    closeAndNotify(CloseReason::Reset);
+    closeAndNotify(closeReason(ec));
     return;
   }
   Unsent.erase(0, n);
@@ -141,6 +157,60 @@
     current->OnDrained();
 }
 
+void TcpConnection::monitorUnreadData() {
+  if (std::exchange(Monitored, true))
+    return;
+  Unread.dataQueued(std::chrono::steady_clock::now());
+  auto &loop =
+      boost::asio::query(Sock.get_executor(), boost::asio::execution::context);
+  boost::asio::use_service<ConnectionMonitor>(loop).add(shared_from_this());
+}
+
+bool TcpConnection::hasUnreadData() const {
+  if (!Sock.is_open())
+    return false;
+  // native_handle() isn't const.
+  auto &socket = const_cast<Socket &>(Sock);
+  return !Unsent.empty() ||
+         (Monitored && sendQueueBytes(socket.native_handle()) > 0);
+}
+
+void TcpConnection::setReadDeadline(base::TimePoint deadline) {
+  Unread.setReadDeadline(deadline, std::chrono::steady_clock::now(),
+                         hasUnreadData());
+}
+
+std::optional<UnreadData> TcpConnection::checkUnreadData(base::TimePoint now) {
+  if (!Sock.is_open())
+    return std::nullopt;
+  const auto state = readSendState(Sock.native_handle());
+  if (!state || (state->QueuedBytes == 0 && Unsent.empty())) {
+    Monitored = false;
+    setKernelTimeout(UnansweredTimeout);
+    return std::nullopt;
+  }
+  if (const auto reason = Unread.check(*state, now)) {
+    giveUp(*reason);
+    return std::nullopt;
+  }
+  setKernelTimeout(Unread.kernelTimeout());
+  return UnreadData{state->QueuedBytes + Unsent.size(), Unread.isStalled(now)};
+}
+
+void TcpConnection::giveUp(GiveUpReason reason) {
+  if (!Sock.is_open())
+    return;
+  base::logInfo(
+      "connection.given_up",
+      {{"reason", giveUpReasonName(reason)},
+       {"bytes", Unsent.size() + sendQueueBytes(Sock.native_handle())},
+       {"closing", ClosingAfterSend}});
+  const auto current = CurrentHandlers;
+  abort();
+  if (current->OnClose)
+    current->OnClose(CloseReason::TimedOut);
+}
+
 void TcpConnection::closeAfterSending() {
   if (!Sock.is_open() || ClosingAfterSend)
     return;
--- a/src/adaptertcp/tcpconnection.h
+++ b/src/adaptertcp/tcpconnection.h
@@ -1,18 +1,29 @@
 #ifndef BERGAMOT_ADAPTERTCP_TCPCONNECTION_H
 #define BERGAMOT_ADAPTERTCP_TCPCONNECTION_H
 
+#include "adaptertcp/unreaddatapolicy.h"
+#include "libbergamotbase/timetypes.h"
+
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace bergamot::adaptertcp {
 
-/// How the peer ended a connection.
-enum class CloseReason { EndOfStream, Reset };
+/// How a connection ended.
+enum class CloseReason {
+  /// The peer has closed it.
+  EndOfStream,
+  Reset,
+  /// The peer hasn't acknowledged or read in time what it was sent, see
+  /// UnreadDataPolicy.
+  TimedOut,
+};
 
 /// A non-blocking TCP connection on an event loop. All connections of the loop
 /// share one read buffer, so an idle connection holds none. All functions must
@@ -46,6 +57,18 @@
   void send(std::string_view bytes);
   /// Returns the number of queued bytes that the kernel hasn't accepted yet.
   std::size_t unsentBytes() const { return Unsent.size(); }
+  /// Returns whether the peer hasn't acknowledged all bytes yet. Where the
+  /// system doesn't tell, only bytes count that the kernel hasn't accepted.
+  bool hasUnreadData() const;
+  /// Sets until when the peer may leave unread what it is sent from now on,
+  /// typically the deadline of a request. Without one, or if it has passed,
+  /// that is UnansweredTimeout.
+  void setReadDeadline(base::TimePoint deadline);
+  /// Used by ConnectionMonitor: gives the connection up if its policy says so.
+  /// Returns its unread data; nullopt if it needs no further checks.
+  std::optional<UnreadData> checkUnreadData(base::TimePoint now);
+  /// Resets the connection and reports CloseReason::TimedOut.
+  void giveUp(GiveUpReason reason);
 
   /// Closes immediately; no handler is called afterwards.
   void close();
@@ -67,6 +90,8 @@
   void flush();
   void closeAndNotify(CloseReason reason);
   void shutdownSend();
+  void monitorUnreadData();
+  void setKernelTimeout(std::chrono::milliseconds timeout);
 
   Socket Sock;
   /// Shared, so that a handler stays alive while it runs, even if it replaces
@@ -74,6 +99,11 @@
   std::shared_ptr<const Handlers> CurrentHandlers =
       std::make_shared<Handlers>();
   std::string Unsent;
+  UnreadDataPolicy Unread;
+  /// The present value of TCP_USER_TIMEOUT.
+  std::chrono::milliseconds KernelTimeout{0};
+  /// ConnectionMonitor checks the connection.
+  bool Monitored = false;
   bool Reading = false;
   bool WaitingForReadable = false;
   bool WaitingForWritable = false;
--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -150,6 +150,7 @@
   head.Status = status;
   if (status == 503)
     head.Headers.add("Retry-After", UploadRetryAfter);
+  setReadDeadline();
   Connection->send(adaptertcp::responseText(head, Framing::Length, 0, false));
   closeAfterSending();
 }
@@ -164,6 +165,7 @@
     return;
   }
   KeepAlive = KeepAlive && !Owner.isShuttingDown();
+  setReadDeadline();
   std::string text =
       adaptertcp::responseText(head, Framing::Length, body.size(), KeepAlive);
   text.append(body);
@@ -171,6 +173,12 @@
   finishExchange();
 }
 
+/// Lets the caller read the next response until its request's deadline.
+void CallerConnection::setReadDeadline() {
+  Connection->setReadDeadline(CurrentExchange ? CurrentExchange->deadline()
+                                              : TimePoint());
+}
+
 bool CallerConnection::hasBody(const ResponseHead &head) const {
   return !HeadRequested && adaptertcp::mayHaveBody(head.Status);
 }
@@ -181,6 +189,7 @@
   KeepAlive = KeepAlive && !Owner.isShuttingDown();
   WithoutBody = !hasBody(head);
   Chunked = !head.Length;
+  setReadDeadline();
   Connection->send(adaptertcp::responseText(
       head, Chunked ? Framing::Chunked : Framing::Length,
       head.Length.value_or(0), KeepAlive));
--- a/src/entrypath/callerconnection.h
+++ b/src/entrypath/callerconnection.h
@@ -41,6 +41,7 @@
   /// Rejects the incomplete request, as all of them together are too large.
   void rejectUpload();
   std::size_t unsentBytes() const { return Connection->unsentBytes(); }
+  bool hasUnreadData() const { return Connection->hasUnreadData(); }
   /// Closes the connection if the caller has exceeded its header or idle
   /// timeout.
   void checkTimeouts(base::TimePoint now);
@@ -68,6 +69,7 @@
   void setUploadBytes(std::size_t n);
   void onRequestComplete();
   bool hasBody(const adaptertcp::ResponseHead &head) const;
+  void setReadDeadline();
   void finishExchange();
   void closeAfterSending();
 
--- a/src/entrypath/exchangeattempt.cpp
+++ b/src/entrypath/exchangeattempt.cpp
@@ -32,6 +32,20 @@
 constexpr milliseconds MaxIdleNonIdempotent{700};
 constexpr milliseconds MaxIdleIdempotent{30000};
 
+/// Returns the cause in logs and metrics of an attempt that failed as its
+/// connection ended.
+const char *closeCause(CloseReason reason) {
+  switch (reason) {
+  case CloseReason::EndOfStream:
+    return "closed";
+  case CloseReason::Reset:
+    return "reset";
+  case CloseReason::TimedOut:
+    return "timed_out";
+  }
+  return "";
+}
+
 } // namespace
 
 void Exchange::dispatchTo(const gateway::KnownTarget &target) {
@@ -106,6 +120,7 @@
   ++Dispatches;
   Current->LastProgressAt = now;
   log("dispatch", "sent", 0);
+  Current->Connection->setReadDeadline(Deadline);
   Current->Connection->send(adaptertcp::requestText(Head, Body));
   if (Route->Streaming && !Current->TargetGroup.empty())
     scheduleSilenceCheck(now + Owner.settings().StreamSilenceTimeout);
@@ -361,8 +376,7 @@
   if (Current->Sent && !Current->Begun)
     Owner.checkForCrash(Current->TargetId, Current->TargetStartedAtMs,
                         Current->TargetAddress, PromptParts);
-  handleAttemptFailure(AttemptFailure::Lost,
-                       reason == CloseReason::Reset ? "reset" : "closed");
+  handleAttemptFailure(AttemptFailure::Lost, closeCause(reason));
 }
 
 void Exchange::endAttempt() {
--- a/tests/entrypath/entryfixture.cpp
+++ b/tests/entrypath/entryfixture.cpp
@@ -76,6 +76,15 @@
   return makeTable(2, routes);
 }
 
+std::shared_ptr<const gateway::RouteTable> longRoutes() {
+  using gateway::RequestIdempotency;
+  auto once = route("once", RequestIdempotency::NonIdempotent, false, false);
+  auto stream = route("stream", RequestIdempotency::NonIdempotent, true, true);
+  once.Timeout = 20s;
+  stream.Timeout = 20s;
+  return makeTable(2, {once, stream});
+}
+
 tcp::endpoint freeEndpoint() {
   boost::asio::io_context loop;
   tcp::acceptor acceptor(
@@ -150,6 +159,14 @@
     it->close();
 }
 
+void TestTarget::readAfter(std::chrono::milliseconds delay) {
+  constexpr int ReceiveBufferBytes = 1024;
+  ReadDelay = delay;
+  // Accepted sockets inherit the option.
+  Acceptor.set_option(
+      boost::asio::socket_base::receive_buffer_size(ReceiveBufferBytes));
+}
+
 void TestTarget::crash() {
   boost::system::error_code ec;
   Acceptor.close(ec);
@@ -200,6 +217,16 @@
                      },
                      [this](adaptertcp::CloseReason) { ++Closed; },
                      {}});
+  if (ReadDelay == 0ms)
+    return;
+  connection->setReading(false);
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      Acceptor.get_executor(), ReadDelay);
+  timer->async_wait([timer, weak](const boost::system::error_code &ec) {
+    const auto open = weak.lock();
+    if (!ec && open)
+      open->setReading(true);
+  });
 }
 
 std::string signedResponse(const RequestHead &head, const std::string &body,
--- a/tests/entrypath/entryfixture.h
+++ b/tests/entrypath/entryfixture.h
@@ -54,6 +54,9 @@
   TestTarget(boost::asio::io_context &loop, Handler handler);
   ~TestTarget();
 
+  /// Accepts connections with a small receive buffer from now on, and reads
+  /// from them only after a delay.
+  void readAfter(std::chrono::milliseconds delay);
   /// Closes the listening socket and all connections, as if the process had
   /// ended.
   void crash();
@@ -72,6 +75,7 @@
 
   boost::asio::ip::tcp::acceptor Acceptor;
   Handler OnRequest;
+  std::chrono::milliseconds ReadDelay{0};
   std::vector<Connection> Open;
   std::uint32_t Requests = 0;
   std::uint32_t Connections = 0;
@@ -89,6 +93,10 @@
 /// served in time if they wait for up to 1.4 s, and are due in 20 s.
 std::shared_ptr<const gateway::RouteTable> competingRoutes();
 
+/// Returns a newer configuration than the fixture's, whose routes "once" and
+/// "stream" are due in 20 s.
+std::shared_ptr<const gateway::RouteTable> longRoutes();
+
 /// Returns a signed response to a request.
 std::string signedResponse(const adaptertcp::RequestHead &head,
                            const std::string &body, int status = 200,
