entrypath: End a stopping entry once callers have acknowledged their answers

Answers that callers hadn't read were left to the kernel: if such a caller sends something then, for example a pipelined request, the kernel resets the connection and drops the rest.

isDrained now asks for the send queues of the connections, also of those that are closing.

"an entry isn't drained before callers have acknowledged their answers" and the check in test_slowreaders fail on the code before.

--- a/src/entrypath/entry.cpp
+++ b/src/entrypath/entry.cpp
@@ -180,22 +180,21 @@
 }
 
 bool Entry::isDrained() const {
-  const auto isSent = [](const auto &it) {
+  const auto isRead = [](const auto &it) {
     const auto connection = it.lock();
-    return !connection || !connection->isOpen() ||
-           connection->unsentBytes() == 0;
+    return !connection || !connection->hasUnreadData();
   };
   return std::all_of(Callers.begin(), Callers.end(),
                      [](const auto &it) {
-                       return it->isIdle() && it->unsentBytes() == 0;
+                       return it->isIdle() && !it->hasUnreadData();
                      }) &&
          std::all_of(ClosingConnections.begin(), ClosingConnections.end(),
-                     isSent);
+                     isRead);
 }
 
 void Entry::addClosingConnection(
     const std::shared_ptr<adaptertcp::TcpConnection> &connection) {
-  if (connection->unsentBytes() > 0)
+  if (connection->hasUnreadData())
     ClosingConnections.push_back(connection);
 }
 
--- a/src/entrypath/entry.h
+++ b/src/entrypath/entry.h
@@ -91,7 +91,9 @@
   /// response, and requests are rejected that the policy doesn't take.
   void shutDown(const gateway::ShutdownPolicy &policy);
   /// Returns whether there is neither a request in progress nor a partly read
-  /// one, and the kernel has accepted all bytes for callers.
+  /// one, and callers have acknowledged all that they were sent. What the
+  /// kernel still has to send would be lost if a caller sent something after
+  /// the end of this process.
   bool isDrained() const;
   /// Closes connections that have no request in progress or partly read.
   void closeIdleCallers();
--- a/tests/entrypath/test_entrypath.cpp
+++ b/tests/entrypath/test_entrypath.cpp
@@ -494,6 +494,35 @@
     CHECK(received->Bytes.ends_with("0\r\n\r\n"));
 }
 
+// Guards against an entry that ends while the kernel still has an answer to
+// send: if the caller sends a further request then, the kernel resets the
+// connection and drops the answer.
+TEST_CASE("an entry isn't drained before callers have acknowledged their "
+          "answers") {
+  // More than the caller's receive buffer, and less than the entry's send
+  // buffer.
+  const std::string body(30000, 'x');
+  EntryFixture fixture;
+  fixture.addTarget("t1", [&](const auto &head, const auto &, const auto &it) {
+    it->send(signedResponse(head, body));
+  });
+  // The second connection stays open after its answer.
+  const auto first = fixture.sendOverSlowLink(
+      requestText("once", "r1", "Connection: close\r\n"));
+  const auto second = fixture.sendOverSlowLink(requestText("once", "r2"));
+  fixture.setReading(first, false);
+  fixture.setReading(second, false);
+  fixture.run(200ms);
+  fixture.entry().shutDown({fixture.entry().now(), 8s});
+  CHECK_FALSE(fixture.entry().isDrained());
+  fixture.setReading(first, true);
+  REQUIRE(fixture.runUntil([&] { return completeBody(*first) == body; }));
+  CHECK_FALSE(fixture.entry().isDrained());
+  fixture.setReading(second, true);
+  REQUIRE(fixture.runUntil([&] { return completeBody(*second) == body; }));
+  CHECK(fixture.runUntil([&] { return fixture.entry().isDrained(); }));
+}
+
 // At the end of the grace period connections were closed without a response.
 TEST_CASE("requests that outlast the shutdown of an entry are answered") {
   EntryFixture fixture;
--- a/tests/entrypath/test_slowreaders.cpp
+++ b/tests/entrypath/test_slowreaders.cpp
@@ -74,6 +74,7 @@
     running.Fixture.run(5ms);
     stopping.Fixture.run(5ms);
   }
+  CHECK_FALSE(entry.isDrained());
   CHECK(running.readsAll(once, std::string(BodyBytes, 'x')));
   CHECK(running.readsAll(stream, events()));
   CHECK(stopping.readsAll(stoppedOnce, std::string(BodyBytes, 'x')));
