adapterhttp: Give the heads of chunked responses the deadline of the call

A caller of bergamotd that pipelined requests and hadn't read the answer before a streamed one for a second got a cut response: the head of a chunked response had one second, while all other writes have the deadline of the call.

HttpResponder::start takes a deadline. "a client that reads late gets all of its responses" gets 14 of 1,500 streams with the one second in place, in 3 of 3 runs, and all of them now, in 3 of 3.

--- a/src/adapterhttp/httpresponder.cpp
+++ b/src/adapterhttp/httpresponder.cpp
@@ -19,8 +19,7 @@
 /// that CivetWeb never waits by itself: it would wait 2 s at a time.
 constexpr std::size_t LargestWriteBytes = 16 * 1024;
 
-/// Time for the head of a chunked response and for the final chunk, which
-/// have no deadline of their own.
+/// Time for the final chunk if the deadline of the response has passed.
 constexpr std::chrono::seconds FramingTimeout{1};
 
 bool isFramingHeader(const std::string &name) {
@@ -53,7 +52,8 @@
     : Connection(connection), Socket(socket), KeepAlive(keepAlive) {}
 
 void HttpResponder::start(int status, const std::vector<HttpHeader> &headers,
-                          std::optional<std::size_t> contentLength) {
+                          std::optional<std::size_t> contentLength,
+                          base::TimePoint deadline) {
   Started = true;
   Status = status;
   bool bodiless = status < 200 || status == 204 || status == 304;
@@ -77,9 +77,9 @@
   head.append(KeepAlive ? "Connection: keep-alive\r\n\r\n"
                         : "Connection: close\r\n\r\n");
   PendingHead = std::move(head);
-  LastDeadline = base::TimePoint::clock::now() + FramingTimeout;
+  LastDeadline = deadline;
   if (!contentLength)
-    send(takeHead({}), LastDeadline);
+    send(takeHead({}), deadline);
 }
 
 std::string HttpResponder::takeHead(std::string_view bytes) {
@@ -132,7 +132,7 @@
 
 void HttpResponder::respond(int status, const std::vector<HttpHeader> &headers,
                             std::string_view body, base::TimePoint deadline) {
-  start(status, headers, body.size());
+  start(status, headers, body.size(), deadline);
   write(body, deadline);
   finish();
 }
--- a/src/adapterhttp/httpresponder.h
+++ b/src/adapterhttp/httpresponder.h
@@ -24,11 +24,12 @@
   HttpResponder &operator=(const HttpResponder &) = delete;
 
   /// Starts the response. Without a content length it is sent in chunks and
-  /// the head goes out at once; with one, the head goes out with the first
-  /// bytes. Content-Length, Transfer-Encoding and Connection are set here and
-  /// ignored among the headers, as are headers with a line break.
+  /// the head goes out at once, by the deadline; with one, the head goes out
+  /// with the first bytes. Content-Length, Transfer-Encoding and Connection are
+  /// set here and ignored among the headers, as are headers with a line break.
   void start(int status, const std::vector<HttpHeader> &headers,
-             std::optional<std::size_t> contentLength);
+             std::optional<std::size_t> contentLength,
+             base::TimePoint deadline);
 
   /// Sends bytes of the body. Returns false if the client is gone, the
   /// deadline has passed, or more bytes than the content length were given;
--- a/src/bergamotd/callrunner.cpp
+++ b/src/bergamotd/callrunner.cpp
@@ -238,7 +238,7 @@
   Result.ContentType = type != nullptr ? *type : "";
   if (type != nullptr)
     headers.push_back({"Content-Type", *type});
-  Responder.start(Head->Status, headers, length);
+  Responder.start(Head->Status, headers, length, Call.Deadline);
 }
 
 CallRunner::Next CallRunner::takeEnd() {
--- a/support/standin/enginestandin.cpp
+++ b/support/standin/enginestandin.cpp
@@ -126,7 +126,7 @@
   responder.start(200,
                   {{"Content-Type", "text/event-stream"},
                    {"X-Incarnation", std::to_string(run.Incarnation)}},
-                  std::nullopt);
+                  std::nullopt, base::TimePoint::clock::now() + WriteTimeout);
   std::uint64_t position = 0;
   for (std::uint32_t i = 0; i <= completion.MaxTokens; ++i) {
     std::string piece = streamPiece(completion, i);
--- a/support/standin/servicestandin.cpp
+++ b/support/standin/servicestandin.cpp
@@ -117,7 +117,8 @@
     exchange.answerBytes(200, content, headers);
     return;
   }
-  exchange.Responder.start(200, headers, std::nullopt);
+  exchange.Responder.start(200, headers, std::nullopt,
+                           base::TimePoint::clock::now() + WriteTimeout);
   std::string_view rest = content;
   while (!rest.empty()) {
     if (exchange.LosesAnswer && rest.size() <= content.size() / 2) {
--- a/tests/http/test_http.cpp
+++ b/tests/http/test_http.cpp
@@ -87,7 +87,7 @@
 TEST_CASE("pieces of a chunked response arrive as they are written", "[http]") {
   std::promise<void> firstWasRead;
   HttpServer server(smallLimits(), [&](const HttpRequest &, HttpResponder &r) {
-    r.start(200, {}, std::nullopt);
+    r.start(200, {}, std::nullopt, in(2s));
     r.write("first", in(2s));
     firstWasRead.get_future().wait_for(5s);
     r.write(std::string(100000, 'x'), in(2s));
@@ -130,9 +130,9 @@
   std::atomic<bool> withLength{false};
   HttpServer server(smallLimits(), [&](const HttpRequest &, HttpResponder &r) {
     if (withLength)
-      r.start(200, {}, 100);
+      r.start(200, {}, 100, in(2s));
     else
-      r.start(200, {}, std::nullopt);
+      r.start(200, {}, std::nullopt, in(2s));
     r.write("part", in(2s));
   });
   HttpClient client(endpointOf(server));
@@ -217,7 +217,7 @@
 TEST_CASE("the handler notices that its client has left", "[http]") {
   std::promise<bool> noticed;
   HttpServer server(smallLimits(), [&](const HttpRequest &, HttpResponder &r) {
-    r.start(200, {}, std::nullopt);
+    r.start(200, {}, std::nullopt, in(2s));
     auto deadline = in(3s);
     while (!r.isClientGone() && base::TimePoint::clock::now() < deadline)
       std::this_thread::sleep_for(5ms);
@@ -240,7 +240,7 @@
 TEST_CASE("a write to a stalled reader ends at its deadline", "[http]") {
   std::promise<std::chrono::milliseconds> took;
   HttpServer server(smallLimits(), [&](const HttpRequest &, HttpResponder &r) {
-    r.start(200, {}, std::nullopt);
+    r.start(200, {}, std::nullopt, in(2s));
     auto begin = base::TimePoint::clock::now();
     // More than the kernel buffers of both sides hold.
     while (r.write(std::string(256 * 1024, 'x'), begin + 300ms))
@@ -255,6 +255,50 @@
   CHECK(time < 1000ms);
 }
 
+// Guards against a chunked response whose head is cut because the client hasn't
+// read the response before it for a second.
+TEST_CASE("a client that reads late gets all of its responses", "[http]") {
+  // Far more than the kernel buffers of the connection.
+  constexpr int Streams = 1500;
+  const std::string plainBody(8192, 'x');
+  HttpServer server(smallLimits(), [&](const HttpRequest &q, HttpResponder &r) {
+    const auto deadline = in(10s);
+    if (q.Path == "/plain") {
+      r.respond(200, {}, plainBody, deadline);
+      return;
+    }
+    r.start(200, {}, std::nullopt, deadline);
+    r.write("body", deadline);
+    r.finish();
+  });
+  ClientSocket client(parseEndpoint(endpointOf(server)), "server", in(2s));
+  std::string requests;
+  for (int i = 0; i < Streams; ++i)
+    requests += "GET /plain HTTP/1.1\r\nHost: h\r\n\r\n"
+                "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n";
+  client.send(requests, in(2s));
+  std::this_thread::sleep_for(2s);
+  const std::string stream = "4\r\nbody\r\n0\r\n\r\n";
+  std::string received;
+  std::string buf(65536, '\0');
+  int complete = 0;
+  std::size_t at = 0;
+  try {
+    std::size_t n = 1;
+    while (n > 0 && complete < Streams) {
+      n = client.receive(buf.data(), buf.size(), in(2s));
+      received.append(buf, 0, n);
+      for (std::size_t it = received.find(stream, at); it != std::string::npos;
+           it = received.find(stream, at)) {
+        ++complete;
+        at = it + stream.size();
+      }
+    }
+  } catch (const HttpClientError &) {
+  }
+  CHECK(complete == Streams);
+}
+
 TEST_CASE("errors tell whether the request may have been sent", "[http]") {
   SECTION("nobody listens") {
     HttpClient client("127.0.0.1:1");
@@ -288,7 +332,7 @@
 TEST_CASE("stopping interrupts no request", "[http]") {
   std::promise<void> entered;
   HttpServer server(smallLimits(), [&](const HttpRequest &, HttpResponder &r) {
-    r.start(200, {}, std::nullopt);
+    r.start(200, {}, std::nullopt, in(2s));
     entered.set_value();
     std::this_thread::sleep_for(300ms);
     r.write("whole", in(1s));
