entrypath: Let callers read for longer than the route's timeout

Since a caller that paused while it read was given up once the route's timeout had passed, even if it still waited: with a timeout of 1.5 s and 8 s left, an answer was lost to a pause of 4 s.

readDeadline is the request's deadline or 5 s from now, if that is later and the caller still waits then.

--- a/src/entrypath/callerconnection.cpp
+++ b/src/entrypath/callerconnection.cpp
@@ -173,9 +173,10 @@
   finishExchange();
 }
 
-/// Lets the caller read the next response until its request's deadline.
+/// Sets until when the caller may read the next response; a rejection of an
+/// incomplete request has no deadline.
 void CallerConnection::setReadDeadline() {
-  Connection->setReadDeadline(CurrentExchange ? CurrentExchange->deadline()
+  Connection->setReadDeadline(CurrentExchange ? CurrentExchange->readDeadline()
                                               : TimePoint());
 }
 
--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -13,6 +13,13 @@
 using base::TimePoint;
 using std::chrono::milliseconds;
 
+namespace {
+
+/// Upper limit for the time until a request's deadline.
+constexpr std::chrono::hours MaxRequestTime{1};
+
+} // namespace
+
 Exchange::Exchange(Entry &entry, CallerConnection &caller,
                    adaptertcp::RequestHead head, std::string body,
                    TimePoint arrivedAt)
@@ -44,8 +51,13 @@
   }
   const milliseconds limit =
       Route->Timeout.count() > 0 ? Route->Timeout : milliseconds::max() / 2;
-  Deadline = ArrivedAt + std::min({RequestInfo.TimeLeft.value_or(limit), limit,
-                                   milliseconds(std::chrono::hours(1))});
+  CallerDeadline =
+      ArrivedAt +
+      std::min<milliseconds>(RequestInfo.TimeLeft.value_or(MaxRequestTime),
+                             MaxRequestTime);
+  Deadline =
+      std::min(CallerDeadline,
+               ArrivedAt + std::min<milliseconds>(limit, MaxRequestTime));
   Service = gateway::chooseService(*Route, Owner.drawUniform());
   Priority = Owner.requestPriority(Service, *Route, Client);
   if (!Owner.canComplete(*this)) {
@@ -60,6 +72,12 @@
   Owner.enqueue(shared_from_this());
 }
 
+TimePoint Exchange::readDeadline() const {
+  return std::max(
+      Deadline,
+      std::min(CallerDeadline, Owner.now() + adaptertcp::UnansweredTimeout));
+}
+
 bool Exchange::authenticate() {
   Client = RequestInfo.ApiKey ? Table->account(*RequestInfo.ApiKey) : nullptr;
   return Client || Route->Public || !Table->hasAccounts();
@@ -157,6 +175,7 @@
   if (Finished || missedTime == base::Duration::zero())
     return;
   Deadline -= missedTime;
+  CallerDeadline -= missedTime;
   startDeadlineTimer();
 }
 
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -70,6 +70,10 @@
   const gateway::Route &route() const { return *Route; }
   base::TimePoint arrivedAt() const { return ArrivedAt; }
   base::TimePoint deadline() const { return Deadline; }
+  /// Returns until when the caller may read a response that it is sent now: the
+  /// deadline, or adaptertcp::UnansweredTimeout if that is later and the caller
+  /// still waits then, as it may longer than the route's timeout.
+  base::TimePoint readDeadline() const;
   gateway::RequestTimes times() const {
     return {ArrivedAt, Deadline, RequestInfo.ContinuesStream};
   }
@@ -174,6 +178,8 @@
   std::uint32_t Priority = 0;
   base::TimePoint ArrivedAt;
   base::TimePoint Deadline;
+  /// The end of the time that the caller waits; the deadline is at most that.
+  base::TimePoint CallerDeadline;
   boost::asio::steady_timer DeadlineTimer;
 
   std::vector<gateway::PromptPart> PromptParts;
--- a/tests/entrypath/test_slowreaders.cpp
+++ b/tests/entrypath/test_slowreaders.cpp
@@ -84,6 +84,31 @@
   CHECK_FALSE(running.readsAll(unread, std::string(BodyBytes, 'x')));
 }
 
+// Guards against callers that are given up as soon as the route's timeout has
+// passed, while they still wait.
+TEST_CASE("a caller may read for longer than the route's timeout") {
+  const std::string body(BodyBytes, 'x');
+  EntryFixture fixture;
+  fixture.addTarget(
+      "t1", [&](const auto &head, const auto &, const auto &connection) {
+        connection->send(signedResponse(head, body));
+      });
+  // The route's timeout is 1.5 s.
+  const auto waiting =
+      fixture.sendOverSlowLink(requestText("once", "r1", "X-Left: 8000\r\n"));
+  const auto gone =
+      fixture.sendOverSlowLink(requestText("once", "r2", "X-Left: 1500\r\n"));
+  fixture.setReading(waiting, false);
+  fixture.setReading(gone, false);
+  fixture.run(4000ms);
+  fixture.setReading(waiting, true);
+  fixture.setReading(gone, true);
+  REQUIRE(fixture.runUntil([&] { return hasEnded(*waiting); }));
+  CHECK(completeBody(*waiting) == body);
+  REQUIRE(fixture.runUntil([&] { return hasEnded(*gone); }));
+  CHECK_FALSE(completeBody(*gone));
+}
+
 // Guards against requests that never reach targets which pause before they
 // read; their callers got 502 after 5.4 s.
 TEST_CASE("a target that reads late gets the whole request") {
