--- a/src/adaptertcp/connectionmonitor.h
+++ b/src/adaptertcp/connectionmonitor.h
@@ -22,8 +22,7 @@
 
   /// Bound on the unread data of all connections, in the kernel's send queues
   /// and in this process. Above it, connections are given up whose peers have
-  /// read nothing for UnansweredTimeout, even if their deadlines are later. It
-  /// is an eighth of the memory of an entry's VM.
+  /// read nothing for UnansweredTimeout, even if their deadlines are later.
   static constexpr std::size_t MaxUnreadBytes = 32UL * 1024 * 1024;
 
   /// Called by the loop, which must be an io_context.
--- a/src/adaptertcp/unreaddatapolicy.h
+++ b/src/adaptertcp/unreaddatapolicy.h
@@ -55,8 +55,9 @@
   std::optional<GiveUpReason> check(const SendState &state,
                                     base::TimePoint now);
 
-  /// Returns when the kernel is to end the connection by itself, as
-  /// TCP_USER_TIMEOUT: the time for which data may remain unacknowledged.
+  /// Returns for how long data may remain unacknowledged before the kernel ends
+  /// the connection (TCP_USER_TIMEOUT). It counts from when the peer's window
+  /// closed or its acknowledgements ceased.
   std::chrono::milliseconds kernelTimeout() const;
 
   /// Returns whether the peer has read nothing for UnansweredTimeout.
@@ -71,6 +72,7 @@
   base::TimePoint ReadDeadline;
   /// When the peer was last seen to have acknowledged further bytes.
   base::TimePoint ProgressAt;
+  /// When the connection was last checked.
   base::TimePoint CheckedAt;
   std::uint64_t AcknowledgedBytes = 0;
   /// Since when window probes remain unanswered.
@@ -83,6 +85,7 @@
 /// Unread data of one connection.
 struct UnreadData {
   std::size_t Bytes = 0;
+  /// The peer has read nothing for UnansweredTimeout.
   bool Stalled = false;
 };
 
--- a/tests/tcp/test_unreaddata.cpp
+++ b/tests/tcp/test_unreaddata.cpp
@@ -4,7 +4,6 @@
 #include "adaptertcp/unreaddatapolicy.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/read.hpp>
 #include <catch2/catch.hpp>
 #include <linux/filter.h>
 #include <sys/socket.h>
@@ -37,8 +36,8 @@
   std::function<bool(TimePoint)> Reads = [](TimePoint) { return false; };
   /// When segments arrive neither at the peer nor from it.
   std::function<bool(TimePoint)> IsCutOff = [](TimePoint) { return false; };
-  /// Whether the peer has no room for anything from the beginning; otherwise
-  /// everything is acknowledged but what was sent last.
+  /// Whether the peer's window is closed, so that it only gets probes;
+  /// otherwise it gets data, which it drops as it has no room.
   bool WindowClosed = true;
 
   /// Checks the policy until it or the kernel gives the peer up, or the time
@@ -96,12 +95,12 @@
   TimePoint NextSegmentAt = Start + Interval;
 };
 
-/// The smallest receive buffer that the system grants is larger.
+/// In bytes; the system grants the smallest buffer that it has.
 constexpr int SmallReceiveBuffer = 1024;
 constexpr std::size_t DataBytes = 256 * 1024;
 
-/// A connection with a small receive buffer at the peer, which doesn't read by
-/// itself.
+/// A TcpConnection and its peer, which has a small receive buffer and doesn't
+/// read by itself.
 class SocketPair {
 public:
   explicit SocketPair(boost::asio::io_context &loop) : Peer(loop, tcp::v4()) {
