adaptertcp: Take what unread data does twice into one place

The default for data without a deadline stood in two functions of UnreadDataPolicy and as a constant of AsyncHttpServer; setReadDeadline alone has it now. giveUp asked the kernel again for the bytes that its caller knew, and reset and notified like abort and closeAndNotify; it calls the same pieces as they do. One function reads the send queue in place of two. Behaviour is the same.

The case with real sockets also has a peer that holds 32 MB: it is given up after 5 s, before its deadline, and the smaller ones are kept.

--- a/src/adaptertcp/asynchttpserver.cpp
+++ b/src/adaptertcp/asynchttpserver.cpp
@@ -14,9 +14,6 @@
 /// While more bytes than this wait for the peer to read, its further requests
 /// aren't processed.
 constexpr std::size_t MaxUnsentBytes = 65536;
-/// Time for the peer to read a response. No call to these servers has a later
-/// deadline.
-constexpr std::chrono::seconds ResponseReadTime{5};
 
 /// One connection of an AsyncHttpServer.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
@@ -93,8 +90,9 @@
     const bool keepAlive = Parser.requestHead().KeepAlive;
     std::string text =
         responseText(head, Framing::Length, response.Body.size(), keepAlive);
-    Connection->setReadDeadline(std::chrono::steady_clock::now() +
-                                ResponseReadTime);
+    // The server isn't told the deadlines of calls. They are all earlier than
+    // that of data without one.
+    Connection->setReadDeadline(base::TimePoint());
     Connection->send(text.append(response.Body));
     if (!keepAlive) {
       Closing = true;
--- a/src/adaptertcp/connectionmonitor.cpp
+++ b/src/adaptertcp/connectionmonitor.cpp
@@ -52,7 +52,7 @@
     }
   }
   for (const std::size_t i : connectionsToGiveUp(data, MaxUnreadBytes))
-    unread[i]->giveUp(GiveUpReason::Memory);
+    unread[i]->giveUp(GiveUpReason::Memory, data[i].Bytes);
   for (const auto &it : unread)
     if (it->isOpen())
       Connections.push_back(it);
--- a/src/adaptertcp/sendstate.cpp
+++ b/src/adaptertcp/sendstate.cpp
@@ -22,22 +22,17 @@
          info.tcpi_last_ack_recv > info.tcpi_last_data_sent;
 }
 
-/// Returns the number of queued bytes; nullopt if the system doesn't tell.
-std::optional<std::size_t> queuedBytes(int socket) {
+} // namespace
+
+std::optional<std::size_t> sendQueueBytes(int socket) {
   int n = 0;
   if (::ioctl(socket, SIOCOUTQ, &n) != 0 || n < 0)
     return std::nullopt;
   return static_cast<std::size_t>(n);
 }
 
-} // namespace
-
-std::size_t sendQueueBytes(int socket) {
-  return queuedBytes(socket).value_or(0);
-}
-
 std::optional<SendState> readSendState(int socket) {
-  const auto queued = queuedBytes(socket);
+  const auto queued = sendQueueBytes(socket);
   if (!queued)
     return std::nullopt;
   tcp_info info{};
--- a/src/adaptertcp/sendstate.h
+++ b/src/adaptertcp/sendstate.h
@@ -19,9 +19,9 @@
   unsigned UnansweredProbes = 0;
 };
 
-/// Returns the bytes in the send queue of a socket; 0 if the system doesn't
-/// tell.
-std::size_t sendQueueBytes(int socket);
+/// Returns the bytes in the send queue of a socket; nullopt if the system
+/// doesn't tell.
+std::optional<std::size_t> sendQueueBytes(int socket);
 
 /// Returns the state of a socket; nullopt if the system doesn't tell or the
 /// connection isn't established any more.
--- a/src/adaptertcp/tcpconnection.cpp
+++ b/src/adaptertcp/tcpconnection.cpp
@@ -172,7 +172,7 @@
   // native_handle() isn't const.
   auto &socket = const_cast<Socket &>(Sock);
   return !Unsent.empty() ||
-         (Monitored && sendQueueBytes(socket.native_handle()) > 0);
+         (Monitored && sendQueueBytes(socket.native_handle()).value_or(0) > 0);
 }
 
 void TcpConnection::setReadDeadline(base::TimePoint deadline) {
@@ -189,26 +189,23 @@
     setKernelTimeout(UnansweredTimeout);
     return std::nullopt;
   }
+  const std::size_t bytes = state->QueuedBytes + Unsent.size();
   if (const auto reason = Unread.check(*state, now)) {
-    giveUp(*reason);
+    giveUp(*reason, bytes);
     return std::nullopt;
   }
   setKernelTimeout(Unread.kernelTimeout());
-  return UnreadData{state->QueuedBytes + Unsent.size(), Unread.isStalled(now)};
+  return UnreadData{bytes, Unread.isStalled(now)};
 }
 
-void TcpConnection::giveUp(GiveUpReason reason) {
+void TcpConnection::giveUp(GiveUpReason reason, std::size_t unreadBytes) {
   if (!Sock.is_open())
     return;
-  base::logInfo(
-      "connection.given_up",
-      {{"reason", giveUpReasonName(reason)},
-       {"bytes", Unsent.size() + sendQueueBytes(Sock.native_handle())},
-       {"closing", ClosingAfterSend}});
-  const auto current = CurrentHandlers;
-  abort();
-  if (current->OnClose)
-    current->OnClose(CloseReason::TimedOut);
+  base::logInfo("connection.given_up", {{"reason", giveUpReasonName(reason)},
+                                        {"bytes", unreadBytes},
+                                        {"closing", ClosingAfterSend}});
+  resetOnClose();
+  closeAndNotify(CloseReason::TimedOut);
 }
 
 void TcpConnection::closeAfterSending() {
@@ -246,10 +243,13 @@
 }
 
 void TcpConnection::abort() {
-  const auto self = shared_from_this();
+  resetOnClose();
+  close();
+}
+
+void TcpConnection::resetOnClose() {
   error_code ec;
   Sock.set_option(boost::asio::socket_base::linger(true, 0), ec);
-  close();
 }
 
 } // namespace bergamot::adaptertcp
--- a/src/adaptertcp/tcpconnection.h
+++ b/src/adaptertcp/tcpconnection.h
@@ -67,8 +67,9 @@
   /// Used by ConnectionMonitor: gives the connection up if its policy says so.
   /// Returns its unread data; nullopt if it needs no further checks.
   std::optional<UnreadData> checkUnreadData(base::TimePoint now);
-  /// Resets the connection and reports CloseReason::TimedOut.
-  void giveUp(GiveUpReason reason);
+  /// Resets the connection and reports CloseReason::TimedOut. The log gets the
+  /// reason and the number of unread bytes.
+  void giveUp(GiveUpReason reason, std::size_t unreadBytes);
 
   /// Closes immediately; no handler is called afterwards.
   void close();
@@ -89,6 +90,7 @@
   void waitForWritable();
   void flush();
   void closeAndNotify(CloseReason reason);
+  void resetOnClose();
   void shutdownSend();
   void monitorUnreadData();
   void setKernelTimeout(std::chrono::milliseconds timeout);
--- a/src/adaptertcp/unreaddatapolicy.cpp
+++ b/src/adaptertcp/unreaddatapolicy.cpp
@@ -36,8 +36,7 @@
   ProgressAt = now;
   UnansweredSince.reset();
   WindowClosed = false;
-  if (ReadDeadline <= now)
-    ReadDeadline = now + UnansweredTimeout;
+  setReadDeadline(ReadDeadline, now, false);
 }
 
 void UnreadDataPolicy::setReadDeadline(TimePoint deadline, TimePoint now,
--- a/tests/tcp/test_unreaddata.cpp
+++ b/tests/tcp/test_unreaddata.cpp
@@ -1,5 +1,6 @@
 // Peers that don't read what they are sent: those that read late, those that
 // never read, and those behind a partition.
+#include "adaptertcp/connectionmonitor.h"
 #include "adaptertcp/tcpconnection.h"
 #include "adaptertcp/unreaddatapolicy.h"
 
@@ -121,10 +122,10 @@
   SocketPair(const SocketPair &) = delete;
   SocketPair &operator=(const SocketPair &) = delete;
 
-  void send(std::chrono::milliseconds readTime) {
+  void send(std::chrono::milliseconds readTime, std::size_t n = DataBytes) {
     SentAt = Clock::now();
     Sender->setReadDeadline(SentAt + readTime);
-    Sender->send(std::string(DataBytes, 'x'));
+    Sender->send(std::string(n, 'x'));
   }
   /// Discards what arrives at the peer from now on, before its kernel sees it.
   void cutOff() {
@@ -347,7 +348,9 @@
   SocketPair closing(loop);
   SocketPair cutOff(loop);
   SocketPair cutOffLater(loop);
+  SocketPair large(loop);
   paused.send(30s);
+  large.send(30s, ConnectionMonitor::MaxUnreadBytes);
   unread.send(7s);
   closing.send(7s);
   closing.Sender->closeAfterSending();
@@ -372,6 +375,10 @@
   CHECK(cutOff.keptFor() < 8s);
   CHECK(cutOffLater.Closed == CloseReason::TimedOut);
   CHECK(cutOffLater.keptFor() < 10s);
+  // All together exceed the bound on memory.
+  CHECK(large.Closed == CloseReason::TimedOut);
+  CHECK(large.keptFor() >= UnansweredTimeout);
+  CHECK(large.keptFor() < 8s);
 
   std::size_t n = 0;
   const auto end = Clock::now() + 5s;
