entrypath: Let callers read for as long as they wait

What callers saw: answers were cut 5 s after they were sent, or at the route's timeout if that was later, although the caller's own time hadn't ended. Unsafe work had run.

Cause: Exchange::readDeadline() took the earlier of the caller's deadline and UnansweredTimeout from now, a figure for unreachable servers. Responses without a route (401, 404) and without a configuration (503) had 5 s, whatever the caller's time.

Change: a caller that says how long it waits may read until then. For one that doesn't, nothing changes: the route's timeout, or 5 s if that is later.

Evidence: tests/entrypath "a caller may read for as long as it waits" reads 8 s after a response on a route of 1.5 s, of 10 s that the caller waits.

--- a/src/entrypath/exchange.cpp
+++ b/src/entrypath/exchange.cpp
@@ -32,6 +32,10 @@
 
 void Exchange::start() {
   RequestInfo = Owner.codec().decodeRequest(Head);
+  CallerDeadline =
+      ArrivedAt +
+      std::min<milliseconds>(RequestInfo.TimeLeft.value_or(MaxRequestTime),
+                             MaxRequestTime);
   Table = Owner.routeTable();
   if (!Table) {
     Deadline = ArrivedAt + RequestInfo.TimeLeft.value_or(milliseconds(0));
@@ -51,10 +55,6 @@
   }
   const milliseconds limit =
       Route->Timeout.count() > 0 ? Route->Timeout : milliseconds::max() / 2;
-  CallerDeadline =
-      ArrivedAt +
-      std::min<milliseconds>(RequestInfo.TimeLeft.value_or(MaxRequestTime),
-                             MaxRequestTime);
   Deadline =
       std::min(CallerDeadline,
                ArrivedAt + std::min<milliseconds>(limit, MaxRequestTime));
@@ -73,9 +73,9 @@
 }
 
 TimePoint Exchange::readDeadline() const {
-  return std::max(
-      Deadline,
-      std::min(CallerDeadline, Owner.now() + adaptertcp::UnansweredTimeout));
+  if (RequestInfo.TimeLeft)
+    return CallerDeadline;
+  return std::max(Deadline, Owner.now() + adaptertcp::UnansweredTimeout);
 }
 
 bool Exchange::authenticate() {
--- a/src/entrypath/exchange.h
+++ b/src/entrypath/exchange.h
@@ -70,9 +70,10 @@
   const gateway::Route &route() const { return *Route; }
   base::TimePoint arrivedAt() const { return ArrivedAt; }
   base::TimePoint deadline() const { return Deadline; }
-  /// Returns until when the caller may read a response that it is sent now: the
-  /// deadline, or adaptertcp::UnansweredTimeout if that is later and the caller
-  /// still waits then, as it may longer than the route's timeout.
+  /// Returns until when the caller may read a response that it is sent now: as
+  /// long as it waits, which may be longer than the route's timeout. If it
+  /// didn't say for how long, until the deadline, but at least for
+  /// adaptertcp::UnansweredTimeout.
   base::TimePoint readDeadline() const;
   gateway::RequestTimes times() const {
     return {ArrivedAt, Deadline, RequestInfo.ContinuesStream};
--- a/tests/entrypath/test_slowreaders.cpp
+++ b/tests/entrypath/test_slowreaders.cpp
@@ -290,6 +290,31 @@
   CHECK(target.connectionCount() == 1);
 }
 
+// Guards against the loss of answers to callers that still wait when they read
+// on, later than UnansweredTimeout after the response and the route's timeout.
+TEST_CASE("a caller may read for as long as it waits") {
+  const std::string body(BodyBytes, 'x');
+  EntryFixture fixture;
+  fixture.addTarget(
+      "t1", [&](const auto &head, const auto &, const auto &connection) {
+        connection->send(signedResponse(head, body));
+      });
+  // The route's timeout is 1.5 s.
+  const auto waiting =
+      fixture.sendOverSlowLink(requestText("once", "r1", "X-Left: 10000\r\n"));
+  const auto silent = fixture.sendOverSlowLink(requestText("once", "r2"));
+  fixture.setReading(waiting, false);
+  fixture.setReading(silent, false);
+  fixture.run(8000ms);
+  fixture.setReading(waiting, true);
+  fixture.setReading(silent, true);
+  REQUIRE(fixture.runUntil([&] { return hasEnded(*waiting); }));
+  CHECK(completeBody(*waiting) == body);
+  // One that didn't say how long it waits has been given up.
+  REQUIRE(fixture.runUntil([&] { return hasEnded(*silent); }));
+  CHECK_FALSE(completeBody(*silent));
+}
+
 // Guards against callers that are given up as soon as the route's timeout has
 // passed, while they still wait.
 TEST_CASE("a caller may read for longer than the route's timeout") {
