--- a/src/adaptertcp/unreaddatapolicy.h
+++ b/src/adaptertcp/unreaddatapolicy.h
@@ -48,10 +48,9 @@
 /// answer for UnansweredTimeout in all.
 ///
 /// The kernel's counters can't tell a peer that pauses from one behind a
-/// partition: before Linux 6.6, a full receiver drops data without an
-/// acknowledgement. So nothing is given up for lack of acknowledgements, and
-/// data counts as unread if the system doesn't tell. The caller provides the
-/// time.
+/// partition, as a full receiver may drop data without an acknowledgement. So
+/// nothing is given up for lack of acknowledgements, and data counts as unread
+/// if the system doesn't tell. The caller provides the time.
 class UnreadDataPolicy {
 public:
   explicit UnreadDataPolicy(ConnectionOrigin origin) : Origin(origin) {}
--- a/tests/entrypath/test_slowreaders.cpp
+++ b/tests/entrypath/test_slowreaders.cpp
@@ -139,6 +139,31 @@
   std::shared_ptr<Received> FromLateTarget;
 };
 
+/// Checks which of two callers get their whole answer if they read it after a
+/// pause: one that is in time, and one that is late.
+void checkReaders(std::chrono::milliseconds pause, const std::string &inTime,
+                  const std::string &late) {
+  const std::string body(BodyBytes, 'x');
+  EntryFixture fixture;
+  fixture.addTarget(
+      "t1", [&](const auto &head, const auto &, const auto &connection) {
+        connection->send(signedResponse(head, body));
+      });
+  // The route's timeout is 1.5 s.
+  const auto first =
+      fixture.sendOverSlowLink(requestText("once", "r1", inTime));
+  const auto second = fixture.sendOverSlowLink(requestText("once", "r2", late));
+  fixture.setReading(first, false);
+  fixture.setReading(second, false);
+  fixture.run(pause);
+  fixture.setReading(first, true);
+  fixture.setReading(second, true);
+  REQUIRE(fixture.runUntil([&] { return hasEnded(*first); }));
+  CHECK(completeBody(*first) == body);
+  REQUIRE(fixture.runUntil([&] { return hasEnded(*second); }));
+  CHECK_FALSE(completeBody(*second));
+}
+
 /// Lifts the limits at the end of a test.
 struct LimitsGuard {
   ~LimitsGuard() { testsupport::setKernelLimits(KernelLimits::None); }
@@ -211,8 +236,7 @@
 }
 
 // Guards against the loss of answers to callers whose kernel drops data while
-// they pause, as Linux before 6.6 does with a full receive buffer: the entry's
-// kernel retransmits after 3 s and then after 6 s.
+// they pause. The entry's kernel retransmits after 3 s and then after 6 s.
 TEST_CASE("callers that acknowledge nothing get their answers once they do") {
   PausedCallers running;
   PausedCallers stopping;
@@ -293,51 +317,14 @@
 // Guards against the loss of answers to callers that still wait when they read
 // on, later than UnansweredTimeout after the response and the route's timeout.
 TEST_CASE("a caller may read for as long as it waits") {
-  const std::string body(BodyBytes, 'x');
-  EntryFixture fixture;
-  fixture.addTarget(
-      "t1", [&](const auto &head, const auto &, const auto &connection) {
-        connection->send(signedResponse(head, body));
-      });
-  // The route's timeout is 1.5 s.
-  const auto waiting =
-      fixture.sendOverSlowLink(requestText("once", "r1", "X-Left: 10000\r\n"));
-  const auto silent = fixture.sendOverSlowLink(requestText("once", "r2"));
-  fixture.setReading(waiting, false);
-  fixture.setReading(silent, false);
-  fixture.run(8000ms);
-  fixture.setReading(waiting, true);
-  fixture.setReading(silent, true);
-  REQUIRE(fixture.runUntil([&] { return hasEnded(*waiting); }));
-  CHECK(completeBody(*waiting) == body);
-  // One that didn't say how long it waits has been given up.
-  REQUIRE(fixture.runUntil([&] { return hasEnded(*silent); }));
-  CHECK_FALSE(completeBody(*silent));
+  // One that doesn't say how long it waits is given up.
+  checkReaders(8000ms, "X-Left: 10000\r\n", "");
 }
 
 // Guards against callers that are given up as soon as the route's timeout has
 // passed, while they still wait.
 TEST_CASE("a caller may read for longer than the route's timeout") {
-  const std::string body(BodyBytes, 'x');
-  EntryFixture fixture;
-  fixture.addTarget(
-      "t1", [&](const auto &head, const auto &, const auto &connection) {
-        connection->send(signedResponse(head, body));
-      });
-  // The route's timeout is 1.5 s.
-  const auto waiting =
-      fixture.sendOverSlowLink(requestText("once", "r1", "X-Left: 8000\r\n"));
-  const auto gone =
-      fixture.sendOverSlowLink(requestText("once", "r2", "X-Left: 1500\r\n"));
-  fixture.setReading(waiting, false);
-  fixture.setReading(gone, false);
-  fixture.run(4000ms);
-  fixture.setReading(waiting, true);
-  fixture.setReading(gone, true);
-  REQUIRE(fixture.runUntil([&] { return hasEnded(*waiting); }));
-  CHECK(completeBody(*waiting) == body);
-  REQUIRE(fixture.runUntil([&] { return hasEnded(*gone); }));
-  CHECK_FALSE(completeBody(*gone));
+  checkReaders(4000ms, "X-Left: 8000\r\n", "X-Left: 1500\r\n");
 }
 
 // Guards against requests that never reach targets which pause before they
